Lay the foundation: core types, fiber loop, links, settings, interfaces

Cause: the repository was empty. The modules that follow need one vocabulary of ids, units, errors and messages, and one way to run fibers and links.

Ruled out: timed waits of Boost.Fiber on the loop (they need the dispatcher to block, which would stop the sockets); all waits go through Asio timers. A static library (the linker drops self-registering plug-ins); objects are linked instead. The first test run hung for 300 s at process exit, because a thread with a waiting fiber never ends; programs leave through exitProcess().

--- /dev/null
+++ b/include/briarhitch/core/Clock.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <chrono>
+#include <functional>
+
+namespace briarhitch {
+
+/** A clock that never goes back and also counts the time in which the VM was suspended. */
+struct BootClock {
+    using duration = std::chrono::nanoseconds;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<BootClock, duration>;
+    static constexpr bool is_steady = true;
+
+    static time_point now() noexcept;
+};
+
+using Duration = BootClock::duration;
+using Instant = BootClock::time_point;
+/** Hook that tells the time; tests inject their own. */
+using ClockHook = std::function<Instant()>;
+
+/** Milliseconds since the Unix epoch, for humans and for incarnations only; it may jump. */
+int64_t wallClockMs();
+
+inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
+inline int64_t toMs(Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); }
+inline Duration fromSeconds(double seconds)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+}
--- /dev/null
+++ b/include/briarhitch/core/Error.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "briarhitch/core/Clock.h"
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+
+namespace briarhitch {
+
+/** The closed list of what can go wrong; errorInfo() maps each kind to its answer. */
+enum class ErrorKind : uint8_t {
+    BadRequest,
+    Unauthorized,
+    ModelNotAllowed,
+    UnknownModel,
+    NotFound,
+    BodyTooLarge,
+    HeaderTooLarge,
+    RequestTimeout,
+    IdempotencyConflict,
+    CeilingRequests,
+    CeilingTokens,
+    CeilingInFlight,
+    QueueFull,
+    Shed,
+    DeadlineUnreachable,
+    NoTarget,
+    NoOwner,
+    NoLease,
+    NoQuorum,
+    NotLeader,
+    Draining,
+    CustomerClosing,
+    RunInProgress,
+    OutcomeUnknown,
+    RecordStoreFull,
+    TargetRefused,
+    TargetFailed,
+    TargetTimeout,
+    RetryBudgetSpent,
+    CallerLeft,
+    VersionConflict,
+    InvalidSettings,
+    Unavailable,
+    Damaged,
+    Internal,
+};
+inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::Internal) + 1;
+
+/** Whether the request was run by a target. */
+enum class Ran : uint8_t {
+    No,
+    Unknown,
+    Yes,
+};
+
+/** What a caller is told for one kind of error. */
+struct ErrorInfo {
+    ErrorKind kind;
+    /** The "kind" field of the answer, and the label of its counter. */
+    std::string_view name;
+    int httpStatus;
+    Ran defaultRan;
+    /** Default of the "retry_after_s" field; none where a retry does not help. */
+    std::optional<Duration> retryAfter;
+};
+
+const ErrorInfo& errorInfo(ErrorKind kind);
+/** The kind with this name; none if there is no such kind. */
+std::optional<ErrorKind> errorKindFromName(std::string_view name);
+std::string_view toString(Ran ran);
+
+struct Error {
+    ErrorKind kind { ErrorKind::Internal };
+    std::string message;
+    Ran ran { Ran::No };
+    std::optional<Duration> retryAfter;
+};
+
+/** An error with the defaults of its kind. */
+Error makeError(ErrorKind kind, std::string message);
+/** The same, ready to be returned from a function that returns a Result. */
+tl::unexpected<Error> fail(ErrorKind kind, std::string message);
+/** {"error": {kind, ran, message, retry_after_s}}; retry_after_s is null where a retry does not help. */
+std::string errorToJson(const Error& error);
+
+template <class T>
+using Result = tl::expected<T, Error>;
+
+}
--- /dev/null
+++ b/include/briarhitch/core/Ids.h
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <compare>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+
+namespace briarhitch {
+
+/** An integer id whose type tells what it identifies. Zero means "none". */
+template <class Tag, class Rep>
+class NumericId {
+public:
+    using Representation = Rep;
+
+    constexpr NumericId() = default;
+    constexpr explicit NumericId(Rep value)
+        : value_(value)
+    {
+    }
+
+    [[nodiscard]] constexpr Rep value() const { return value_; }
+    [[nodiscard]] constexpr bool isValid() const { return value_ != 0; }
+
+    constexpr auto operator<=>(const NumericId&) const = default;
+
+    template <class H>
+    friend H AbslHashValue(H hash, NumericId id)
+    {
+        return H::combine(std::move(hash), id.value_);
+    }
+
+private:
+    Rep value_ { 0 };
+};
+
+/** An entry VM or a control VM; given by its settings. */
+using NodeId = NumericId<struct NodeIdTag, uint32_t>;
+/** One start of a process, or one life of a disk; later ones are greater. */
+using Incarnation = NumericId<struct IncarnationTag, uint64_t>;
+using CustomerId = NumericId<struct CustomerIdTag, uint32_t>;
+using TargetId = NumericId<struct TargetIdTag, uint32_t>;
+using PoolId = NumericId<struct PoolIdTag, uint32_t>;
+/** Rises with each assignment of a pool to an owner; also the fencing number of that owner's orders. */
+using Epoch = NumericId<struct EpochTag, uint64_t>;
+/** Version of a configuration object, or of the whole configuration. */
+using Version = NumericId<struct VersionTag, uint64_t>;
+using RequestId = NumericId<struct RequestIdTag, uint64_t>;
+/** Kind of work for length estimates and floors; a stable hash of its name. */
+using WorkKindId = NumericId<struct WorkKindIdTag, uint32_t>;
+/** One connection between own processes, unique within a process. */
+using LinkId = NumericId<struct LinkIdTag, uint64_t>;
+
+/** One try to have a target run a request; numbers start at 1. */
+struct AttemptId {
+    RequestId request;
+    uint8_t number { 0 };
+
+    auto operator<=>(const AttemptId&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(request, number);
+    }
+
+    template <class H>
+    friend H AbslHashValue(H hash, AttemptId id)
+    {
+        return H::combine(std::move(hash), id.request, id.number);
+    }
+};
+
+/** Sixteen hexadecimal digits, as in the X-Request-Id header. */
+std::string toString(RequestId id);
+/** "REQUEST-NUMBER", as in the X-Request-Id header of a request to a target. */
+std::string toString(AttemptId id);
+/** Reads what toString(RequestId) wrote; an invalid id if the text is anything else. */
+RequestId parseRequestId(const std::string& text);
+
+}
+
+template <class Tag, class Rep>
+struct std::hash<briarhitch::NumericId<Tag, Rep>> {
+    size_t operator()(briarhitch::NumericId<Tag, Rep> id) const noexcept { return std::hash<Rep> {}(id.value()); }
+};
--- /dev/null
+++ b/include/briarhitch/http/HttpClient.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "briarhitch/http/HttpServer.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace briarhitch {
+
+/** One request to an HTTP server. */
+struct HttpCallSettings {
+    std::string host;
+    uint16_t port { 0 };
+    std::string method { "GET" };
+    /** Path with query. */
+    std::string target { "/" };
+    HttpHeaders headers;
+    std::string body;
+    Duration connectTimeout { std::chrono::seconds(1) };
+    /** Time from sending to the answer's header. */
+    Duration headerTimeout { std::chrono::seconds(30) };
+    /** A kept connection may have been closed by the server just before; where a second sending is not allowed, use a new one. */
+    bool isReuseAllowed { true };
+    size_t maxAnswerBytes { 64 * 1024 * 1024 };
+};
+
+/** An answer that is being read. */
+class HttpCall {
+public:
+    virtual ~HttpCall() = default;
+
+    [[nodiscard]] virtual int status() const = 0;
+    [[nodiscard]] virtual const HttpHeaders& headers() const = 0;
+    /**
+     * The next bytes of the body as they arrive; none at its orderly end. TargetTimeout if nothing
+     * arrived in time; TargetFailed if the connection broke; CallerLeft after cancel().
+     */
+    virtual Result<std::optional<std::string>> read(Duration timeout) = 0;
+    /** All that is left of the body. */
+    virtual Result<std::string> readAll(Duration timeout) = 0;
+    /** Closes the connection; a fiber blocked in read() returns. May be called from any fiber or hook. */
+    virtual void cancel() = 0;
+};
+
+/** HTTP/1.1 client that keeps idle connections for reuse. */
+class HttpClient {
+public:
+    explicit HttpClient(Loop& loop);
+    ~HttpClient();
+
+    /**
+     * Sends the request and blocks the calling fiber until the answer's header is there. The error's
+     * `ran` is No only if no byte of the request can have reached the server.
+     */
+    Result<std::shared_ptr<HttpCall>> start(const HttpCallSettings& settings);
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+struct HttpAnswer {
+    int status { 0 };
+    HttpHeaders headers;
+    std::string body;
+};
+
+/** Sends a request and reads the whole answer. */
+Result<HttpAnswer> fetch(HttpClient& client, const HttpCallSettings& settings);
+
+}
--- /dev/null
+++ b/include/briarhitch/http/HttpServer.h
@@ -0,0 +1,94 @@
+#pragma once
+
+#include "briarhitch/core/Error.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace briarhitch {
+
+class Loop;
+
+using HttpHeaders = std::vector<std::pair<std::string, std::string>>;
+
+/** Value of the first header with this name, compared without case; empty if there is none. */
+std::string_view findHeader(const HttpHeaders& headers, std::string_view name);
+
+struct HttpRequest {
+    std::string method;
+    /** Path without the query. */
+    std::string path;
+    /** After the '?'; empty if there is none. */
+    std::string query;
+    HttpHeaders headers;
+    std::string body;
+    /** IP address of the caller. */
+    std::string peer;
+
+    [[nodiscard]] std::string_view header(std::string_view name) const { return findHeader(headers, name); }
+};
+
+/** The answer's side of one request; used in the fiber of the handler. */
+class HttpExchange {
+public:
+    virtual ~HttpExchange() = default;
+
+    /** Sends a whole answer; false if the caller has left. */
+    virtual bool send(int status, const HttpHeaders& headers, std::string_view body) = 0;
+    /** Starts a chunked answer. */
+    virtual bool beginStream(int status, const HttpHeaders& headers) = 0;
+    /** Sends a part and waits until the socket took it; false if the caller has left. */
+    virtual bool write(std::string_view part) = 0;
+    virtual bool endStream() = 0;
+    /** Closes the connection without an orderly end, so that the caller sees that the answer is cut off. */
+    virtual void abort() = 0;
+    [[nodiscard]] virtual bool isCallerGone() const = 0;
+    /** Called once, outside the handler's fiber, if the caller closes the connection before the answer is complete. */
+    virtual void onCallerGone(std::function<void()> hook) = 0;
+};
+
+struct HttpServerSettings {
+    std::string host { "127.0.0.1" };
+    /** 0 takes a free port. */
+    uint16_t port { 0 };
+    size_t maxHeaderBytes { 16 * 1024 };
+    size_t maxBodyBytes { 4 * 1024 * 1024 };
+    /** A caller must have sent header and body by then. */
+    Duration readTimeout { std::chrono::seconds(10) };
+    /** A caller must take each part of the answer by then. */
+    Duration writeTimeout { std::chrono::seconds(30) };
+    /** An idle connection is closed after this time. */
+    Duration idleTimeout { std::chrono::seconds(60) };
+    size_t maxConnections { 4096 };
+};
+
+/** HTTP/1.1 server; one fiber for each connection. */
+class HttpServer {
+public:
+    /** Runs in the connection's fiber and must answer exactly once. */
+    using Handler = std::function<void(const HttpRequest&, HttpExchange&)>;
+
+    /** Unavailable if the address cannot be bound. */
+    static Result<std::unique_ptr<HttpServer>> listen(Loop& loop, const HttpServerSettings& settings, Handler handler);
+    ~HttpServer();
+
+    [[nodiscard]] uint16_t port() const;
+    /** Requests whose handler is running. */
+    [[nodiscard]] size_t requestsRunning() const;
+    /** Accepts no more connections and closes idle ones; running requests go on and get "Connection: close". */
+    void drain();
+
+private:
+    struct Impl;
+    explicit HttpServer(std::shared_ptr<Impl> impl);
+    std::shared_ptr<Impl> impl_;
+};
+
+/** Answers with the error's JSON, its status and Retry-After. */
+bool sendError(HttpExchange& exchange, const Error& error, HttpHeaders headers = {});
+
+}
--- /dev/null
+++ b/include/briarhitch/model/RunRecord.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "briarhitch/core/Ids.h"
+
+#include <optional>
+#include <string>
+
+namespace briarhitch {
+
+/** Names one non-idempotent request of one customer. */
+struct RunKey {
+    CustomerId customer;
+    std::string idempotencyKey;
+
+    auto operator<=>(const RunKey&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(customer, idempotencyKey);
+    }
+
+    template <class H>
+    friend H AbslHashValue(H hash, const RunKey& key)
+    {
+        return H::combine(std::move(hash), key.customer, key.idempotencyKey);
+    }
+};
+
+enum class RunState : uint8_t {
+    /** Claimed; the request may have been sent. */
+    Claimed,
+    /** Ran, and its answer is known. */
+    Done,
+    /** Certainly not run; the key may be claimed again. */
+    NotRun,
+    /** May have run; never runs again. */
+    Unknown,
+};
+
+/** A target's whole answer. */
+struct RecordedAnswer {
+    uint16_t status { 0 };
+    std::string contentType;
+    std::string body;
+
+    bool operator==(const RecordedAnswer&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(status, contentType, body);
+    }
+};
+
+/** Largest body that is kept with a record, in bytes. */
+inline constexpr size_t maxRecordedBodyBytes = 64 * 1024;
+
+struct RunRecord {
+    RunKey key;
+    /** Digest of method, path and body; a second arrival with another digest is a conflict. */
+    uint64_t digest { 0 };
+    AttemptId attempt;
+    NodeId node;
+    Incarnation nodeIncarnation;
+    RunState state { RunState::Claimed };
+    /** Empty if it was too large or the record is retired. */
+    std::optional<RecordedAnswer> answer;
+
+    bool operator==(const RunRecord&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(key, digest, attempt, node, nodeIncarnation, state, answer);
+    }
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/wire/Link.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "briarhitch/core/Error.h"
+#include "briarhitch/core/Ids.h"
+#include "briarhitch/wire/Messages.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace briarhitch {
+
+class Loop;
+class LinkConnection;
+
+enum class LinkRole : uint8_t {
+    Control = 1,
+    Entry = 2,
+    Tool = 3,
+};
+
+/** What a process proves with the fleet key when a link opens. */
+struct LinkIdentity {
+    LinkRole role { LinkRole::Tool };
+    NodeId node;
+    Incarnation incarnation;
+
+    bool operator==(const LinkIdentity&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(role, node, incarnation);
+    }
+};
+
+/** The other end of an open link. */
+struct Peer {
+    LinkId link;
+    LinkIdentity identity;
+};
+
+struct LinkSettings {
+    /** Secret of the fleet; at least 16 bytes. */
+    std::string fleetKey;
+    LinkIdentity identity;
+    /** A heartbeat is sent when nothing else was sent for this long. */
+    Duration heartbeatInterval { std::chrono::milliseconds(500) };
+    /** A link from which nothing arrived for this long is closed. */
+    Duration silenceLimit { std::chrono::seconds(2) };
+};
+
+/** Called on the loop's thread; unset hooks are allowed. */
+struct LinkHooks {
+    /** Runs in a fiber of its own; the result is sent back as the answer. */
+    std::function<Result<std::string>(const Peer&, MessageType, std::string_view body)> onRequest;
+    /** Runs in the link's reading fiber, so it must not block; messages arrive in order. */
+    std::function<void(const Peer&, MessageType, std::string_view body)> onPost;
+    std::function<void(const Peer&)> onOpen;
+    std::function<void(const Peer&)> onClosed;
+};
+
+/** Bytes sent and received over links by this process, headers of TCP and IP not counted. */
+struct LinkTraffic {
+    uint64_t bytesSent { 0 };
+    uint64_t bytesReceived { 0 };
+    uint64_t framesSent { 0 };
+    uint64_t framesReceived { 0 };
+};
+const LinkTraffic& linkTraffic();
+
+/** Accepts links from other processes of the fleet. */
+class LinkServer {
+public:
+    /** Unavailable if the address cannot be bound; port 0 takes a free one. */
+    static Result<std::unique_ptr<LinkServer>> listen(Loop& loop, const std::string& host, uint16_t port, LinkSettings settings, LinkHooks hooks);
+    ~LinkServer();
+
+    [[nodiscard]] uint16_t port() const;
+    /** Blocks the calling fiber until the answer is there; Unavailable if the link closes or the time runs out. */
+    Result<std::string> call(LinkId link, MessageType type, std::string body, Duration timeout);
+    /** Sends without an answer; dropped if the link is closed. */
+    void post(LinkId link, MessageType type, std::string body);
+    /** Closes the listener and all links. */
+    void close();
+
+private:
+    struct Impl;
+    explicit LinkServer(std::shared_ptr<Impl> impl);
+    std::shared_ptr<Impl> impl_;
+};
+
+/** Keeps one link open to another process, dialling again with a growing delay when it closes. */
+class LinkClient {
+public:
+    LinkClient(Loop& loop, std::string host, uint16_t port, LinkSettings settings, LinkHooks hooks);
+    ~LinkClient();
+
+    [[nodiscard]] bool isOpen() const;
+    /** Waits until the link is open; false if the time ran out. */
+    bool waitOpen(Duration timeout);
+    /** Blocks the calling fiber until the answer is there; Unavailable if the link is closed, closes, or the time runs out. */
+    Result<std::string> call(MessageType type, std::string body, Duration timeout);
+    /** Sends without an answer; returns false if the link is closed. */
+    bool post(MessageType type, std::string body);
+    /** Closes the link for good. */
+    void close();
+
+private:
+    struct Impl;
+    std::shared_ptr<Impl> impl_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/wire/Messages.h
@@ -0,0 +1,330 @@
+#pragma once
+
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/Error.h"
+#include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/model/RunRecord.h"
+
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** Type of a message between own processes; values are part of the protocol and are never reused. */
+enum class MessageType : uint8_t {
+    Heartbeat = 1,
+    ClaimRun = 2,
+    FinishRun = 3,
+    Raft = 4,
+    Ask = 10,
+    Grant = 11,
+    Refuse = 12,
+    Cancel = 13,
+    Started = 14,
+    Finished = 15,
+    PoolSync = 16,
+    PoolRelease = 17,
+    CeilingAsk = 18,
+    LoadReport = 19,
+};
+
+/** Node to control leader, once a second. Answer: HeartbeatReply. */
+struct Heartbeat {
+    NodeRecord node;
+    Version appliedVersion;
+    /** Requests in flight, by customer in wind-down; the leader counts them for "drained". */
+    std::vector<CustomerId> busyClosingCustomers;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(node, appliedVersion, busyClosingCustomers);
+    }
+};
+
+struct HeartbeatReply {
+    /** From the moment the node sent the heartbeat. Zero: the answering process is not the leader. */
+    Duration leaseDuration { 0 };
+    uint64_t term { 0 };
+    /** Address of the leader, if it is another process and known. */
+    std::string leaderHost;
+    uint16_t leaderPort { 0 };
+    /** Either a snapshot or deltas, or neither if the node is up to date. */
+    std::optional<ClusterConfig> snapshot;
+    std::vector<ConfigDelta> deltas;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(leaseDuration, term, leaderHost, leaderPort, snapshot, deltas);
+    }
+};
+
+/** Node to control leader, before the first byte of a non-idempotent request is sent. */
+struct ClaimRun {
+    RunKey key;
+    uint64_t digest { 0 };
+    AttemptId attempt;
+    NodeId node;
+    Incarnation nodeIncarnation;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(key, digest, attempt, node, nodeIncarnation);
+    }
+};
+
+enum class ClaimOutcome : uint8_t {
+    Granted,
+    Finished,
+    InProgress,
+    Unknown,
+    Conflict,
+    StoreFull,
+    NotLeader,
+    NoQuorum,
+};
+
+struct ClaimRunReply {
+    ClaimOutcome outcome { ClaimOutcome::NoQuorum };
+    /** With Finished, if the body was kept. */
+    std::optional<RecordedAnswer> answer;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(outcome, answer);
+    }
+};
+
+/** Node to control leader when the outcome of a claimed run is known. Answer: FinishRunReply. */
+struct FinishRun {
+    RunKey key;
+    AttemptId attempt;
+    RunState state { RunState::Unknown };
+    std::optional<RecordedAnswer> answer;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(key, attempt, state, answer);
+    }
+};
+
+struct FinishRunReply {
+    bool committed { false };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(committed);
+    }
+};
+
+/** Entry to pool owner: asks for a target. Answered by a posted Grant or Refuse. */
+struct Ask {
+    PoolId pool;
+    AttemptId attempt;
+    CustomerId customer;
+    Tier tier;
+    WorkKindId kind;
+    Tokens promptTokens;
+    /** Upper limit that the caller set. */
+    Tokens maxOutputTokens;
+    /** Stable hashes of the prompt's prefix, one for each block, from the start. */
+    std::vector<uint32_t> prefix;
+    /** Time left until the first token, or the whole answer of a service, must be there; in milliseconds. */
+    uint32_t deadlineMs { 0 };
+    /** Targets that had the request. */
+    std::vector<TargetId> excluded;
+    /** Stable hash of customer and idempotency key; zero if there is none. */
+    uint64_t repeatKey { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, repeatKey);
+    }
+};
+
+struct Grant {
+    PoolId pool;
+    AttemptId attempt;
+    Epoch epoch;
+    TargetId target;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt, epoch, target);
+    }
+};
+
+struct Refuse {
+    PoolId pool;
+    AttemptId attempt;
+    ErrorKind kind { ErrorKind::Shed };
+    uint32_t retryAfterMs { 0 };
+    /** Why, for the request's history; short. */
+    std::string reason;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt, kind, retryAfterMs, reason);
+    }
+};
+
+/** Entry to owner: the ask or the grant is no longer wanted and nothing was sent. */
+struct Cancel {
+    PoolId pool;
+    AttemptId attempt;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt);
+    }
+};
+
+/** Entry to owner: the target's first token arrived. */
+struct Started {
+    PoolId pool;
+    AttemptId attempt;
+    uint32_t firstTokenMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt, firstTokenMs);
+    }
+};
+
+enum class AttemptOutcome : uint8_t {
+    Completed,
+    /** Cancelled because the caller left, or in favour of another attempt. */
+    Cancelled,
+    /** The target refused it before running it. */
+    Refused,
+    /** The target failed or went silent while running it. */
+    Failed,
+};
+
+/** Entry to owner: the attempt ended. */
+struct Finished {
+    PoolId pool;
+    AttemptId attempt;
+    AttemptOutcome outcome { AttemptOutcome::Completed };
+    Tokens promptTokens;
+    Tokens outputTokens;
+    uint32_t durationMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs);
+    }
+};
+
+/** An attempt that was granted by an earlier owner. */
+struct RunningAttempt {
+    Ask ask;
+    TargetId target;
+    bool started { false };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(ask, target, started);
+    }
+};
+
+/** Target that had a request with this repeat key in the last ten minutes. */
+struct RecentRepeat {
+    uint64_t repeatKey { 0 };
+    TargetId target;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(repeatKey, target);
+    }
+};
+
+/** Entry to the new owner of a pool: all that this entry has running there; sent even if there is nothing. */
+struct PoolSync {
+    PoolId pool;
+    Epoch epoch;
+    std::vector<RunningAttempt> running;
+    std::vector<RecentRepeat> recent;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, epoch, running, recent);
+    }
+};
+
+/** Former owner to new owner: it issues no more grants. */
+struct PoolRelease {
+    PoolId pool;
+    /** The new owner's epoch. */
+    Epoch epoch;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, epoch);
+    }
+};
+
+/** Entry to the owner of a customer's ceiling. Answer: CeilingPortion. */
+struct CeilingAsk {
+    PoolId pool;
+    CustomerId customer;
+    /** Demand seen in the last second. */
+    double requestsPerSecond { 0 };
+    double tokensPerSecond { 0 };
+    uint32_t inFlight { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, customer, requestsPerSecond, tokensPerSecond, inFlight);
+    }
+};
+
+/** What this entry may use of a customer's ceiling until the portion ends. */
+struct CeilingPortion {
+    Ceiling portion;
+    /** False if the answering node does not own the customer's ceiling or may not yet give portions. */
+    bool valid { false };
+    uint32_t validMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(portion, valid, validMs);
+    }
+};
+
+/** A target's published load; sent to the owner of its pool by the node that polls the target. */
+struct LoadReport {
+    PoolId pool;
+    TargetId target;
+    uint32_t running { 0 };
+    uint32_t waiting { 0 };
+    /** Part of the KV cache in use, 0 to 1. */
+    double cacheUsage { 0 };
+    bool reachable { true };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, target, running, waiting, cacheUsage, reachable);
+    }
+};
+
+}
--- /dev/null
+++ b/src/model/ClusterConfig.cpp
@@ -0,0 +1,21 @@
+#include "briarhitch/model/ClusterConfig.h"
+
+namespace briarhitch {
+
+bool applyDelta(ClusterConfig& config, const ConfigDelta& delta)
+{
+    if (delta.version <= config.version)
+        return false;
+    for (const auto& contract : delta.customers)
+        config.customers[contract.customer] = contract;
+    for (const auto& target : delta.targets)
+        config.targets[target.id] = target;
+    for (const auto& node : delta.nodes)
+        config.nodes[node.id] = node;
+    for (const auto& pool : delta.pools)
+        config.pools[pool.id] = pool;
+    config.version = delta.version;
+    return true;
+}
+
+}
--- /dev/null
+++ b/tools/test.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# Runs all tests but those that KNOWN-RED.txt lists, which it prints.
+# usage: tools/test.sh [BUILD_DIR]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=${1:-build}
+known_red=()
+if [ -s KNOWN-RED.txt ]; then
+    mapfile -t known_red < <(sed -n 's/^test: *\([^ ]*\).*/\1/p' KNOWN-RED.txt)
+    printf 'known to fail, passed over: %s\n' "${known_red[@]}"
+fi
+exclude=()
+if [ ${#known_red[@]} -gt 0 ]; then
+    exclude=(-E "^($(IFS='|'; echo "${known_red[*]//./\\.}"))\$")
+fi
+# Process tests start several daemons each; four at a time leave the machine some slack.
+ctest --test-dir "$build" --output-on-failure -LE process -j "$(nproc)" "${exclude[@]}"
+ctest --test-dir "$build" --output-on-failure -L process -j 4 "${exclude[@]}"
