--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -2,12 +2,15 @@
 
 #include "briarhitch/http/HttpServer.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
 
 namespace briarhitch {
 
+class HttpCall;
+
 /** One request to an HTTP server. */
 struct HttpCallSettings {
     std::string host;
@@ -23,6 +26,8 @@
     /** A kept connection may have been closed by the server just before; where a second sending is not allowed, use a new one. */
     bool isReuseAllowed { true };
     size_t maxAnswerBytes { 64 * 1024 * 1024 };
+    /** Called just before the first byte is sent, so that the call can be cancelled while start() still blocks. */
+    std::function<void(const std::shared_ptr<HttpCall>&)> onSending;
 };
 
 /** An answer that is being read. */
--- /dev/null
+++ b/src/http/HttpClient.cpp
@@ -0,0 +1,299 @@
+#include "briarhitch/http/HttpClient.h"
+
+#include "briarhitch/runtime/Loop.h"
+#include "http/SocketDeadline.h"
+#include "runtime/FiberWaiter.h"
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <limits>
+#include <map>
+
+namespace briarhitch {
+
+namespace {
+
+    namespace http = boost::beast::http;
+    using boost::asio::ip::tcp;
+    using namespace std::chrono_literals;
+
+    constexpr size_t readBytes = 16 * 1024;
+    constexpr size_t maxIdlePerServer = 64;
+    /** Shorter than the idle timeout of common servers, so that a kept connection is rarely found closed. */
+    constexpr Duration maxIdleTime = 4s;
+
+    struct Connection {
+        explicit Connection(boost::asio::io_context& io)
+            : socket(io)
+            , deadline(socket)
+        {
+        }
+
+        [[nodiscard]] bool isUsable()
+        {
+            // Nothing may have arrived on an idle connection: neither its end nor stray bytes.
+            boost::system::error_code error;
+            socket.non_blocking(true, error);
+            char byte = 0;
+            socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+            return error == boost::asio::error::would_block;
+        }
+
+        void close()
+        {
+            boost::system::error_code ignored;
+            socket.close(ignored);
+        }
+
+        tcp::socket socket;
+        SocketDeadline deadline;
+        boost::beast::flat_buffer buffer;
+        Instant idleSince;
+    };
+
+    using Address = std::pair<std::string, uint16_t>;
+
+    /** Idle connections by server. */
+    class ConnectionPool {
+    public:
+        std::shared_ptr<Connection> take(const Address& address)
+        {
+            auto& idle = idle_[address];
+            while (!idle.empty()) {
+                auto connection = std::move(idle.back());
+                idle.pop_back();
+                if (BootClock::now() - connection->idleSince < maxIdleTime && connection->isUsable())
+                    return connection;
+                connection->close();
+            }
+            return nullptr;
+        }
+
+        void give(const Address& address, std::shared_ptr<Connection> connection)
+        {
+            auto& idle = idle_[address];
+            if (idle.size() >= maxIdlePerServer || connection->buffer.size() > 0) {
+                connection->close();
+                return;
+            }
+            connection->idleSince = BootClock::now();
+            idle.push_back(std::move(connection));
+        }
+
+    private:
+        std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
+    };
+
+    Error withRan(Error error, Ran ran)
+    {
+        error.ran = ran;
+        return error;
+    }
+
+    class BeastCall : public HttpCall {
+    public:
+        BeastCall(std::shared_ptr<Connection> connection, std::shared_ptr<ConnectionPool> pool, Address address, size_t maxAnswerBytes)
+            : connection_(std::move(connection))
+            , pool_(std::move(pool))
+            , address_(std::move(address))
+            , maxAnswerBytes_(maxAnswerBytes)
+        {
+            // Beast 1.74 compares the length with an empty optional, so "no limit" would refuse every body.
+            parser_.body_limit(std::numeric_limits<uint64_t>::max());
+        }
+
+        ~BeastCall() override
+        {
+            if (connection_)
+                connection_->close();
+        }
+
+        Result<void> send(const HttpCallSettings& settings)
+        {
+            http::request<http::string_body> request;
+            request.method_string(settings.method);
+            request.target(settings.target);
+            request.set(http::field::host, settings.host + ":" + std::to_string(settings.port));
+            for (const auto& [name, value] : settings.headers)
+                request.set(name, value);
+            request.body() = settings.body;
+            if (!settings.body.empty() || settings.method == "POST" || settings.method == "PUT")
+                request.prepare_payload();
+            connection_->deadline.arm(settings.headerTimeout);
+            auto written = awaitIo([&](auto handler) { http::async_write(connection_->socket, request, handler); });
+            if (written.error)
+                return tl::unexpected(failure(written.error));
+            auto read = awaitIo([&](auto handler) { http::async_read_header(connection_->socket, connection_->buffer, parser_, handler); });
+            if (read.error)
+                return tl::unexpected(failure(read.error));
+            connection_->deadline.disarm();
+            for (const auto& field : parser_.get())
+                headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
+            return {};
+        }
+
+        [[nodiscard]] int status() const override { return static_cast<int>(parser_.get().result_int()); }
+        [[nodiscard]] const HttpHeaders& headers() const override { return headers_; }
+
+        Result<std::optional<std::string>> read(Duration timeout) override
+        {
+            std::array<char, readBytes> bytes;
+            while (!parser_.is_done()) {
+                if (isCancelled_ || !connection_)
+                    return tl::unexpected(failure());
+                auto& body = parser_.get().body();
+                body.data = bytes.data();
+                body.size = bytes.size();
+                auto connection = connection_;
+                connection->deadline.arm(timeout);
+                auto result = awaitIo([&](auto handler) { http::async_read_some(connection->socket, connection->buffer, parser_, handler); });
+                connection->deadline.disarm();
+                if (result.error && result.error != http::error::need_buffer)
+                    return tl::unexpected(failure(result.error));
+                size_t count = bytes.size() - parser_.get().body().size;
+                if (count > 0)
+                    return std::optional<std::string>(std::string(bytes.data(), count));
+            }
+            finish();
+            return std::optional<std::string>();
+        }
+
+        Result<std::string> readAll(Duration timeout) override
+        {
+            std::string body;
+            for (;;) {
+                auto part = read(timeout);
+                if (!part)
+                    return tl::unexpected(part.error());
+                if (!*part)
+                    return body;
+                body += **part;
+                if (body.size() > maxAnswerBytes_) {
+                    cancel();
+                    return fail(ErrorKind::TargetFailed, "the answer is larger than allowed");
+                }
+            }
+        }
+
+        void cancel() override
+        {
+            isCancelled_ = true;
+            if (connection_)
+                connection_->close();
+        }
+
+    private:
+        void finish()
+        {
+            if (!connection_)
+                return;
+            if (parser_.keep_alive() && !isCancelled_)
+                pool_->give(address_, std::move(connection_));
+            else
+                connection_->close();
+            connection_ = nullptr;
+        }
+
+        [[nodiscard]] Error failure(boost::system::error_code error = {}) const
+        {
+            if (isCancelled_)
+                return makeError(ErrorKind::CallerLeft, "the request was cancelled");
+            if (connection_ && connection_->deadline.hasExpired())
+                return makeError(ErrorKind::TargetTimeout, "no answer in time from " + address_.first + ":" + std::to_string(address_.second));
+            return makeError(ErrorKind::TargetFailed, "connection to " + address_.first + ":" + std::to_string(address_.second) + " broke: " + error.message());
+        }
+
+        std::shared_ptr<Connection> connection_;
+        std::shared_ptr<ConnectionPool> pool_;
+        Address address_;
+        size_t maxAnswerBytes_;
+        http::response_parser<http::buffer_body> parser_;
+        HttpHeaders headers_;
+        bool isCancelled_ { false };
+    };
+
+}
+
+struct HttpClient::Impl {
+    Loop& loop;
+    std::shared_ptr<ConnectionPool> pool { std::make_shared<ConnectionPool>() };
+
+    Result<std::shared_ptr<Connection>> connect(const HttpCallSettings& settings) const
+    {
+        auto unreachable = [&](const std::string& why) {
+            Error error = makeError(ErrorKind::TargetFailed, "cannot connect to " + settings.host + ":" + std::to_string(settings.port) + ": " + why);
+            return tl::unexpected(withRan(std::move(error), Ran::No));
+        };
+        boost::system::error_code error;
+        auto address = boost::asio::ip::make_address(settings.host, error);
+        if (error)
+            return unreachable(error.message());
+        auto connection = std::make_shared<Connection>(loop.context());
+        boost::system::error_code openError;
+        connection->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), openError);
+        if (openError)
+            return unreachable(openError.message());
+        connection->deadline.arm(settings.connectTimeout);
+        auto result = awaitIo([&](auto handler) { connection->socket.async_connect(tcp::endpoint(address, settings.port), handler); });
+        connection->deadline.disarm();
+        if (result.error)
+            return unreachable(connection->deadline.hasExpired() ? "no answer in time" : result.error.message());
+        boost::system::error_code ignored;
+        connection->socket.set_option(tcp::no_delay(true), ignored);
+        return connection;
+    }
+};
+
+HttpClient::HttpClient(Loop& loop)
+    : impl_(std::make_shared<Impl>(Impl { loop }))
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+Result<std::shared_ptr<HttpCall>> HttpClient::start(const HttpCallSettings& settings)
+{
+    Address address { settings.host, settings.port };
+    auto impl = impl_;
+    auto connection = settings.isReuseAllowed ? impl->pool->take(address) : nullptr;
+    bool isReused = connection != nullptr;
+    if (!connection) {
+        auto opened = impl->connect(settings);
+        if (!opened)
+            return tl::unexpected(opened.error());
+        connection = *opened;
+    }
+    auto call = std::make_shared<BeastCall>(connection, impl->pool, address, settings.maxAnswerBytes);
+    if (settings.onSending)
+        settings.onSending(call);
+    auto sent = call->send(settings);
+    if (sent)
+        return std::shared_ptr<HttpCall>(call);
+    // GET has no effect on the server, so a kept connection that just broke may be replaced.
+    if (isReused && settings.method == "GET" && sent.error().kind == ErrorKind::TargetFailed) {
+        auto fresh = settings;
+        fresh.isReuseAllowed = false;
+        return start(fresh);
+    }
+    return tl::unexpected(withRan(sent.error(), Ran::Unknown));
+}
+
+Result<HttpAnswer> fetch(HttpClient& client, const HttpCallSettings& settings)
+{
+    auto call = client.start(settings);
+    if (!call)
+        return tl::unexpected(call.error());
+    auto body = (*call)->readAll(settings.headerTimeout);
+    if (!body)
+        return tl::unexpected(body.error());
+    return HttpAnswer { (*call)->status(), (*call)->headers(), std::move(*body) };
+}
+
+}
--- /dev/null
+++ b/src/http/HttpConnection.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "briarhitch/http/HttpServer.h"
+#include "http/SocketDeadline.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <memory>
+#include <optional>
+
+namespace briarhitch {
+
+/** One caller's connection: reads requests one after the other and lets the handler answer each. */
+class HttpConnection : public HttpExchange, public std::enable_shared_from_this<HttpConnection> {
+public:
+    HttpConnection(boost::asio::ip::tcp::socket socket, const HttpServerSettings& settings, const HttpServer::Handler& handler);
+
+    /** Serves until the connection closes; blocks the calling fiber. */
+    void serve();
+    [[nodiscard]] bool isIdle() const { return !isHandling_; }
+    /** Closes the connection after the running request, or at once if there is none. */
+    void drain();
+    void close();
+
+    bool send(int status, const HttpHeaders& headers, std::string_view body) override;
+    bool beginStream(int status, const HttpHeaders& headers) override;
+    bool write(std::string_view part) override;
+    bool endStream() override;
+    void abort() override;
+    [[nodiscard]] bool isCallerGone() const override { return isGone_; }
+    void onCallerGone(std::function<void()> hook) override;
+
+private:
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    using ResponseHeader = boost::beast::http::response_header<>;
+
+    std::optional<HttpRequest> readRequest();
+    bool readHeader(Parser& parser);
+    bool readBody(Parser& parser);
+    void answerReadError(boost::system::error_code error, bool hasBytes);
+    void handle(const HttpRequest& request);
+    void watchCaller();
+    void callerIsGone();
+    template <class Message>
+    void fillHeader(Message& message, int status, const HttpHeaders& headers) const;
+    template <class Start>
+    bool timedWrite(Start&& start);
+
+    boost::asio::ip::tcp::socket socket_;
+    const HttpServerSettings settings_;
+    const HttpServer::Handler& handler_;
+    boost::beast::flat_buffer buffer_;
+    SocketDeadline deadline_;
+    std::string peer_;
+    std::function<void()> goneHook_;
+    unsigned httpVersion_ { 11 };
+    bool keepAlive_ { true };
+    bool isDraining_ { false };
+    bool isHandling_ { false };
+    bool isWatching_ { false };
+    bool isStreaming_ { false };
+    bool isAnswered_ { false };
+    bool isGone_ { false };
+};
+
+}
