--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -14,7 +14,7 @@
     class HttpTest : public testing::Test {
     protected:
         /** Runs the body in a fiber against a server with this handler. */
-        void run(HttpServer::Handler handler, const std::function<void()>& body, HttpServerSettings settings = {})
+        void run(HttpServer::Handler handler, const std::function<void()>& body, const HttpServerSettings& settings = {})
         {
             auto listening = HttpServer::listen(loop_, settings, std::move(handler));
             ASSERT_TRUE(listening);
