--- /dev/null
+++ b/include/briarhitch/control/AdminApi.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "briarhitch/control/ControlServer.h"
+#include "briarhitch/http/HttpServer.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+struct AdminSettings {
+    NodeId self;
+    std::vector<ControlVoter> voters;
+    /** SHA-256 of the operators' bearer keys, in hexadecimal. */
+    std::vector<std::string> operatorKeyHashes;
+    PoolScope poolScope { PoolScope::Region };
+};
+
+/** The operators' HTTP API; see docs/design.md 4.4 and docs/control.md. */
+class AdminApi {
+public:
+    AdminApi(Loop& loop, AdminSettings settings, ControlServer& server, MetricRegistry& metrics);
+
+    /** Handler for HttpServer. */
+    void handle(const HttpRequest& request, HttpExchange& exchange);
+
+private:
+    struct Call;
+
+    void handleChecked(const HttpRequest& request, HttpExchange& exchange);
+    void route(const Call& call);
+    void routeCustomer(const Call& call);
+    void routeTarget(const Call& call);
+    void putCustomer(const Call& call);
+    void windDown(const Call& call);
+    void putTarget(const Call& call);
+    void setTargetState(const Call& call, TargetState state);
+    void showChange(const Call& call);
+    void exportCustomer(const Call& call);
+    void sendStatus(HttpExchange& exchange);
+    void sendReadiness(HttpExchange& exchange);
+    void redirect(const HttpRequest& request, HttpExchange& exchange);
+    void commit(const Call& call, const std::string& changeId, std::string command);
+    /** Waits until every node under a lease has applied the version; returns those that have not in time. */
+    std::vector<NodeId> waitInForce(const Call& call, Version version);
+    /** Waits until no node has requests of the customer in flight; Unavailable if some still have. */
+    Result<void> waitDrained(const Call& call, const std::string& customer);
+    [[nodiscard]] bool isOperator(const HttpRequest& request) const;
+
+    Loop& loop_;
+    AdminSettings settings_;
+    ControlServer& server_;
+    MetricRegistry& metrics_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/control/ChangeHistory.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "briarhitch/control/Commands.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** An operator's change and the answer that it got. */
+struct StoredChange {
+    std::string id;
+    /** Digest of what was changed, without the expected version. */
+    uint64_t digest { 0 };
+    CommandResult result;
+
+    bool operator==(const StoredChange&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(id, digest, result);
+    }
+};
+
+/** Remembers the answers of the latest changes, so that a change that is sent again gets its first answer. */
+class ChangeHistory {
+public:
+    /** Ten days of the expected 6,400 changes a day. An older change that is sent again meets its expected version. */
+    static constexpr size_t capacity = 65536;
+
+    [[nodiscard]] const StoredChange* find(const std::string& id) const;
+    /** Forgets the oldest change when full. */
+    void add(StoredChange change);
+    [[nodiscard]] size_t size() const { return order_.size(); }
+    /** Oldest first. */
+    [[nodiscard]] std::vector<StoredChange> image() const;
+    void restore(std::vector<StoredChange> changes);
+
+private:
+    std::map<std::string, StoredChange> changes_;
+    std::deque<std::string> order_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/control/Commands.h
@@ -0,0 +1,247 @@
+#pragma once
+
+#include "briarhitch/core/Error.h"
+#include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/wire/Messages.h"
+
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** Kind of a command in the replicated log; values are part of the stored format and are never reused. */
+enum class CommandKind : uint8_t {
+    PutCustomer = 1,
+    WindDown = 2,
+    PutTarget = 3,
+    SetTargetState = 4,
+    RegisterNode = 5,
+    MarkNodeLost = 6,
+    AssignPools = 7,
+    ClaimRun = 8,
+    FinishRun = 9,
+    RetireRuns = 10,
+};
+
+/** One entry of the log. */
+struct Command {
+    CommandKind kind {};
+    /** Wall clock of the proposer in milliseconds; only used to retire old answers. */
+    int64_t timeMs { 0 };
+    /** The encoded struct for the kind. */
+    std::string body;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(kind, timeMs, body);
+    }
+};
+
+/** What every operator's change carries. */
+struct ChangeHeader {
+    /** 1 to 64 bytes, chosen by the operator; names the change for good. */
+    std::string changeId;
+    /** Version of the object that the change is based on; zero to create the object. */
+    Version expectedVersion;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(changeId, expectedVersion);
+    }
+};
+
+inline constexpr size_t maxChangeIdBytes = 64;
+
+/** Creates or replaces a contract; id, version and state of the contract are set by the state machine. */
+struct PutCustomerCommand {
+    ChangeHeader change;
+    Contract contract;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(change, contract);
+    }
+};
+
+/** Takes a customer one step further; repeating the present step changes nothing. */
+struct WindDownCommand {
+    ChangeHeader change;
+    std::string customer;
+    CustomerState step { CustomerState::NoNewWork };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(change, customer, step);
+    }
+};
+
+/** Creates or replaces a target; id, version, state and pool are set by the state machine. */
+struct PutTargetCommand {
+    ChangeHeader change;
+    Target target;
+    /** Scope of the target's pool: its region or its availability zone. */
+    std::string poolScope;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(change, target, poolScope);
+    }
+};
+
+struct SetTargetStateCommand {
+    ChangeHeader change;
+    std::string target;
+    TargetState state { TargetState::Draining };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(change, target, state);
+    }
+};
+
+/** A node's new incarnation, address, place or draining flag; also clears "lost". */
+struct RegisterNodeCommand {
+    NodeRecord node;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(node);
+    }
+};
+
+/** The lease of this incarnation has certainly ended. */
+struct MarkNodeLostCommand {
+    NodeId node;
+    Incarnation incarnation;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(node, incarnation);
+    }
+};
+
+/** A new owner for one pool. */
+struct PoolMove {
+    PoolId pool;
+    /** Epoch that the decision is based on. */
+    Epoch expectedEpoch;
+    NodeId owner;
+    Incarnation ownerIncarnation;
+    /** Present owner if its lease may still hold. */
+    NodeId previousOwner;
+    /** Configuration version at which the present owner's record last changed when the move was decided. */
+    Version ownerSeenAt;
+
+    bool operator==(const PoolMove&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, expectedEpoch, owner, ownerIncarnation, previousOwner, ownerSeenAt);
+    }
+};
+
+struct AssignPoolsCommand {
+    std::vector<PoolMove> moves;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(moves);
+    }
+};
+
+struct ClaimRunCommand {
+    ClaimRun claim;
+    /** Bound on all records, carried along so that every voter decides alike. */
+    uint64_t maxRecords { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(claim, maxRecords);
+    }
+};
+
+struct FinishRunCommand {
+    FinishRun finish;
+    /** Bound on the bytes of all recorded answers; an answer that exceeds it is recorded as done without its body. */
+    uint64_t maxAnswerBytes { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(finish, maxAnswerBytes);
+    }
+};
+
+/** Drops the answers of runs that ended before the given time; their key digests stay. */
+struct RetireRunsCommand {
+    int64_t endedBeforeMs { 0 };
+    /** Most records retired by this command, so that applying it stays short. */
+    uint32_t limit { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(endedBeforeMs, limit);
+    }
+};
+
+/** Result of every command but claims. */
+struct CommandResult {
+    bool accepted { false };
+    /** Why it was not accepted. */
+    ErrorKind kind { ErrorKind::Internal };
+    std::string message;
+    /** Version of the changed object; of the present object if the expected version did not match. */
+    Version objectVersion;
+    /** Configuration version that contains the change. */
+    Version configVersion;
+
+    bool operator==(const CommandResult&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(accepted, kind, message, objectVersion, configVersion);
+    }
+};
+
+/** Result of a claim. */
+struct ClaimResult {
+    /** Whether `reply` holds the decision; otherwise `kind` tells why nothing was recorded. */
+    bool decided { false };
+    ErrorKind kind { ErrorKind::Internal };
+    ClaimRunReply reply;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(decided, kind, reply);
+    }
+};
+
+/** Encodes each command for the log. */
+std::string encodeCommand(const PutCustomerCommand& command);
+std::string encodeCommand(const WindDownCommand& command);
+std::string encodeCommand(const PutTargetCommand& command);
+std::string encodeCommand(const SetTargetStateCommand& command);
+std::string encodeCommand(const RegisterNodeCommand& command, int64_t timeMs);
+std::string encodeCommand(const MarkNodeLostCommand& command, int64_t timeMs);
+std::string encodeCommand(const AssignPoolsCommand& command);
+std::string encodeCommand(const ClaimRunCommand& command, int64_t timeMs);
+std::string encodeCommand(const FinishRunCommand& command, int64_t timeMs);
+std::string encodeCommand(const RetireRunsCommand& command);
+Result<CommandResult> decodeCommandResult(const std::string& bytes);
+Result<ClaimResult> decodeClaimResult(const std::string& bytes);
+
+}
--- /dev/null
+++ b/include/briarhitch/control/RunStore.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include "briarhitch/control/Commands.h"
+
+#include <absl/container/btree_map.h>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** 128 bits that stand for a key whose record is retired. */
+struct KeyDigest {
+    uint64_t high { 0 };
+    uint64_t low { 0 };
+
+    auto operator<=>(const KeyDigest&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(high, low);
+    }
+};
+
+/** A run record and the time of its last outcome. */
+struct StoredRun {
+    RunRecord record;
+    /** Wall clock in milliseconds, as carried in the command; zero while the run is claimed. */
+    int64_t endedAtMs { 0 };
+
+    bool operator==(const StoredRun&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(record, endedAtMs);
+    }
+};
+
+/** A run whose answer was dropped; the key still never runs again. */
+struct RetiredRun {
+    CustomerId customer;
+    KeyDigest key;
+    RunState state { RunState::Unknown };
+
+    bool operator==(const RetiredRun&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(customer, key, state);
+    }
+};
+
+/** All of a RunStore, for snapshots. */
+struct RunStoreImage {
+    std::vector<StoredRun> runs;
+    std::vector<RetiredRun> retired;
+
+    bool operator==(const RunStoreImage&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(runs, retired);
+    }
+};
+
+inline constexpr size_t maxIdempotencyKeyBytes = 255;
+
+/** The run records of all customers. Pure and deterministic. */
+class RunStore {
+public:
+    /** Decides a claim by the records alone; the caller has checked customer and node. */
+    ClaimOutcome claim(const ClaimRun& claim, uint64_t maxRecords);
+    /** Records an outcome of the attempt that holds the claim; outcomes of other attempts are ignored. */
+    void finish(const FinishRun& finish, int64_t timeMs, uint64_t maxAnswerBytes);
+    /** Marks the claimed runs of a node as unknown, but for those of the incarnation `except`. */
+    void markUnknown(NodeId node, Incarnation except, int64_t timeMs);
+    /** Drops answers of runs that ended before the given time; returns how many were dropped. */
+    uint32_t retire(int64_t endedBeforeMs, uint32_t limit);
+    /** Drops all records and digests of a customer. */
+    void eraseCustomer(CustomerId customer);
+
+    [[nodiscard]] const StoredRun* find(const RunKey& key) const;
+    [[nodiscard]] size_t claimedCount(CustomerId customer) const;
+    /** Records and retired keys. */
+    [[nodiscard]] size_t size() const { return runs_.size() + retiredCount_; }
+    [[nodiscard]] size_t retiredCount() const { return retiredCount_; }
+    [[nodiscard]] uint64_t answerBytes() const { return answerBytes_; }
+    /** Whether a record that ended before the given time waits to be retired. */
+    [[nodiscard]] bool hasEndedBefore(int64_t timeMs) const;
+    /** The customer's records in order of their keys. */
+    [[nodiscard]] std::vector<StoredRun> runsOf(CustomerId customer) const;
+    [[nodiscard]] RunStoreImage image() const;
+    void restore(RunStoreImage image);
+
+private:
+    using RunMap = std::map<RunKey, StoredRun>;
+
+    [[nodiscard]] const RunState* findRetired(const RunKey& key) const;
+    ClaimOutcome claimAgain(StoredRun& run, const ClaimRun& claim);
+    void recordStray(const FinishRun& finish, int64_t timeMs);
+    void setClaimed(StoredRun& run, const ClaimRun& claim);
+    void setEnded(StoredRun& run, RunState state, int64_t timeMs);
+    void setAnswer(StoredRun& run, const std::optional<RecordedAnswer>& answer, uint64_t maxAnswerBytes);
+    void removeFromIndexes(const StoredRun& run);
+    void addToIndexes(const StoredRun& run);
+
+    RunMap runs_;
+    std::map<CustomerId, absl::btree_map<KeyDigest, RunState>> retired_;
+    size_t retiredCount_ { 0 };
+    uint64_t answerBytes_ { 0 };
+    /** Claimed runs of each node. */
+    std::map<NodeId, std::set<RunKey>> claimedByNode_;
+    std::map<CustomerId, size_t> claimedByCustomer_;
+    /** Ended runs in order of their end. */
+    std::set<std::pair<int64_t, RunKey>> ended_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/control/StateMachine.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "briarhitch/control/ChangeHistory.h"
+#include "briarhitch/control/Commands.h"
+#include "briarhitch/control/RunStore.h"
+#include "briarhitch/model/ClusterConfig.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace briarhitch {
+
+/**
+ * The replicated state: configuration, answers of changes and run records. Pure and deterministic: equal
+ * commands in equal order give equal results and equal snapshots on every voter.
+ */
+class StateMachine {
+public:
+    /** Changes that a node may be behind and still catch up by deltas. */
+    static constexpr size_t maxDeltas = 1024;
+    /** Upper limits that keep the configuration within one frame to a node. */
+    static constexpr size_t maxCustomers = 12000;
+    static constexpr size_t maxTargets = 12000;
+    static constexpr size_t maxNodes = 4096;
+
+    StateMachine();
+
+    /** Applies an encoded command; returns an encoded ClaimResult for a claim, otherwise a CommandResult. */
+    std::string apply(std::string_view command);
+    [[nodiscard]] std::string takeSnapshot() const;
+    /** Damaged if the bytes are not a snapshot; the state is then unchanged. */
+    Result<void> loadSnapshot(std::string_view snapshot);
+
+    [[nodiscard]] const ClusterConfig& config() const { return config_; }
+    [[nodiscard]] const RunStore& runs() const { return runs_; }
+    [[nodiscard]] const ChangeHistory& changes() const { return changes_; }
+    /** Configuration version at which a node's record last changed; zero if the node is unknown. */
+    [[nodiscard]] Version nodeChangedAt(NodeId node) const;
+    /** Puts the changes after `applied` into the reply: deltas if they are kept, otherwise a snapshot. */
+    void addChangesSince(Version applied, HeartbeatReply& reply) const;
+    [[nodiscard]] const Contract* findCustomer(const std::string& name) const;
+    [[nodiscard]] const Target* findTarget(const std::string& name) const;
+
+private:
+    CommandResult applyCommand(const Command& command);
+    ClaimResult applyClaim(const Command& command);
+    CommandResult applyChange(const ChangeHeader& change, uint64_t digest, const std::function<CommandResult()>& decide);
+    CommandResult putCustomer(const PutCustomerCommand& command);
+    CommandResult windDown(const WindDownCommand& command);
+    CommandResult putTarget(const PutTargetCommand& command);
+    CommandResult setTargetState(const SetTargetStateCommand& command);
+    CommandResult registerNode(const RegisterNodeCommand& command, int64_t timeMs);
+    CommandResult markNodeLost(const MarkNodeLostCommand& command, int64_t timeMs);
+    CommandResult assignPools(const AssignPoolsCommand& command);
+    CommandResult finishRun(const FinishRunCommand& command, int64_t timeMs);
+    CommandResult publishNode(const NodeRecord& node);
+    [[nodiscard]] bool isMoveAllowed(const PoolMove& move) const;
+    [[nodiscard]] bool isKeyTaken(const Contract& contract, CustomerId owner) const;
+    [[nodiscard]] const PoolAssignment* findPool(const std::string& name) const;
+    [[nodiscard]] CommandResult accepted(Version objectVersion) const;
+    void publish(ConfigDelta delta);
+
+    ClusterConfig config_;
+    std::deque<ConfigDelta> deltas_;
+    std::map<NodeId, Version> nodeChangedAt_;
+    ChangeHistory changes_;
+    RunStore runs_;
+    uint32_t nextCustomer_ { 1 };
+    uint32_t nextTarget_ { 1 };
+    uint32_t nextPool_ { 1 };
+};
+
+std::string_view toString(CustomerState state);
+std::string_view toString(TargetState state);
+
+}
--- /dev/null
+++ b/src/control/AdminApi.cpp
@@ -0,0 +1,350 @@
+#include "briarhitch/control/AdminApi.h"
+
+#include "briarhitch/core/Digest.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/Loop.h"
+#include "control/AdminJson.h"
+#include "control/StatusReport.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_split.h>
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr double defaultWaitSeconds = 5;
+    constexpr double maxWaitSeconds = 30;
+    constexpr Duration waitStep = 50ms;
+    constexpr std::string_view bearerPrefix = "Bearer ";
+
+    const HttpHeaders jsonHeaders { { "Content-Type", "application/json" } };
+
+    void sendJson(HttpExchange& exchange, int status, const Json& json)
+    {
+        exchange.send(status, jsonHeaders, dump(json) + "\n");
+    }
+
+    Result<double> readWait(const std::string& query)
+    {
+        double wait = defaultWaitSeconds;
+        std::vector<std::string> parts = absl::StrSplit(query, '&', absl::SkipEmpty());
+        for (const auto& part : parts) {
+            std::pair<std::string, std::string> field = absl::StrSplit(part, absl::MaxSplits('=', 1));
+            if (field.first != "wait_s")
+                return fail(ErrorKind::BadRequest, "the only query parameter is wait_s, found " + field.first);
+            bool good = absl::SimpleAtod(field.second, &wait) && wait >= 0 && wait <= maxWaitSeconds;
+            if (!good)
+                return fail(ErrorKind::BadRequest, "wait_s: found " + field.second + ", allowed is a number from 0 to 30");
+        }
+        return wait;
+    }
+
+    Json runToJson(const StoredRun& run)
+    {
+        static constexpr const char* states[] = { "claimed", "done", "not_run", "unknown" };
+        Json json;
+        json["idempotency_key"] = run.record.key.idempotencyKey;
+        json["state"] = states[static_cast<size_t>(run.record.state)];
+        json["ended_at_ms"] = run.endedAtMs;
+        if (const auto& answer = run.record.answer) {
+            json["status"] = answer->status;
+            json["content_type"] = answer->contentType;
+            // Bodies may hold any bytes.
+            json["body_base64"] = absl::Base64Escape(answer->body);
+        }
+        return json;
+    }
+
+}
+
+/** One authorised request at the leader. */
+struct AdminApi::Call {
+    const HttpRequest& request;
+    HttpExchange& exchange;
+    /** Parts of the path after "/v1/". */
+    std::vector<std::string> path;
+    double waitSeconds { defaultWaitSeconds };
+
+    [[nodiscard]] bool is(std::string_view method, size_t parts) const { return request.method == method && path.size() == parts; }
+    void fail(const Error& error) const { sendError(exchange, error); }
+    void fail(ErrorKind kind, std::string message) const { sendError(exchange, makeError(kind, std::move(message))); }
+    void failNoRoute() const { fail(ErrorKind::NotFound, "there is no " + request.method + " " + request.path); }
+};
+
+AdminApi::AdminApi(Loop& loop, AdminSettings settings, ControlServer& server, MetricRegistry& metrics)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , server_(server)
+    , metrics_(metrics)
+{
+}
+
+void AdminApi::handle(const HttpRequest& request, HttpExchange& exchange)
+{
+    if (request.path == "/healthz")
+        exchange.send(200, { { "Content-Type", "text/plain" } }, "ok\n");
+    else if (request.path == "/readyz")
+        sendReadiness(exchange);
+    else if (request.path == "/metrics")
+        exchange.send(200, { { "Content-Type", "text/plain; version=0.0.4" } }, metrics_.toPrometheusText());
+    else if (!request.path.starts_with("/v1/"))
+        sendError(exchange, makeError(ErrorKind::NotFound, "there is no " + request.path));
+    else if (!isOperator(request))
+        sendError(exchange, makeError(ErrorKind::Unauthorized, "the request needs an operator's key in the header Authorization: Bearer KEY"));
+    else
+        handleChecked(request, exchange);
+}
+
+void AdminApi::handleChecked(const HttpRequest& request, HttpExchange& exchange)
+{
+    metrics_.count("control_admin_requests_total", "method=\"" + request.method + "\"");
+    bool isStatus = request.path == "/v1/status" && request.method == "GET";
+    if (!server_.isLeader()) {
+        const auto* leader = server_.leader();
+        bool isElsewhere = leader && leader->node != settings_.self;
+        if (isElsewhere)
+            redirect(request, exchange);
+        else if (isStatus)
+            sendStatus(exchange);
+        else
+            sendError(exchange, makeError(ErrorKind::NoQuorum, "the control voters have no leader at the moment"));
+        return;
+    }
+    if (isStatus) {
+        sendStatus(exchange);
+        return;
+    }
+    auto wait = readWait(request.query);
+    if (!wait) {
+        sendError(exchange, wait.error());
+        return;
+    }
+    std::vector<std::string> path = absl::StrSplit(request.path.substr(4), '/');
+    route(Call { request, exchange, std::move(path), *wait });
+}
+
+void AdminApi::route(const Call& call)
+{
+    if (call.path[0] == "customers")
+        routeCustomer(call);
+    else if (call.path[0] == "targets")
+        routeTarget(call);
+    else if (call.path[0] == "changes" && call.is("GET", 2))
+        showChange(call);
+    else
+        call.failNoRoute();
+}
+
+void AdminApi::routeCustomer(const Call& call)
+{
+    if (call.is("GET", 1)) {
+        Json list = Json::array();
+        for (const auto& [id, contract] : server_.state().config().customers)
+            list.push_back(toJson(contract));
+        sendJson(call.exchange, 200, { { "customers", list } });
+    } else if (call.is("GET", 2)) {
+        const auto* contract = server_.state().findCustomer(call.path[1]);
+        if (contract)
+            sendJson(call.exchange, 200, toJson(*contract));
+        else
+            call.fail(ErrorKind::NotFound, "there is no customer " + call.path[1]);
+    } else if (call.is("PUT", 2)) {
+        putCustomer(call);
+    } else if (call.is("POST", 3) && call.path[2] == "wind-down") {
+        windDown(call);
+    } else if (call.is("GET", 3) && call.path[2] == "export") {
+        exportCustomer(call);
+    } else {
+        call.failNoRoute();
+    }
+}
+
+void AdminApi::routeTarget(const Call& call)
+{
+    if (call.is("GET", 1)) {
+        Json list = Json::array();
+        for (const auto& [id, target] : server_.state().config().targets)
+            list.push_back(toJson(target));
+        sendJson(call.exchange, 200, { { "targets", list } });
+    } else if (call.is("GET", 2)) {
+        const auto* target = server_.state().findTarget(call.path[1]);
+        if (target)
+            sendJson(call.exchange, 200, toJson(*target));
+        else
+            call.fail(ErrorKind::NotFound, "there is no target " + call.path[1]);
+    } else if (call.is("PUT", 2)) {
+        putTarget(call);
+    } else if (call.is("POST", 3) && call.path[2] == "drain") {
+        setTargetState(call, TargetState::Draining);
+    } else if (call.is("POST", 3) && call.path[2] == "retire") {
+        setTargetState(call, TargetState::Retired);
+    } else {
+        call.failNoRoute();
+    }
+}
+
+void AdminApi::putCustomer(const Call& call)
+{
+    auto command = parsePutCustomer(call.path[1], call.request.body);
+    if (!command)
+        call.fail(command.error());
+    else
+        commit(call, command->change.changeId, encodeCommand(*command));
+}
+
+void AdminApi::windDown(const Call& call)
+{
+    auto command = parseWindDown(call.path[1], call.request.body);
+    if (!command) {
+        call.fail(command.error());
+        return;
+    }
+    const auto* contract = server_.state().findCustomer(call.path[1]);
+    bool isDraining = contract && contract->state == CustomerState::NoNewWork && command->step == CustomerState::Drained;
+    if (isDraining) {
+        if (auto drained = waitDrained(call, contract->name); !drained) {
+            call.fail(drained.error());
+            return;
+        }
+    }
+    commit(call, command->change.changeId, encodeCommand(*command));
+}
+
+void AdminApi::putTarget(const Call& call)
+{
+    auto command = parsePutTarget(call.path[1], call.request.body, settings_.poolScope);
+    if (!command)
+        call.fail(command.error());
+    else
+        commit(call, command->change.changeId, encodeCommand(*command));
+}
+
+void AdminApi::setTargetState(const Call& call, TargetState state)
+{
+    auto command = parseSetTargetState(call.path[1], call.request.body, state);
+    if (!command)
+        call.fail(command.error());
+    else
+        commit(call, command->change.changeId, encodeCommand(*command));
+}
+
+void AdminApi::commit(const Call& call, const std::string& changeId, std::string command)
+{
+    auto result = server_.propose(std::move(command));
+    if (!result) {
+        auto error = result.error();
+        if (error.ran == Ran::Unknown)
+            error.message += "; the change may still be accepted, send it again with the same change_id";
+        metrics_.count("control_changes_total", "result=\"" + std::string(errorInfo(error.kind).name) + "\"");
+        call.fail(error);
+        return;
+    }
+    if (!result->accepted) {
+        metrics_.count("control_changes_total", "result=\"" + std::string(errorInfo(result->kind).name) + "\"");
+        sendJson(call.exchange, errorInfo(result->kind).httpStatus, refusalToJson(*result));
+        return;
+    }
+    metrics_.count("control_changes_total", "result=\"accepted\"");
+    sendJson(call.exchange, 200, changeToJson(changeId, *result, waitInForce(call, result->configVersion)));
+}
+
+std::vector<NodeId> AdminApi::waitInForce(const Call& call, Version version)
+{
+    Instant deadline = BootClock::now() + fromSeconds(call.waitSeconds);
+    for (;;) {
+        auto behind = server_.nodesBehind(version);
+        if (behind.empty() || BootClock::now() >= deadline || call.exchange.isCallerGone())
+            return behind;
+        sleepFor(loop_, waitStep);
+    }
+}
+
+Result<void> AdminApi::waitDrained(const Call& call, const std::string& customer)
+{
+    Instant deadline = BootClock::now() + fromSeconds(call.waitSeconds);
+    // Reports that are older than the step do not know yet that the customer is to be counted.
+    auto version = server_.state().config().version;
+    for (;;) {
+        const auto* contract = server_.state().findCustomer(customer);
+        auto busy = contract ? server_.nodesBusyWith(contract->customer) : std::vector<NodeId>();
+        auto behind = server_.nodesBehind(version);
+        if (busy.empty() && behind.empty())
+            return {};
+        if (BootClock::now() >= deadline || call.exchange.isCallerGone() || !server_.isLeader()) {
+            return fail(ErrorKind::Unavailable, "customer " + customer + " is not drained: requests in flight on nodes " + dump(toJson(busy)) + ", no report yet from nodes " + dump(toJson(behind)));
+        }
+        sleepFor(loop_, waitStep);
+    }
+}
+
+void AdminApi::showChange(const Call& call)
+{
+    const auto* change = server_.state().changes().find(call.path[1]);
+    if (!change) {
+        call.fail(ErrorKind::NotFound, "there is no change " + call.path[1]);
+        return;
+    }
+    auto json = change->result.accepted ? changeToJson(change->id, change->result, server_.nodesBehind(change->result.configVersion)) : refusalToJson(change->result);
+    json["change_id"] = change->id;
+    json["accepted"] = change->result.accepted;
+    sendJson(call.exchange, 200, json);
+}
+
+void AdminApi::exportCustomer(const Call& call)
+{
+    const auto* contract = server_.state().findCustomer(call.path[1]);
+    if (!contract) {
+        call.fail(ErrorKind::NotFound, "there is no customer " + call.path[1]);
+        return;
+    }
+    if (contract->state != CustomerState::Drained && contract->state != CustomerState::Exported) {
+        call.fail(ErrorKind::BadRequest, "customer " + contract->name + " is " + std::string(toString(contract->state)) + "; only a drained customer is exported");
+        return;
+    }
+    // One JSON text for each line, the contract first: the records of a large customer do not fit into one answer in memory.
+    auto runs = server_.state().runs().runsOf(contract->customer);
+    bool open = call.exchange.beginStream(200, { { "Content-Type", "application/x-ndjson" } });
+    open = open && call.exchange.write(dump(toJson(*contract)) + "\n");
+    for (size_t i = 0; i < runs.size() && open; ++i)
+        open = call.exchange.write(dump(runToJson(runs[i])) + "\n");
+    if (open)
+        call.exchange.endStream();
+}
+
+void AdminApi::sendStatus(HttpExchange& exchange)
+{
+    sendJson(exchange, 200, statusToJson(settings_, server_, BootClock::now()));
+}
+
+void AdminApi::sendReadiness(HttpExchange& exchange)
+{
+    bool isReady = server_.isLeader() || (server_.leader() && server_.leader()->node != settings_.self);
+    exchange.send(isReady ? 200 : 503, { { "Content-Type", "text/plain" } }, isReady ? "ready\n" : "no leader\n");
+}
+
+void AdminApi::redirect(const HttpRequest& request, HttpExchange& exchange)
+{
+    const auto* leader = server_.leader();
+    std::string location = "http://" + leader->host + ":" + std::to_string(leader->adminPort) + request.path + (request.query.empty() ? "" : "?" + request.query);
+    auto error = makeError(ErrorKind::NotLeader, "the leader is node " + std::to_string(leader->node.value()));
+    exchange.send(307, { { "Location", location }, { "Content-Type", "application/json" } }, errorToJson(error) + "\n");
+}
+
+bool AdminApi::isOperator(const HttpRequest& request) const
+{
+    auto header = request.header("Authorization");
+    if (!header.starts_with(bearerPrefix))
+        return false;
+    auto hash = sha256Hex(header.substr(bearerPrefix.size()));
+    bool known = false;
+    for (const auto& allowed : settings_.operatorKeyHashes)
+        known = constantTimeEqual(hash, allowed) || known;
+    return known;
+}
+
+}
--- /dev/null
+++ b/src/control/AdminJson.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "briarhitch/control/Commands.h"
+#include "briarhitch/settings/ControlSettings.h"
+
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+using Json = nlohmann::ordered_json;
+
+/** Bodies of operators' changes; InvalidSettings names each wrong or unknown field. */
+Result<PutCustomerCommand> parsePutCustomer(const std::string& name, const std::string& body);
+Result<WindDownCommand> parseWindDown(const std::string& name, const std::string& body);
+Result<PutTargetCommand> parsePutTarget(const std::string& name, const std::string& body, PoolScope scope);
+Result<SetTargetStateCommand> parseSetTargetState(const std::string& name, const std::string& body, TargetState state);
+/** 1 to 64 letters, digits, '.', '_' or '-'. */
+bool isName(const std::string& text);
+
+Json toJson(const Contract& contract);
+Json toJson(const Target& target);
+Json toJson(const std::vector<NodeId>& nodes);
+/** Answer to an accepted change. */
+Json changeToJson(const std::string& changeId, const CommandResult& result, const std::vector<NodeId>& notApplied);
+/** Answer to a refused change: the common error shape, and the object's present version. */
+Json refusalToJson(const CommandResult& result);
+/** Compact text; bytes that are not UTF-8 are replaced. */
+std::string dump(const Json& json);
+
+}
--- /dev/null
+++ b/src/control/ChangeHistory.cpp
@@ -0,0 +1,39 @@
+#include "briarhitch/control/ChangeHistory.h"
+
+namespace briarhitch {
+
+const StoredChange* ChangeHistory::find(const std::string& id) const
+{
+    auto it = changes_.find(id);
+    return it == changes_.end() ? nullptr : &it->second;
+}
+
+void ChangeHistory::add(StoredChange change)
+{
+    if (order_.size() >= capacity) {
+        changes_.erase(order_.front());
+        order_.pop_front();
+    }
+    order_.push_back(change.id);
+    auto id = change.id;
+    changes_.emplace(std::move(id), std::move(change));
+}
+
+std::vector<StoredChange> ChangeHistory::image() const
+{
+    std::vector<StoredChange> result;
+    result.reserve(order_.size());
+    for (const auto& id : order_)
+        result.push_back(changes_.at(id));
+    return result;
+}
+
+void ChangeHistory::restore(std::vector<StoredChange> changes)
+{
+    changes_.clear();
+    order_.clear();
+    for (auto& change : changes)
+        add(std::move(change));
+}
+
+}
--- /dev/null
+++ b/src/control/ControlServer.cpp
@@ -0,0 +1,326 @@
+#include "briarhitch/control/ControlServer.h"
+
+#include "briarhitch/core/Log.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/Loop.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <array>
+
+namespace briarhitch {
+
+namespace {
+
+    /** Records retired by one command; applying it must not delay heartbeats noticeably. */
+    constexpr uint32_t retireBatch = 500;
+
+    constexpr std::array<std::string_view, 8> claimOutcomeNames {
+        "granted", "finished", "in_progress", "unknown", "conflict", "store_full", "not_leader", "no_quorum"
+    };
+
+    const Log& controlLog()
+    {
+        static const Log log("control:");
+        return log;
+    }
+
+    std::string describe(NodeId node)
+    {
+        return "node " + std::to_string(node.value());
+    }
+
+    bool isSender(const Peer& peer, NodeId node, Incarnation incarnation)
+    {
+        return peer.identity.role == LinkRole::Entry && peer.identity.node == node && peer.identity.incarnation == incarnation;
+    }
+
+}
+
+/** Outlives the server in the fiber that ticks. */
+struct ControlServer::Lifetime {
+    bool stopped { false };
+};
+
+ControlServer::ControlServer(Loop& loop, ControlServerSettings settings, StateMachine& state, MetricRegistry& metrics)
+    : loop_(loop)
+    , settings_(std::move(settings))
+    , state_(state)
+    , metrics_(metrics)
+    , leases_(settings_.lease)
+    , lifetime_(std::make_shared<Lifetime>())
+{
+}
+
+ControlServer::~ControlServer()
+{
+    stop();
+}
+
+void ControlServer::onRoleChange(bool isLeader, uint64_t term)
+{
+    leading_ = isLeader;
+    reports_.clear();
+    assigner_ = PoolAssigner();
+    leases_.becomeLeader(BootClock::now());
+    controlLog().info(isLeader ? "leads in term " + std::to_string(term) : "does not lead in term " + std::to_string(term));
+}
+
+void ControlServer::start()
+{
+    loop_.spawn([this, lifetime = lifetime_] {
+        while (!lifetime->stopped) {
+            sleepFor(loop_, settings_.tickInterval);
+            if (!lifetime->stopped)
+                tick();
+        }
+    });
+}
+
+void ControlServer::stop()
+{
+    lifetime_->stopped = true;
+}
+
+bool ControlServer::isLeader() const
+{
+    return leading_ && log_->hasLeaderLease();
+}
+
+const ControlVoter* ControlServer::leader() const
+{
+    auto id = log_->leader();
+    if (!id)
+        return nullptr;
+    auto it = std::find_if(settings_.voters.begin(), settings_.voters.end(), [&](const ControlVoter& voter) { return voter.node == *id; });
+    return it == settings_.voters.end() ? nullptr : &*it;
+}
+
+Result<CommandResult> ControlServer::propose(std::string command)
+{
+    if (!isLeader())
+        return fail(ErrorKind::NotLeader, "this voter does not lead");
+    auto answer = log_->propose(std::move(command), settings_.proposeTimeout);
+    if (answer)
+        return decodeCommandResult(*answer);
+    auto error = answer.error();
+    if (error.kind == ErrorKind::NoQuorum)
+        error.ran = Ran::Unknown;
+    return tl::unexpected(error);
+}
+
+Result<std::string> ControlServer::onRequest(const Peer& peer, MessageType type, std::string_view body)
+{
+    switch (type) {
+    case MessageType::Heartbeat:
+        return onHeartbeat(peer, body);
+    case MessageType::ClaimRun:
+        return onClaim(peer, body);
+    case MessageType::FinishRun:
+        return onFinish(peer, body);
+    default:
+        return fail(ErrorKind::BadRequest, "control does not answer messages of this type");
+    }
+}
+
+std::string ControlServer::redirect() const
+{
+    HeartbeatReply reply;
+    const auto* voter = leader();
+    if (voter && voter->node != settings_.self) {
+        reply.leaderHost = voter->host;
+        reply.leaderPort = voter->port;
+    }
+    reply.term = log_->term();
+    return encode(reply);
+}
+
+Result<void> ControlServer::registerIfChanged(const NodeRecord& node)
+{
+    const auto& nodes = state_.config().nodes;
+    auto it = nodes.find(node.id);
+    if (it != nodes.end() && it->second == node)
+        return {};
+    auto result = propose(encodeCommand(RegisterNodeCommand { node }, wallClockMs()));
+    if (!result)
+        return tl::unexpected(result.error());
+    if (!result->accepted)
+        return fail(ErrorKind::BadRequest, describe(node.id) + ": " + result->message);
+    controlLog().info(describe(node.id) + " is registered in zone " + node.zone + (node.draining ? " as draining" : ""));
+    // Another command may have been applied since, for example one that marks the node as lost.
+    it = nodes.find(node.id);
+    if (it == nodes.end() || it->second != node)
+        return fail(ErrorKind::Unavailable, describe(node.id) + ": its record changed meanwhile");
+    return {};
+}
+
+Result<std::string> ControlServer::onHeartbeat(const Peer& peer, std::string_view body)
+{
+    auto heartbeat = decode<Heartbeat>(body);
+    if (!heartbeat)
+        return tl::unexpected(heartbeat.error());
+    auto node = heartbeat->node;
+    node.lost = false;
+    if (!isSender(peer, node.id, node.incarnation))
+        return fail(ErrorKind::Unauthorized, "a heartbeat names another node than its link");
+    if (!isLeader())
+        return redirect();
+    auto registered = registerIfChanged(node);
+    if (!registered && registered.error().kind != ErrorKind::NotLeader)
+        return tl::unexpected(registered.error());
+    if (!registered || !isLeader())
+        return redirect();
+    // Lease and configuration are taken at one instant: whoever holds the lease knows all that was decided before it.
+    leases_.grant(node.id, node.incarnation, BootClock::now());
+    reports_[node.id] = { node.incarnation, heartbeat->appliedVersion, heartbeat->busyClosingCustomers };
+    metrics_.count("control_heartbeats_total");
+    HeartbeatReply reply;
+    reply.leaseDuration = settings_.lease.lease;
+    reply.term = log_->term();
+    state_.addChangesSince(heartbeat->appliedVersion, reply);
+    return encode(reply);
+}
+
+Result<std::string> ControlServer::onClaim(const Peer& peer, std::string_view body)
+{
+    auto claim = decode<ClaimRun>(body);
+    if (!claim)
+        return tl::unexpected(claim.error());
+    if (!isSender(peer, claim->node, claim->nodeIncarnation))
+        return fail(ErrorKind::Unauthorized, "a claim names another node than its link");
+    ClaimRunReply reply;
+    reply.outcome = ClaimOutcome::NotLeader;
+    if (!isLeader())
+        return encode(reply);
+    auto answer = log_->propose(encodeCommand(ClaimRunCommand { *claim, settings_.maxRunRecords }, wallClockMs()), settings_.proposeTimeout);
+    if (!answer) {
+        if (answer.error().kind != ErrorKind::NotLeader)
+            reply.outcome = ClaimOutcome::NoQuorum;
+        return encode(reply);
+    }
+    auto result = decodeClaimResult(*answer);
+    if (!result)
+        return tl::unexpected(result.error());
+    if (!result->decided) {
+        metrics_.count("control_claims_refused_total", "kind=\"" + std::string(errorInfo(result->kind).name) + "\"");
+        return fail(result->kind, "the claim was not recorded");
+    }
+    metrics_.count("control_claims_total", "outcome=\"" + std::string(claimOutcomeNames.at(static_cast<size_t>(result->reply.outcome))) + "\"");
+    return encode(result->reply);
+}
+
+Result<std::string> ControlServer::onFinish(const Peer& peer, std::string_view body)
+{
+    auto finish = decode<FinishRun>(body);
+    if (!finish)
+        return tl::unexpected(finish.error());
+    if (peer.identity.role != LinkRole::Entry)
+        return fail(ErrorKind::Unauthorized, "only entries report outcomes");
+    FinishRunReply reply;
+    if (!isLeader())
+        return encode(reply);
+    auto answer = log_->propose(encodeCommand(FinishRunCommand { *finish, settings_.maxAnswerBytes }, wallClockMs()), settings_.proposeTimeout);
+    reply.committed = answer.has_value();
+    return encode(reply);
+}
+
+std::vector<NodeId> ControlServer::nodesBehind(Version version) const
+{
+    std::vector<NodeId> behind;
+    auto now = BootClock::now();
+    for (const auto& [id, node] : state_.config().nodes) {
+        if (node.lost || !leases_.mayHold(id, node.incarnation, now))
+            continue;
+        const auto* report = findReport(id);
+        if (!report || report->incarnation != node.incarnation || report->applied < version)
+            behind.push_back(id);
+    }
+    return behind;
+}
+
+std::vector<NodeId> ControlServer::nodesBusyWith(CustomerId customer) const
+{
+    std::vector<NodeId> busy;
+    for (const auto& [id, report] : reports_) {
+        auto node = state_.config().nodes.find(id);
+        if (node == state_.config().nodes.end() || node->second.lost)
+            continue;
+        const auto& customers = report.busyClosingCustomers;
+        if (std::find(customers.begin(), customers.end(), customer) != customers.end())
+            busy.push_back(id);
+    }
+    return busy;
+}
+
+const NodeReport* ControlServer::findReport(NodeId node) const
+{
+    auto it = reports_.find(node);
+    return it == reports_.end() ? nullptr : &it->second;
+}
+
+void ControlServer::tick()
+{
+    publishGauges();
+    if (!isLeader())
+        return;
+    markLostNodes();
+    assignPools();
+    retireAnswers();
+    leases_.removeEnded(BootClock::now());
+}
+
+void ControlServer::markLostNodes()
+{
+    // A copy, because the configuration changes while a command is being committed.
+    auto nodes = state_.config().nodes;
+    for (const auto& [id, node] : nodes) {
+        if (node.lost || !isLeader() || leases_.mayHold(id, node.incarnation, BootClock::now()))
+            continue;
+        auto result = propose(encodeCommand(MarkNodeLostCommand { id, node.incarnation }, wallClockMs()));
+        if (!result)
+            return;
+        if (!result->accepted)
+            continue;
+        metrics_.count("control_nodes_lost_total");
+        controlLog().warning(describe(id) + " in zone " + node.zone + " is lost: its lease has ended");
+    }
+}
+
+void ControlServer::assignPools()
+{
+    auto changedAt = [this](NodeId node) { return state_.nodeChangedAt(node); };
+    auto moves = assigner_.decide(state_.config(), leases_, changedAt, BootClock::now());
+    if (moves.empty() || !isLeader())
+        return;
+    auto result = propose(encodeCommand(AssignPoolsCommand { moves }));
+    if (!result || !result->accepted)
+        return;
+    metrics_.count("control_pool_moves_total", {}, moves.size());
+    for (const auto& move : moves)
+        controlLog().info("pool " + state_.config().pools.at(move.pool).name + " is assigned to " + describe(move.owner)
+            + (move.previousOwner.isValid() ? ", handed over by " + describe(move.previousOwner) : ""));
+}
+
+void ControlServer::retireAnswers()
+{
+    int64_t before = wallClockMs() - toMs(settings_.answerRetention);
+    if (state_.runs().hasEndedBefore(before) && isLeader())
+        (void)propose(encodeCommand(RetireRunsCommand { before, retireBatch }));
+}
+
+void ControlServer::publishGauges()
+{
+    const auto& config = state_.config();
+    auto unowned = std::count_if(config.pools.begin(), config.pools.end(), [](const auto& entry) { return !entry.second.owner.isValid(); });
+    auto lost = std::count_if(config.nodes.begin(), config.nodes.end(), [](const auto& entry) { return entry.second.lost; });
+    metrics_.setGauge("control_is_leader", {}, isLeader() ? 1 : 0);
+    metrics_.setGauge("control_term", {}, static_cast<double>(log_->term()));
+    metrics_.setGauge("control_config_version", {}, static_cast<double>(config.version.value()));
+    metrics_.setGauge("control_nodes", {}, static_cast<double>(config.nodes.size()));
+    metrics_.setGauge("control_nodes_lost", {}, static_cast<double>(lost));
+    metrics_.setGauge("control_pools_without_owner", {}, static_cast<double>(unowned));
+    metrics_.setGauge("control_run_records", {}, static_cast<double>(state_.runs().size()));
+    metrics_.setGauge("control_run_answer_bytes", {}, static_cast<double>(state_.runs().answerBytes()));
+}
+
+}
--- /dev/null
+++ b/src/control/PoolAssigner.cpp
@@ -0,0 +1,121 @@
+#include "briarhitch/control/PoolAssigner.h"
+
+#include "briarhitch/core/Digest.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace briarhitch {
+
+namespace {
+
+    enum class Need : uint8_t {
+        None,
+        /** The present owner goes on until the new one takes over. */
+        Handover,
+        /** Nobody owns the pool any more. */
+        Takeover,
+    };
+
+    Need needOf(const PoolAssignment& pool, const ClusterConfig& config, const LeaseTable& leases, Instant now)
+    {
+        if (!pool.owner.isValid())
+            return Need::Takeover;
+        auto owner = config.nodes.find(pool.owner);
+        bool isGone = owner == config.nodes.end() || owner->second.lost || owner->second.incarnation != pool.ownerIncarnation;
+        if (isGone)
+            return leases.mayHold(pool.owner, pool.ownerIncarnation, now) ? Need::None : Need::Takeover;
+        return owner->second.draining ? Need::Handover : Need::None;
+    }
+
+    /** Region of a pool's targets; empty for pools without targets. */
+    std::map<PoolId, std::string> regionsOf(const ClusterConfig& config)
+    {
+        std::map<PoolId, std::string> regions;
+        for (const auto& [id, target] : config.targets) {
+            if (target.state != TargetState::Retired || !regions.contains(target.pool))
+                regions[target.pool] = target.region;
+        }
+        return regions;
+    }
+
+}
+
+/** Live nodes that may get pools, with what they own. */
+struct PoolAssigner::Candidates {
+    Candidates(const ClusterConfig& config, const LeaseTable& leases, Instant now)
+    {
+        for (const auto& [id, node] : config.nodes) {
+            if (!node.lost && !node.draining && leases.isLive(id, node.incarnation, now))
+                nodes.push_back(&node);
+        }
+        for (const auto& [id, pool] : config.pools) {
+            auto owner = config.nodes.find(pool.owner);
+            if (owner != config.nodes.end())
+                count(owner->second, 1);
+        }
+    }
+
+    void count(const NodeRecord& node, int change)
+    {
+        poolsByNode[node.id] += change;
+        poolsByZone[node.zone] += change;
+    }
+
+    /** The node with the fewest pools, of the zone with the fewest pools, by rendezvous hash. */
+    const NodeRecord* pick(const PoolAssignment& pool, const std::string& region)
+    {
+        auto rank = [&](const NodeRecord* node) {
+            bool isFar = pool.kind != PoolKind::Ceiling && node->zone != pool.scope && node->region == region && pool.scope != region;
+            return std::tuple(isFar, poolsByNode[node->id], poolsByZone[node->zone], stableHash(pool.name, node->id.value()));
+        };
+        const NodeRecord* best = nullptr;
+        for (const auto* node : nodes) {
+            bool fits = pool.kind == PoolKind::Ceiling || node->region == region || node->zone == pool.scope;
+            if (fits && (!best || rank(node) < rank(best)))
+                best = node;
+        }
+        return best;
+    }
+
+    std::vector<const NodeRecord*> nodes;
+    std::map<NodeId, int> poolsByNode;
+    std::map<std::string, int> poolsByZone;
+};
+
+bool PoolAssigner::isSettled(const PoolAssignment& pool, const LeaseTable& leases, Instant now)
+{
+    if (!pool.previousOwner.isValid())
+        return true;
+    auto& handover = handovers_[pool.id];
+    if (handover.epoch != pool.epoch)
+        handover = { pool.epoch, now };
+    return now >= handover.seenAt + leases.settings().longestHold();
+}
+
+std::vector<PoolMove> PoolAssigner::decide(const ClusterConfig& config, const LeaseTable& leases, const ChangedAtHook& nodeChangedAt, Instant now)
+{
+    std::vector<PoolMove> moves;
+    Candidates candidates(config, leases, now);
+    auto regions = regionsOf(config);
+    for (const auto& [id, pool] : config.pools) {
+        // Until then the owner before the present one may hold a lease without knowing that it lost the pool.
+        bool settled = isSettled(pool, leases, now);
+        auto need = needOf(pool, config, leases, now);
+        if (need == Need::None || !settled)
+            continue;
+        const auto* owner = candidates.pick(pool, regions[id]);
+        if (!owner)
+            continue;
+        auto present = config.nodes.find(pool.owner);
+        if (present != config.nodes.end())
+            candidates.count(present->second, -1);
+        candidates.count(*owner, 1);
+        // In a handover the present owner may renew its lease before the move is committed, whatever its lease is now.
+        auto previous = need == Need::Handover ? pool.owner : NodeId();
+        moves.push_back({ id, pool.epoch, owner->id, owner->incarnation, previous, nodeChangedAt(pool.owner) });
+    }
+    return moves;
+}
+
+}
--- /dev/null
+++ b/src/control/RunStore.cpp
@@ -0,0 +1,274 @@
+#include "briarhitch/control/RunStore.h"
+
+#include "briarhitch/core/Digest.h"
+
+#include <cassert>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr uint64_t highSeed = 1;
+    constexpr uint64_t lowSeed = 2;
+
+    KeyDigest digestOf(const std::string& key)
+    {
+        return { stableHash(key, highSeed), stableHash(key, lowSeed) };
+    }
+
+    size_t bytesOf(const std::optional<RecordedAnswer>& answer)
+    {
+        return answer ? answer->body.size() + answer->contentType.size() : 0;
+    }
+
+}
+
+ClaimOutcome RunStore::claim(const ClaimRun& claim, uint64_t maxRecords)
+{
+    if (const auto* state = findRetired(claim.key))
+        return *state == RunState::Done ? ClaimOutcome::Finished : ClaimOutcome::Unknown;
+    auto it = runs_.find(claim.key);
+    if (it != runs_.end())
+        return claimAgain(it->second, claim);
+    if (size() >= maxRecords)
+        return ClaimOutcome::StoreFull;
+    StoredRun run;
+    run.record.key = claim.key;
+    setClaimed(run, claim);
+    addToIndexes(run);
+    runs_.emplace(claim.key, std::move(run));
+    return ClaimOutcome::Granted;
+}
+
+ClaimOutcome RunStore::claimAgain(StoredRun& run, const ClaimRun& claim)
+{
+    const auto& record = run.record;
+    if (record.state == RunState::NotRun) {
+        // The claim of an attempt that has already ended is a copy that was delayed. Granting it would leave a claim that nobody ends.
+        if (record.attempt == claim.attempt)
+            return ClaimOutcome::InProgress;
+        removeFromIndexes(run);
+        setClaimed(run, claim);
+        addToIndexes(run);
+        return ClaimOutcome::Granted;
+    }
+    if (record.digest != claim.digest)
+        return ClaimOutcome::Conflict;
+    switch (record.state) {
+    case RunState::Claimed: {
+        // The node sends a claim again when the first answer was lost.
+        bool isResent = record.attempt == claim.attempt && record.node == claim.node && record.nodeIncarnation == claim.nodeIncarnation;
+        return isResent ? ClaimOutcome::Granted : ClaimOutcome::InProgress;
+    }
+    case RunState::Done:
+        return ClaimOutcome::Finished;
+    case RunState::NotRun:
+    case RunState::Unknown:
+        break;
+    }
+    return ClaimOutcome::Unknown;
+}
+
+void RunStore::finish(const FinishRun& finish, int64_t timeMs, uint64_t maxAnswerBytes)
+{
+    if (finish.state == RunState::Claimed || findRetired(finish.key))
+        return;
+    auto it = runs_.find(finish.key);
+    if (it == runs_.end()) {
+        recordStray(finish, timeMs);
+        return;
+    }
+    auto& run = it->second;
+    if (run.record.attempt != finish.attempt)
+        return;
+    bool isLateAnswer = run.record.state == RunState::Unknown && finish.state == RunState::Done;
+    // After "unknown" a late answer is worth recording, but a late "not run" does not free the key:
+    // the caller was told that the run may have happened.
+    if (run.record.state != RunState::Claimed && !isLateAnswer)
+        return;
+    removeFromIndexes(run);
+    setEnded(run, finish.state, timeMs);
+    if (finish.state == RunState::Done)
+        setAnswer(run, finish.answer, maxAnswerBytes);
+    addToIndexes(run);
+}
+
+void RunStore::recordStray(const FinishRun& finish, int64_t timeMs)
+{
+    // The claim may still be on its way. This record keeps it from being granted after its attempt ended.
+    // Its digest is unknown, which only matters for states that never run again.
+    if (finish.state != RunState::NotRun)
+        return;
+    StoredRun run;
+    run.record.key = finish.key;
+    run.record.attempt = finish.attempt;
+    setEnded(run, finish.state, timeMs);
+    addToIndexes(run);
+    runs_.emplace(finish.key, std::move(run));
+}
+
+void RunStore::markUnknown(NodeId node, Incarnation except, int64_t timeMs)
+{
+    auto it = claimedByNode_.find(node);
+    if (it == claimedByNode_.end())
+        return;
+    auto keys = it->second;
+    for (const auto& key : keys) {
+        auto& run = runs_.at(key);
+        if (run.record.nodeIncarnation == except)
+            continue;
+        removeFromIndexes(run);
+        setEnded(run, RunState::Unknown, timeMs);
+        addToIndexes(run);
+    }
+}
+
+uint32_t RunStore::retire(int64_t endedBeforeMs, uint32_t limit)
+{
+    uint32_t dropped = 0;
+    while (dropped < limit && hasEndedBefore(endedBeforeMs)) {
+        auto it = runs_.find(ended_.begin()->second);
+        assert(it != runs_.end());
+        removeFromIndexes(it->second);
+        // A key that certainly did not run needs no memory.
+        if (it->second.record.state != RunState::NotRun) {
+            retired_[it->first.customer][digestOf(it->first.idempotencyKey)] = it->second.record.state;
+            ++retiredCount_;
+        }
+        runs_.erase(it);
+        ++dropped;
+    }
+    return dropped;
+}
+
+void RunStore::eraseCustomer(CustomerId customer)
+{
+    auto it = runs_.lower_bound(RunKey { customer, "" });
+    while (it != runs_.end() && it->first.customer == customer) {
+        removeFromIndexes(it->second);
+        it = runs_.erase(it);
+    }
+    auto retired = retired_.find(customer);
+    if (retired == retired_.end())
+        return;
+    retiredCount_ -= retired->second.size();
+    retired_.erase(retired);
+}
+
+const StoredRun* RunStore::find(const RunKey& key) const
+{
+    auto it = runs_.find(key);
+    return it == runs_.end() ? nullptr : &it->second;
+}
+
+size_t RunStore::claimedCount(CustomerId customer) const
+{
+    auto it = claimedByCustomer_.find(customer);
+    return it == claimedByCustomer_.end() ? 0 : it->second;
+}
+
+bool RunStore::hasEndedBefore(int64_t timeMs) const
+{
+    return !ended_.empty() && ended_.begin()->first < timeMs;
+}
+
+std::vector<StoredRun> RunStore::runsOf(CustomerId customer) const
+{
+    std::vector<StoredRun> result;
+    for (auto it = runs_.lower_bound(RunKey { customer, "" }); it != runs_.end() && it->first.customer == customer; ++it)
+        result.push_back(it->second);
+    return result;
+}
+
+RunStoreImage RunStore::image() const
+{
+    RunStoreImage image;
+    image.runs.reserve(runs_.size());
+    for (const auto& [key, run] : runs_)
+        image.runs.push_back(run);
+    image.retired.reserve(retiredCount_);
+    for (const auto& [customer, keys] : retired_) {
+        for (const auto& [key, state] : keys)
+            image.retired.push_back({ customer, key, state });
+    }
+    return image;
+}
+
+void RunStore::restore(RunStoreImage image)
+{
+    *this = RunStore();
+    for (auto& run : image.runs) {
+        addToIndexes(run);
+        auto key = run.record.key;
+        runs_.emplace(std::move(key), std::move(run));
+    }
+    for (const auto& run : image.retired)
+        retired_[run.customer][run.key] = run.state;
+    retiredCount_ = image.retired.size();
+}
+
+const RunState* RunStore::findRetired(const RunKey& key) const
+{
+    auto customer = retired_.find(key.customer);
+    if (customer == retired_.end())
+        return nullptr;
+    auto it = customer->second.find(digestOf(key.idempotencyKey));
+    return it == customer->second.end() ? nullptr : &it->second;
+}
+
+void RunStore::setClaimed(StoredRun& run, const ClaimRun& claim)
+{
+    run.record.digest = claim.digest;
+    run.record.attempt = claim.attempt;
+    run.record.node = claim.node;
+    run.record.nodeIncarnation = claim.nodeIncarnation;
+    run.record.state = RunState::Claimed;
+    run.record.answer.reset();
+    run.endedAtMs = 0;
+}
+
+void RunStore::setEnded(StoredRun& run, RunState state, int64_t timeMs)
+{
+    run.record.state = state;
+    run.endedAtMs = timeMs;
+}
+
+void RunStore::setAnswer(StoredRun& run, const std::optional<RecordedAnswer>& answer, uint64_t maxAnswerBytes)
+{
+    bool fits = answer && answer->body.size() <= maxRecordedBodyBytes && answerBytes_ + bytesOf(answer) <= maxAnswerBytes;
+    if (fits)
+        run.record.answer = answer;
+}
+
+void RunStore::removeFromIndexes(const StoredRun& run)
+{
+    const auto& record = run.record;
+    answerBytes_ -= bytesOf(record.answer);
+    if (record.state != RunState::Claimed) {
+        ended_.erase({ run.endedAtMs, record.key });
+        return;
+    }
+    auto byNode = claimedByNode_.find(record.node);
+    assert(byNode != claimedByNode_.end());
+    byNode->second.erase(record.key);
+    if (byNode->second.empty())
+        claimedByNode_.erase(byNode);
+    auto byCustomer = claimedByCustomer_.find(record.key.customer);
+    assert(byCustomer != claimedByCustomer_.end());
+    if (--byCustomer->second == 0)
+        claimedByCustomer_.erase(byCustomer);
+}
+
+void RunStore::addToIndexes(const StoredRun& run)
+{
+    const auto& record = run.record;
+    answerBytes_ += bytesOf(record.answer);
+    if (record.state != RunState::Claimed) {
+        ended_.insert({ run.endedAtMs, record.key });
+        return;
+    }
+    claimedByNode_[record.node].insert(record.key);
+    ++claimedByCustomer_[record.key.customer];
+}
+
+}
--- /dev/null
+++ b/src/control/StateMachine.cpp
@@ -0,0 +1,465 @@
+#include "briarhitch/control/StateMachine.h"
+
+#include "briarhitch/core/Digest.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarhitch {
+
+namespace {
+
+    /** The stored form; fields are only ever added at the end. */
+    struct Snapshot {
+        ClusterConfig config;
+        std::map<NodeId, Version> nodeChangedAt;
+        std::vector<StoredChange> changes;
+        RunStoreImage runs;
+        uint32_t nextCustomer { 0 };
+        uint32_t nextTarget { 0 };
+        uint32_t nextPool { 0 };
+
+        template <class V>
+        void fields(V& visit)
+        {
+            visit(config, nodeChangedAt, changes, runs, nextCustomer, nextTarget, nextPool);
+        }
+    };
+
+    CommandResult refused(ErrorKind kind, std::string message, Version objectVersion = {})
+    {
+        return { false, kind, std::move(message), objectVersion, {} };
+    }
+
+    CommandResult conflict(const std::string& what, Version present, Version expected)
+    {
+        return refused(ErrorKind::VersionConflict,
+            what + " has version " + std::to_string(present.value()) + ", the change expects " + std::to_string(expected.value()), present);
+    }
+
+    Version next(Version version)
+    {
+        return Version(version.value() + 1);
+    }
+
+    CustomerState stepAfter(CustomerState state)
+    {
+        assert(state != CustomerState::Erased);
+        return static_cast<CustomerState>(static_cast<uint8_t>(state) + 1);
+    }
+
+    /** A change that is sent again may carry the version that it led to, so the expected version does not count. */
+    template <class T>
+    uint64_t changeDigest(CommandKind kind, T command)
+    {
+        command.change = {};
+        return stableHash(encode(command), static_cast<uint64_t>(kind));
+    }
+
+    std::string poolNameOf(const Target& target, const std::string& scope)
+    {
+        const char* prefix = target.kind == TargetKind::Engine ? "model:" : "service:";
+        return prefix + target.serves + "@" + scope;
+    }
+
+    template <class T, class Run>
+    CommandResult withBody(const Command& command, Run&& run)
+    {
+        auto body = decode<T>(command.body);
+        return body ? run(*body) : refused(ErrorKind::BadRequest, "the command's body has the wrong shape");
+    }
+
+    template <class T>
+    const T* findByName(const auto& objects, const std::string& name)
+    {
+        auto it = std::find_if(objects.begin(), objects.end(), [&](const auto& entry) { return entry.second.name == name; });
+        return it == objects.end() ? nullptr : &it->second;
+    }
+
+}
+
+std::string_view toString(CustomerState state)
+{
+    switch (state) {
+    case CustomerState::Active:
+        return "active";
+    case CustomerState::NoNewWork:
+        return "no_new_work";
+    case CustomerState::Drained:
+        return "drained";
+    case CustomerState::Exported:
+        return "exported";
+    case CustomerState::Erased:
+        return "erased";
+    }
+    return "unknown";
+}
+
+std::string_view toString(TargetState state)
+{
+    switch (state) {
+    case TargetState::Active:
+        return "active";
+    case TargetState::Draining:
+        return "draining";
+    case TargetState::Retired:
+        return "retired";
+    }
+    return "unknown";
+}
+
+StateMachine::StateMachine()
+{
+    ConfigDelta first;
+    for (uint32_t i = 0; i < ceilingPoolCount; ++i) {
+        PoolAssignment pool;
+        pool.id = PoolId(nextPool_++);
+        pool.name = "ceiling:" + std::to_string(i);
+        pool.kind = PoolKind::Ceiling;
+        first.pools.push_back(pool);
+    }
+    publish(std::move(first));
+}
+
+std::string StateMachine::apply(std::string_view bytes)
+{
+    auto command = decode<Command>(bytes);
+    if (!command)
+        return encode(refused(ErrorKind::BadRequest, "the log entry is not a command"));
+    if (command->kind == CommandKind::ClaimRun)
+        return encode(applyClaim(*command));
+    return encode(applyCommand(*command));
+}
+
+CommandResult StateMachine::applyCommand(const Command& command)
+{
+    switch (command.kind) {
+    case CommandKind::PutCustomer:
+        return withBody<PutCustomerCommand>(command, [&](const auto& body) {
+            return applyChange(body.change, changeDigest(command.kind, body), [&] { return putCustomer(body); });
+        });
+    case CommandKind::WindDown:
+        return withBody<WindDownCommand>(command, [&](const auto& body) {
+            return applyChange(body.change, changeDigest(command.kind, body), [&] { return windDown(body); });
+        });
+    case CommandKind::PutTarget:
+        return withBody<PutTargetCommand>(command, [&](const auto& body) {
+            return applyChange(body.change, changeDigest(command.kind, body), [&] { return putTarget(body); });
+        });
+    case CommandKind::SetTargetState:
+        return withBody<SetTargetStateCommand>(command, [&](const auto& body) {
+            return applyChange(body.change, changeDigest(command.kind, body), [&] { return setTargetState(body); });
+        });
+    case CommandKind::RegisterNode:
+        return withBody<RegisterNodeCommand>(command, [&](const auto& body) { return registerNode(body, command.timeMs); });
+    case CommandKind::MarkNodeLost:
+        return withBody<MarkNodeLostCommand>(command, [&](const auto& body) { return markNodeLost(body, command.timeMs); });
+    case CommandKind::AssignPools:
+        return withBody<AssignPoolsCommand>(command, [&](const auto& body) { return assignPools(body); });
+    case CommandKind::FinishRun:
+        return withBody<FinishRunCommand>(command, [&](const auto& body) { return finishRun(body, command.timeMs); });
+    case CommandKind::RetireRuns:
+        return withBody<RetireRunsCommand>(command, [&](const auto& body) {
+            runs_.retire(body.endedBeforeMs, body.limit);
+            return accepted({});
+        });
+    case CommandKind::ClaimRun:
+        break;
+    }
+    return refused(ErrorKind::BadRequest, "the log entry is of an unknown kind");
+}
+
+CommandResult StateMachine::applyChange(const ChangeHeader& change, uint64_t digest, const std::function<CommandResult()>& decide)
+{
+    if (change.changeId.empty() || change.changeId.size() > maxChangeIdBytes)
+        return refused(ErrorKind::BadRequest, "a change id has 1 to 64 bytes");
+    if (const auto* earlier = changes_.find(change.changeId)) {
+        if (earlier->digest != digest)
+            return refused(ErrorKind::BadRequest, "this change id was used for another change");
+        return earlier->result;
+    }
+    auto result = decide();
+    // What failed only for now may be sent again under the same id.
+    if (result.accepted || result.kind != ErrorKind::Unavailable)
+        changes_.add({ change.changeId, digest, result });
+    return result;
+}
+
+CommandResult StateMachine::putCustomer(const PutCustomerCommand& command)
+{
+    Contract contract = command.contract;
+    const auto* present = findCustomer(contract.name);
+    if (present && present->state == CustomerState::Erased)
+        return refused(ErrorKind::CustomerClosing, "customer " + contract.name + " is erased; a new customer needs another name", present->version);
+    Version presentVersion = present ? present->version : Version();
+    if (presentVersion != command.change.expectedVersion)
+        return conflict("customer " + contract.name, presentVersion, command.change.expectedVersion);
+    if (!present && config_.customers.size() >= maxCustomers)
+        return refused(ErrorKind::BadRequest, "there are " + std::to_string(maxCustomers) + " customers already");
+    if (isKeyTaken(contract, present ? present->customer : CustomerId()))
+        return refused(ErrorKind::BadRequest, "a key of this contract belongs to another customer");
+    contract.customer = present ? present->customer : CustomerId(nextCustomer_++);
+    contract.state = present ? present->state : CustomerState::Active;
+    contract.version = next(presentVersion);
+    ConfigDelta delta;
+    delta.customers.push_back(contract);
+    publish(std::move(delta));
+    return accepted(contract.version);
+}
+
+CommandResult StateMachine::windDown(const WindDownCommand& command)
+{
+    const auto* present = findCustomer(command.customer);
+    if (!present)
+        return refused(ErrorKind::NotFound, "there is no customer " + command.customer);
+    if (command.step <= present->state)
+        return accepted(present->version);
+    if (present->version != command.change.expectedVersion)
+        return conflict("customer " + command.customer, present->version, command.change.expectedVersion);
+    auto step = stepAfter(present->state);
+    if (command.step != step)
+        return refused(ErrorKind::BadRequest, "the next step of customer " + command.customer + " is " + std::string(toString(step)), present->version);
+    if (step == CustomerState::Drained && runs_.claimedCount(present->customer) > 0)
+        return refused(ErrorKind::Unavailable, "customer " + command.customer + " still has claimed runs", present->version);
+    Contract contract = *present;
+    contract.state = step;
+    contract.version = next(present->version);
+    if (step == CustomerState::Erased) {
+        // The record stays as a tombstone, so that nodes learn of it and the name is not used for another customer.
+        contract.keyHashes.clear();
+        contract.repeatable.clear();
+        contract.models.clear();
+        runs_.eraseCustomer(contract.customer);
+    }
+    ConfigDelta delta;
+    delta.customers.push_back(contract);
+    publish(std::move(delta));
+    return accepted(contract.version);
+}
+
+CommandResult StateMachine::putTarget(const PutTargetCommand& command)
+{
+    Target target = command.target;
+    const auto* present = findTarget(target.name);
+    Version presentVersion = present ? present->version : Version();
+    if (presentVersion != command.change.expectedVersion)
+        return conflict("target " + target.name, presentVersion, command.change.expectedVersion);
+    if (!present && config_.targets.size() >= maxTargets)
+        return refused(ErrorKind::BadRequest, "there are " + std::to_string(maxTargets) + " targets already");
+    target.id = present ? present->id : TargetId(nextTarget_++);
+    target.version = next(presentVersion);
+    target.state = TargetState::Active;
+    ConfigDelta delta;
+    auto poolName = poolNameOf(target, command.poolScope);
+    if (const auto* pool = findPool(poolName)) {
+        target.pool = pool->id;
+    } else {
+        PoolAssignment created;
+        created.id = PoolId(nextPool_++);
+        created.name = poolName;
+        created.kind = target.kind == TargetKind::Engine ? PoolKind::Model : PoolKind::Service;
+        created.scope = command.poolScope;
+        target.pool = created.id;
+        delta.pools.push_back(created);
+    }
+    delta.targets.push_back(target);
+    publish(std::move(delta));
+    return accepted(target.version);
+}
+
+CommandResult StateMachine::setTargetState(const SetTargetStateCommand& command)
+{
+    const auto* present = findTarget(command.target);
+    if (!present)
+        return refused(ErrorKind::NotFound, "there is no target " + command.target);
+    if (present->state == command.state)
+        return accepted(present->version);
+    if (present->version != command.change.expectedVersion)
+        return conflict("target " + command.target, present->version, command.change.expectedVersion);
+    if (command.state < present->state)
+        return refused(ErrorKind::BadRequest, "target " + command.target + " is " + std::string(toString(present->state)), present->version);
+    Target target = *present;
+    target.state = command.state;
+    target.version = next(present->version);
+    ConfigDelta delta;
+    delta.targets.push_back(target);
+    publish(std::move(delta));
+    return accepted(target.version);
+}
+
+CommandResult StateMachine::registerNode(const RegisterNodeCommand& command, int64_t timeMs)
+{
+    NodeRecord node = command.node;
+    node.lost = false;
+    auto it = config_.nodes.find(node.id);
+    if (it == config_.nodes.end()) {
+        if (!node.id.isValid() || config_.nodes.size() >= maxNodes)
+            return refused(ErrorKind::BadRequest, "the node has no id, or there are " + std::to_string(maxNodes) + " nodes already");
+        return publishNode(node);
+    }
+    if (node.incarnation < it->second.incarnation)
+        return refused(ErrorKind::BadRequest, "a later incarnation of this node is registered");
+    if (node.incarnation != it->second.incarnation)
+        runs_.markUnknown(node.id, node.incarnation, timeMs);
+    if (node == it->second)
+        return accepted({});
+    return publishNode(node);
+}
+
+CommandResult StateMachine::markNodeLost(const MarkNodeLostCommand& command, int64_t timeMs)
+{
+    auto it = config_.nodes.find(command.node);
+    if (it == config_.nodes.end() || it->second.incarnation != command.incarnation || it->second.lost)
+        return refused(ErrorKind::NotFound, "this incarnation of the node is not registered");
+    runs_.markUnknown(command.node, Incarnation(), timeMs);
+    NodeRecord node = it->second;
+    node.lost = true;
+    return publishNode(node);
+}
+
+CommandResult StateMachine::publishNode(const NodeRecord& node)
+{
+    ConfigDelta delta;
+    delta.nodes.push_back(node);
+    publish(std::move(delta));
+    nodeChangedAt_[node.id] = config_.version;
+    return accepted({});
+}
+
+bool StateMachine::isMoveAllowed(const PoolMove& move) const
+{
+    auto pool = config_.pools.find(move.pool);
+    if (pool == config_.pools.end() || pool->second.epoch != move.expectedEpoch)
+        return false;
+    auto owner = config_.nodes.find(move.owner);
+    if (owner == config_.nodes.end() || owner->second.lost || owner->second.incarnation != move.ownerIncarnation)
+        return false;
+    // The decision relied on the present owner's lease, which a registration since then may have renewed.
+    return nodeChangedAt(pool->second.owner) == move.ownerSeenAt;
+}
+
+CommandResult StateMachine::assignPools(const AssignPoolsCommand& command)
+{
+    ConfigDelta delta;
+    for (const auto& move : command.moves) {
+        if (!isMoveAllowed(move))
+            continue;
+        PoolAssignment pool = config_.pools.at(move.pool);
+        pool.epoch = Epoch(pool.epoch.value() + 1);
+        pool.owner = move.owner;
+        pool.ownerIncarnation = move.ownerIncarnation;
+        pool.previousOwner = move.previousOwner;
+        delta.pools.push_back(pool);
+    }
+    if (delta.pools.empty())
+        return refused(ErrorKind::VersionConflict, "no move fits the present assignments");
+    publish(std::move(delta));
+    return accepted({});
+}
+
+ClaimResult StateMachine::applyClaim(const Command& command)
+{
+    auto body = decode<ClaimRunCommand>(command.body);
+    if (!body)
+        return { false, ErrorKind::BadRequest, {} };
+    const auto& claim = body->claim;
+    if (claim.key.idempotencyKey.empty() || claim.key.idempotencyKey.size() > maxIdempotencyKeyBytes)
+        return { false, ErrorKind::BadRequest, {} };
+    auto customer = config_.customers.find(claim.key.customer);
+    if (customer == config_.customers.end() || customer->second.state >= CustomerState::Drained)
+        return { false, ErrorKind::CustomerClosing, {} };
+    auto node = config_.nodes.find(claim.node);
+    // A claim of a dead incarnation would never end: its records were marked unknown before.
+    if (node == config_.nodes.end() || node->second.lost || node->second.incarnation != claim.nodeIncarnation)
+        return { false, ErrorKind::NoLease, {} };
+    ClaimResult result;
+    result.decided = true;
+    result.reply.outcome = runs_.claim(claim, body->maxRecords);
+    if (result.reply.outcome == ClaimOutcome::Finished) {
+        if (const auto* run = runs_.find(claim.key))
+            result.reply.answer = run->record.answer;
+    }
+    return result;
+}
+
+CommandResult StateMachine::finishRun(const FinishRunCommand& command, int64_t timeMs)
+{
+    auto customer = config_.customers.find(command.finish.key.customer);
+    if (customer != config_.customers.end() && customer->second.state != CustomerState::Erased)
+        runs_.finish(command.finish, timeMs, command.maxAnswerBytes);
+    return accepted({});
+}
+
+bool StateMachine::isKeyTaken(const Contract& contract, CustomerId owner) const
+{
+    auto isShared = [&](const std::string& hash) {
+        return std::any_of(config_.customers.begin(), config_.customers.end(), [&](const auto& entry) {
+            const auto& hashes = entry.second.keyHashes;
+            return entry.first != owner && std::find(hashes.begin(), hashes.end(), hash) != hashes.end();
+        });
+    };
+    return std::any_of(contract.keyHashes.begin(), contract.keyHashes.end(), isShared);
+}
+
+const Contract* StateMachine::findCustomer(const std::string& name) const { return findByName<Contract>(config_.customers, name); }
+const Target* StateMachine::findTarget(const std::string& name) const { return findByName<Target>(config_.targets, name); }
+const PoolAssignment* StateMachine::findPool(const std::string& name) const { return findByName<PoolAssignment>(config_.pools, name); }
+
+CommandResult StateMachine::accepted(Version objectVersion) const
+{
+    return { true, ErrorKind::Internal, {}, objectVersion, config_.version };
+}
+
+void StateMachine::publish(ConfigDelta delta)
+{
+    delta.version = next(config_.version);
+    bool applied = applyDelta(config_, delta);
+    assert(applied);
+    (void)applied;
+    deltas_.push_back(std::move(delta));
+    if (deltas_.size() > maxDeltas)
+        deltas_.pop_front();
+}
+
+Version StateMachine::nodeChangedAt(NodeId node) const
+{
+    auto it = nodeChangedAt_.find(node);
+    return it == nodeChangedAt_.end() ? Version() : it->second;
+}
+
+void StateMachine::addChangesSince(Version applied, HeartbeatReply& reply) const
+{
+    if (applied >= config_.version)
+        return;
+    // A node that starts has nothing to apply deltas to.
+    if (!applied.isValid() || deltas_.empty() || deltas_.front().version > next(applied)) {
+        reply.snapshot = config_;
+        return;
+    }
+    auto first = std::find_if(deltas_.begin(), deltas_.end(), [&](const ConfigDelta& delta) { return delta.version > applied; });
+    reply.deltas.assign(first, deltas_.end());
+}
+
+std::string StateMachine::takeSnapshot() const
+{
+    return encode(Snapshot { config_, nodeChangedAt_, changes_.image(), runs_.image(), nextCustomer_, nextTarget_, nextPool_ });
+}
+
+Result<void> StateMachine::loadSnapshot(std::string_view bytes)
+{
+    auto snapshot = decode<Snapshot>(bytes);
+    if (!snapshot)
+        return fail(ErrorKind::Damaged, "the snapshot of the control state cannot be read");
+    config_ = std::move(snapshot->config);
+    nodeChangedAt_ = std::move(snapshot->nodeChangedAt);
+    changes_.restore(std::move(snapshot->changes));
+    runs_.restore(std::move(snapshot->runs));
+    nextCustomer_ = snapshot->nextCustomer;
+    nextTarget_ = snapshot->nextTarget;
+    nextPool_ = snapshot->nextPool;
+    deltas_.clear();
+    return {};
+}
+
+}
--- /dev/null
+++ b/src/entry/ClusterView.cpp
@@ -0,0 +1,49 @@
+#include "briarhitch/entry/ClusterView.h"
+
+namespace briarhitch {
+
+void ClusterView::apply(const HeartbeatReply& reply)
+{
+    bool changed = false;
+    if (reply.snapshot && reply.snapshot->version > config_.version) {
+        config_ = *reply.snapshot;
+        changed = true;
+    }
+    for (const auto& delta : reply.deltas) {
+        // A delta that does not follow directly would hide the changes between; the leader sends them again.
+        if (delta.version.value() == config_.version.value() + 1)
+            changed = applyDelta(config_, delta) || changed;
+    }
+    if (!changed)
+        return;
+    customersByKeyHash_.clear();
+    for (const auto& [id, contract] : config_.customers) {
+        for (const auto& hash : contract.keyHashes)
+            customersByKeyHash_[hash] = id;
+    }
+    poolsByName_.clear();
+    for (const auto& [id, pool] : config_.pools)
+        poolsByName_[pool.name] = id;
+    // By index, because a hook may add another one.
+    for (size_t i = 0; i < hooks_.size(); ++i)
+        hooks_[i](config_);
+}
+
+void ClusterView::onChange(ChangeHook hook)
+{
+    hooks_.push_back(std::move(hook));
+}
+
+const Contract* ClusterView::findCustomerByKeyHash(const std::string& keyHash) const
+{
+    auto it = customersByKeyHash_.find(keyHash);
+    return it == customersByKeyHash_.end() ? nullptr : &config_.customers.at(it->second);
+}
+
+const PoolAssignment* ClusterView::findPool(const std::string& name) const
+{
+    auto it = poolsByName_.find(name);
+    return it == poolsByName_.end() ? nullptr : &config_.pools.at(it->second);
+}
+
+}
--- /dev/null
+++ b/src/entry/ControlClient.cpp
@@ -0,0 +1,236 @@
+#include "briarhitch/entry/ControlClient.h"
+
+#include "briarhitch/core/Log.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/FiberEvent.h"
+#include "briarhitch/runtime/Loop.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Two lost heartbeats and a change of leader must fit into one lease of 3 s.
+    constexpr Duration heartbeatTimeout = 500ms;
+    /** Pause before the next voter is asked while no leader is known. */
+    constexpr Duration retryPause = 100ms;
+    /** Longest wait for one voter's answer to a claim or an outcome before the next voter is asked. */
+    constexpr Duration commitAttemptTimeout = 1s;
+
+    const Log& clientLog()
+    {
+        static const Log log("entry:");
+        return log;
+    }
+
+}
+
+struct ControlClient::Impl : std::enable_shared_from_this<ControlClient::Impl> {
+    Impl(Loop& loopToUse, ControlClientSettings settingsToUse, ClusterView& viewToUse, MetricRegistry& metricsToUse)
+        : loop(loopToUse)
+        , settings(std::move(settingsToUse))
+        , view(viewToUse)
+        , metrics(metricsToUse)
+        , wake(loopToUse)
+    {
+    }
+
+    void heartbeatUntilClosed()
+    {
+        while (!closed) {
+            wake.reset();
+            bool answered = heartbeat();
+            if (closed)
+                return;
+            if (answered)
+                wake.waitFor(settings.heartbeatInterval);
+            else
+                sleepFor(loop, retryPause);
+        }
+    }
+
+    /** One heartbeat to the presumed leader; true if it brought a lease. */
+    bool heartbeat()
+    {
+        size_t asked = leaderIndex;
+        Heartbeat message;
+        message.node = settings.self;
+        message.appliedVersion = view.config().version;
+        if (busyClosingCustomers)
+            message.busyClosingCustomers = busyClosingCustomers();
+        // The lease counts from the sending, so the time is taken before anything can be delayed.
+        Instant sentAt = BootClock::now();
+        auto answer = voters[asked]->call(MessageType::Heartbeat, encode(message), heartbeatTimeout);
+        if (closed)
+            return false;
+        auto reply = answer.and_then([](const std::string& body) { return decode<HeartbeatReply>(body); });
+        if (!reply) {
+            metrics.count("control_heartbeats_failed_total");
+            noteFailure(reply.error());
+            askAnother(asked);
+            return false;
+        }
+        if (reply->leaseDuration <= Duration::zero()) {
+            followHint(asked, *reply);
+            return false;
+        }
+        applyReply(*reply, sentAt);
+        return true;
+    }
+
+    void applyReply(const HeartbeatReply& reply, Instant sentAt)
+    {
+        metrics.count("control_heartbeats_total");
+        lastFailure.clear();
+        auto before = view.config().version;
+        // The configuration comes first: whoever sees the lease must also see what was true when it was given.
+        view.apply(reply);
+        leaseEnd = std::max(leaseEnd, sentAt + reply.leaseDuration);
+        configured = true;
+        // An immediate second heartbeat tells the leader that the change is in force here.
+        if (view.config().version != before)
+            wake.set();
+    }
+
+    void noteFailure(const Error& error)
+    {
+        if (error.message == lastFailure)
+            return;
+        lastFailure = error.message;
+        clientLog().warning("heartbeat got no lease: " + error.message);
+    }
+
+    void askAnother(size_t asked)
+    {
+        if (leaderIndex == asked)
+            leaderIndex = (asked + 1) % voters.size();
+    }
+
+    void followHint(size_t asked, const HeartbeatReply& reply)
+    {
+        for (size_t i = 0; i < settings.voters.size(); ++i) {
+            if (i != asked && settings.voters[i] == HostPort { reply.leaderHost, reply.leaderPort }) {
+                leaderIndex = i;
+                return;
+            }
+        }
+        askAnother(asked);
+    }
+
+    /** Sends until an answer is accepted or the time runs out; `accept` returns false to try again. */
+    Result<void> commit(MessageType type, const std::string& body, Duration timeout, const std::function<bool(const std::string&)>& accept)
+    {
+        Instant deadline = BootClock::now() + timeout;
+        bool mayBeCommitted = false;
+        for (;;) {
+            Duration left = deadline - BootClock::now();
+            if (left <= Duration::zero() || closed)
+                break;
+            size_t asked = leaderIndex;
+            auto answer = voters[asked]->call(type, body, std::min(left, commitAttemptTimeout));
+            if (answer) {
+                if (accept(*answer))
+                    return {};
+                mayBeCommitted = true;
+            } else if (answer.error().kind != ErrorKind::Unavailable && answer.error().kind != ErrorKind::NotLeader
+                && answer.error().kind != ErrorKind::NoQuorum) {
+                return tl::unexpected(answer.error());
+            } else {
+                mayBeCommitted = true;
+            }
+            askAnother(asked);
+            sleepFor(loop, std::min(retryPause, std::max(Duration::zero(), deadline - BootClock::now())));
+        }
+        return fail(ErrorKind::NoQuorum, mayBeCommitted ? "no control leader confirmed in time; it may still be committed" : "no time was left to reach a control leader");
+    }
+
+    Loop& loop;
+    ControlClientSettings settings;
+    ClusterView& view;
+    MetricRegistry& metrics;
+    FiberEvent wake;
+    std::vector<std::unique_ptr<LinkClient>> voters;
+    std::function<std::vector<CustomerId>()> busyClosingCustomers;
+    size_t leaderIndex { 0 };
+    Instant leaseEnd {};
+    bool configured { false };
+    bool closed { false };
+    std::string lastFailure;
+};
+
+ControlClient::ControlClient(Loop& loop, ControlClientSettings settings, ClusterView& view, MetricRegistry& metrics)
+    : impl_(std::make_shared<Impl>(loop, std::move(settings), view, metrics))
+{
+}
+
+ControlClient::~ControlClient()
+{
+    impl_->closed = true;
+    impl_->wake.set();
+    for (auto& voter : impl_->voters)
+        voter->close();
+}
+
+void ControlClient::start()
+{
+    for (const auto& address : impl_->settings.voters)
+        impl_->voters.push_back(std::make_unique<LinkClient>(impl_->loop, address.host, address.port, impl_->settings.link, LinkHooks {}));
+    impl_->loop.spawn([impl = impl_] { impl->heartbeatUntilClosed(); });
+}
+
+bool ControlClient::hasLease() const
+{
+    return BootClock::now() < impl_->leaseEnd;
+}
+
+bool ControlClient::hasConfiguration() const
+{
+    return impl_->configured;
+}
+
+void ControlClient::heartbeatNow()
+{
+    impl_->wake.set();
+}
+
+void ControlClient::setDraining()
+{
+    impl_->settings.self.draining = true;
+    heartbeatNow();
+}
+
+void ControlClient::setBusyClosingCustomersHook(std::function<std::vector<CustomerId>()> hook)
+{
+    impl_->busyClosingCustomers = std::move(hook);
+}
+
+Result<ClaimRunReply> ControlClient::claimRun(const ClaimRun& claim, Duration timeout)
+{
+    auto impl = impl_;
+    ClaimRunReply reply;
+    auto committed = impl->commit(MessageType::ClaimRun, encode(claim), timeout, [&reply](const std::string& body) {
+        auto decoded = decode<ClaimRunReply>(body);
+        if (!decoded || decoded->outcome == ClaimOutcome::NotLeader || decoded->outcome == ClaimOutcome::NoQuorum)
+            return false;
+        reply = std::move(*decoded);
+        return true;
+    });
+    if (!committed)
+        return tl::unexpected(committed.error());
+    return reply;
+}
+
+Result<void> ControlClient::finishRun(const FinishRun& finish, Duration timeout)
+{
+    auto impl = impl_;
+    return impl->commit(MessageType::FinishRun, encode(finish), timeout, [](const std::string& body) {
+        auto decoded = decode<FinishRunReply>(body);
+        return decoded && decoded->committed;
+    });
+}
+
+}
--- /dev/null
+++ b/src/settings/ControlSettings.cpp
@@ -0,0 +1,123 @@
+#include "briarhitch/settings/ControlSettings.h"
+
+#include "briarhitch/settings/SettingsReader.h"
+
+#include <algorithm>
+#include <map>
+#include <set>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr int64_t maxPort = 65535;
+    constexpr size_t minFleetKeyBytes = 16;
+    constexpr size_t sha256Digits = 64;
+    constexpr size_t maxVoters = 5;
+    constexpr int64_t maxRunRecordsLimit = 50'000'000;
+    constexpr int64_t maxAnswerMibLimit = 16 * 1024;
+    constexpr int64_t maxRetentionHours = 24 * 30;
+
+    bool isSha256(const std::string& text)
+    {
+        return text.size() == sha256Digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
+    }
+
+    LogLevel toLogLevel(const std::string& word)
+    {
+        static const std::map<std::string, LogLevel> levels {
+            { "debug", LogLevel::Debug },
+            { "info", LogLevel::Info },
+            { "warning", LogLevel::Warning },
+            { "error", LogLevel::Error },
+        };
+        return levels.at(word);
+    }
+
+    void readAddress(SettingsReader& reader, const std::string& name, std::string& host, uint16_t& port)
+    {
+        reader.object(name, true, [&](SettingsReader& address) {
+            host = address.string("host");
+            port = static_cast<uint16_t>(address.integer("port", 1, maxPort));
+        });
+    }
+
+    ControlVoter readVoter(SettingsReader& reader)
+    {
+        ControlVoter voter;
+        voter.node = NodeId(static_cast<uint32_t>(reader.integer("node", 1, UINT32_MAX)));
+        voter.host = reader.string("host");
+        voter.port = static_cast<uint16_t>(reader.integer("port", 1, maxPort));
+        voter.adminPort = static_cast<uint16_t>(reader.integer("admin_port", 1, maxPort));
+        return voter;
+    }
+
+    void checkVoters(SettingsReader& reader, const ControlSettings& settings)
+    {
+        std::set<NodeId> ids;
+        for (const auto& voter : settings.voters)
+            ids.insert(voter.node);
+        if (ids.size() != settings.voters.size())
+            reader.problem("voters", "a node is listed twice");
+        if (settings.voters.empty() || settings.voters.size() > maxVoters)
+            reader.problem("voters", "found " + std::to_string(settings.voters.size()) + ", allowed are 1 to " + std::to_string(maxVoters));
+        else if (!ids.contains(settings.node))
+            reader.problem("voters", "this node, " + std::to_string(settings.node.value()) + ", is not listed");
+    }
+
+    void checkKeyHashes(SettingsReader& reader, const ControlSettings& settings)
+    {
+        if (settings.operatorKeyHashes.empty())
+            reader.problem("operator_key_hashes", "found none; without one no operator has access");
+        if (!std::all_of(settings.operatorKeyHashes.begin(), settings.operatorKeyHashes.end(), isSha256))
+            reader.problem("operator_key_hashes", "allowed are SHA-256 digests of 64 lower-case hexadecimal digits");
+    }
+
+    Result<ControlSettings> read(SettingsReader& reader)
+    {
+        ControlSettings settings;
+        settings.node = NodeId(static_cast<uint32_t>(reader.integer("node", 1, UINT32_MAX)));
+        readAddress(reader, "link", settings.linkHost, settings.linkPort);
+        readAddress(reader, "admin", settings.adminHost, settings.adminPort);
+        settings.dataFolder = reader.string("data_folder");
+        settings.fleetKey = reader.string("fleet_key", minFleetKeyBytes);
+        settings.operatorKeyHashes = reader.strings("operator_key_hashes", true);
+        reader.objects("voters", true, [&](SettingsReader& voter) { settings.voters.push_back(readVoter(voter)); });
+        settings.poolScope = reader.choice("pool_scope", { "region", "zone" }, "region") == "zone" ? PoolScope::Zone : PoolScope::Region;
+        settings.maxRunRecords = static_cast<uint64_t>(reader.integer("max_run_records", 1, maxRunRecordsLimit, settings.maxRunRecords));
+        settings.maxAnswerBytes = static_cast<uint64_t>(reader.integer("max_answer_mib", 0, maxAnswerMibLimit, settings.maxAnswerBytes >> 20)) << 20;
+        settings.answerRetention = std::chrono::hours(reader.integer("answer_retention_h", 1, maxRetentionHours, 24));
+        settings.logLevel = toLogLevel(reader.choice("log_level", { "debug", "info", "warning", "error" }, "info"));
+        checkVoters(reader, settings);
+        checkKeyHashes(reader, settings);
+        auto finished = reader.finish();
+        if (!finished)
+            return tl::unexpected(finished.error());
+        return settings;
+    }
+
+}
+
+Result<ControlSettings> ControlSettings::fromFile(const std::string& path)
+{
+    auto reader = SettingsReader::fromFile(path);
+    if (!reader)
+        return tl::unexpected(reader.error());
+    return read(*reader);
+}
+
+Result<ControlSettings> ControlSettings::fromText(const std::string& text, const std::string& fileName)
+{
+    auto reader = SettingsReader::fromText(text, fileName);
+    if (!reader)
+        return tl::unexpected(reader.error());
+    return read(*reader);
+}
+
+const ControlVoter* ControlSettings::findVoter(NodeId id) const
+{
+    auto it = std::find_if(voters.begin(), voters.end(), [&](const ControlVoter& voter) { return voter.node == id; });
+    return it == voters.end() ? nullptr : &*it;
+}
+
+}
