--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -192,6 +192,8 @@
     absl::SetProgramUsageMessage(briarhitch::usageText);
     absl::FlagsUsageConfig usage;
     usage.version_string = [] { return std::string("briarhitch-control " BRIARHITCH_VERSION "\n"); };
+    usage.contains_helpshort_flags = [](absl::string_view file) { return file.find("ControlMain") != absl::string_view::npos; };
+    usage.contains_help_flags = usage.contains_helpshort_flags;
     absl::SetFlagsUsageConfig(usage);
     if (absl::ParseCommandLine(argc, argv).size() > 1) {
         std::cerr << "briarhitch-control: takes flags only; see --help\n";
