Add the replicated log: Raft core, durable store and driver

The control processes need a log that a majority of voters keeps on disk; only its interface existed.

RaftCore takes events and returns what is to be stored and sent, so that schedules of faults can be tested without clock or sockets.

Voters find each other on the first start and record the incarnation of each disk in the first membership. A folder that was lost comes back under a greater incarnation as a learner and is promoted when it has caught up.

--- /dev/null
+++ b/src/consensus/LogRecord.cpp
@@ -0,0 +1,141 @@
+#include "consensus/LogRecord.h"
+
+#include <boost/crc.hpp>
+
+namespace briarhitch {
+
+namespace {
+
+    /*
+     * A record: payload length (4), checksum of all that follows (4), bytes of the segment that were synced
+     * when it was written (8), index (8), term (8), kind (1), payload. Integers are little-endian.
+     */
+    constexpr size_t lengthBytes = 4;
+    constexpr size_t checksumBytes = 4;
+    constexpr size_t checkedHeaderBytes = 8 + 8 + 8 + 1;
+    constexpr size_t headerBytes = lengthBytes + checksumBytes + checkedHeaderBytes;
+    constexpr std::string_view sealMagic = "BHSEAL01";
+
+    void putInteger(std::string& bytes, uint64_t value, size_t count)
+    {
+        for (size_t i = 0; i < count; ++i)
+            bytes.push_back(static_cast<char>((value >> (8 * i)) & 0xff));
+    }
+
+    uint64_t getInteger(std::string_view bytes, size_t offset, size_t count)
+    {
+        uint64_t value = 0;
+        for (size_t i = count; i > 0; --i)
+            value = (value << 8) | static_cast<unsigned char>(bytes[offset + i - 1]);
+        return value;
+    }
+
+    struct Record {
+        LogEntry entry;
+        uint64_t syncedBytes { 0 };
+        size_t size { 0 };
+    };
+
+    /** None unless a complete record with a good checksum starts here; the index must be a possible one after minIndex. */
+    std::optional<Record> readRecord(std::string_view bytes, size_t offset, uint64_t minIndex)
+    {
+        if (bytes.size() - offset < headerBytes)
+            return std::nullopt;
+        uint64_t length = getInteger(bytes, offset, lengthBytes);
+        if (length > bytes.size() - offset - headerBytes)
+            return std::nullopt;
+        size_t checked = offset + lengthBytes + checksumBytes;
+        Record record;
+        record.syncedBytes = getInteger(bytes, checked, 8);
+        record.entry.index = getInteger(bytes, checked + 8, 8);
+        record.entry.term = getInteger(bytes, checked + 16, 8);
+        auto kind = static_cast<uint8_t>(bytes[checked + 24]);
+        // These checks cost little and spare the checksum at almost every wrong offset of a search.
+        uint64_t maxIndex = minIndex + bytes.size() / headerBytes;
+        if (record.entry.index < minIndex || record.entry.index > maxIndex || record.syncedBytes > offset || kind > static_cast<uint8_t>(EntryKind::Membership))
+            return std::nullopt;
+        if (getInteger(bytes, offset + lengthBytes, checksumBytes) != crc32c(bytes.substr(checked, checkedHeaderBytes + length)))
+            return std::nullopt;
+        record.entry.kind = static_cast<EntryKind>(kind);
+        record.entry.data = bytes.substr(offset + headerBytes, length);
+        record.size = headerBytes + length;
+        return record;
+    }
+
+    /** True if some record after a bad one was written when the bad one had been synced already. */
+    bool wasSynced(std::string_view bytes, uint64_t badOffset, uint64_t badIndex)
+    {
+        for (size_t offset = badOffset + 1; offset + headerBytes <= bytes.size(); ++offset) {
+            auto record = readRecord(bytes, offset, badIndex);
+            if (record && record->syncedBytes > badOffset)
+                return true;
+        }
+        return false;
+    }
+
+}
+
+uint32_t crc32c(std::string_view bytes)
+{
+    boost::crc_optimal<32, 0x1EDC6F41, 0xFFFFFFFF, 0xFFFFFFFF, true, true> crc;
+    crc.process_bytes(bytes.data(), bytes.size());
+    return crc.checksum();
+}
+
+void appendRecord(std::string& bytes, const LogEntry& entry, uint64_t syncedBytes)
+{
+    size_t start = bytes.size();
+    putInteger(bytes, entry.data.size(), lengthBytes);
+    putInteger(bytes, 0, checksumBytes);
+    size_t checked = bytes.size();
+    putInteger(bytes, syncedBytes, 8);
+    putInteger(bytes, entry.index, 8);
+    putInteger(bytes, entry.term, 8);
+    bytes.push_back(static_cast<char>(entry.kind));
+    bytes += entry.data;
+    std::string checksum;
+    putInteger(checksum, crc32c(std::string_view(bytes).substr(checked)), checksumBytes);
+    bytes.replace(start + lengthBytes, checksumBytes, checksum);
+}
+
+SegmentContent readSegment(std::string_view bytes, uint64_t firstIndex)
+{
+    SegmentContent content;
+    size_t offset = 0;
+    uint64_t index = firstIndex;
+    while (offset < bytes.size()) {
+        auto record = readRecord(bytes, offset, index);
+        if (!record || record->entry.index != index) {
+            if (wasSynced(bytes, offset, index))
+                content.damagedAt = offset;
+            break;
+        }
+        content.offsets.push_back(offset);
+        content.entries.push_back(std::move(record->entry));
+        offset += record->size;
+        ++index;
+    }
+    content.goodBytes = offset;
+    return content;
+}
+
+std::string sealFile(std::string_view content)
+{
+    std::string bytes(sealMagic);
+    putInteger(bytes, crc32c(content), checksumBytes);
+    bytes += content;
+    return bytes;
+}
+
+Result<std::string_view> openSealed(std::string_view bytes, const std::string& path)
+{
+    size_t start = sealMagic.size() + checksumBytes;
+    if (bytes.size() < start || bytes.substr(0, sealMagic.size()) != sealMagic)
+        return fail(ErrorKind::Damaged, path + " is damaged at offset 0: no file header");
+    auto content = bytes.substr(start);
+    if (getInteger(bytes, sealMagic.size(), checksumBytes) != crc32c(content))
+        return fail(ErrorKind::Damaged, path + " is damaged at offset " + std::to_string(start) + ": checksum does not match");
+    return content;
+}
+
+}
--- /dev/null
+++ b/src/consensus/RaftCore.cpp
@@ -0,0 +1,377 @@
+#include "consensus/RaftCore.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarhitch {
+
+namespace {
+
+    // Clocks of two VMs differ in speed by at most this factor (design, section 6.1).
+    constexpr double clockDriftBound = 1.05;
+
+    bool isWellFormed(const RaftMessage& message)
+    {
+        auto kind = static_cast<uint8_t>(message.kind);
+        if (kind == 0 || kind > maxRaftMessageKind)
+            return false;
+        uint64_t index = message.index;
+        uint64_t term = message.indexTerm;
+        for (const auto& entry : message.entries) {
+            if (entry.index != ++index || entry.term < term || entry.term > message.term)
+                return false;
+            term = entry.term;
+        }
+        return true;
+    }
+
+}
+
+RaftCore::RaftCore(RaftCoreSettings settings, HardState hardState, RaftLog log, Instant now)
+    : settings_(std::move(settings))
+    , hard_(std::move(hardState))
+    , log_(std::move(log))
+    , random_(settings_.seed)
+    , stored_(log_.lastIndex())
+    , synced_(stored_)
+    , lastLeaderContact_(now)
+    , peers_(settings_.self)
+{
+    assert(hard_.incarnation.isValid());
+    if (log_.snapshot())
+        commit_ = applied_ = log_.snapshot()->index;
+    electionDeadline_ = now + randomTimeout();
+    // The first membership of a sole voter cannot have had another leader that still counts on this voter's promise.
+    if (isSelfVoter() && log_.membership().members.size() == 1 && log_.membershipIndex() == 0)
+        startPreVote(now);
+}
+
+Duration RaftCore::randomTimeout()
+{
+    auto span = static_cast<uint64_t>((settings_.electionTimeoutMax - settings_.electionTimeoutMin).count()) + 1;
+    return settings_.electionTimeoutMin + Duration(static_cast<Duration::rep>(random_.below(span)));
+}
+
+bool RaftCore::isOutdatedLife(NodeId from, Incarnation incarnation) const
+{
+    const auto* member = log_.membership().find(from);
+    return member && member->incarnation > incarnation && !settings_.faults.ignoreIncarnations;
+}
+
+bool RaftCore::heardLeaderRecently(Instant now) const
+{
+    return now - lastLeaderContact_ < settings_.electionTimeoutMin && !settings_.faults.voteDespiteLeader;
+}
+
+bool RaftCore::isUpToDate(const RaftMessage& message) const
+{
+    if (message.indexTerm != log_.lastTerm())
+        return message.indexTerm > log_.lastTerm();
+    return message.index >= log_.lastIndex();
+}
+
+RaftMessage RaftCore::message(RaftMessageKind kind) const
+{
+    RaftMessage message;
+    message.kind = kind;
+    message.term = hard_.term;
+    message.incarnation = hard_.incarnation;
+    return message;
+}
+
+void RaftCore::send(NodeId to, Incarnation toIncarnation, RaftMessage message)
+{
+    if (!settings_.faults.ignoreIncarnations)
+        message.toIncarnation = toIncarnation;
+    ready_.late.push_back({ to, std::move(message) });
+}
+
+void RaftCore::sendToVoters(const RaftMessage& message)
+{
+    for (const auto& member : log_.membership().members) {
+        if (member.role == MemberRole::Voter && member.node != settings_.self)
+            send(member.node, member.incarnation, message);
+    }
+}
+
+void RaftCore::tick(Instant now)
+{
+    if (role_ == RaftRole::Leader) {
+        tickLeader(now);
+        return;
+    }
+    if (!isFormed())
+        tickUnformed(now);
+    else if (now >= electionDeadline_ && isSelfVoter())
+        startPreVote(now);
+}
+
+void RaftCore::receive(Instant now, NodeId from, RaftMessage message)
+{
+    if (from == settings_.self || !isWellFormed(message))
+        return;
+    // The message is for an earlier life of this node's disk, or comes from one of the sender's.
+    if (message.toIncarnation.isValid() && message.toIncarnation != hard_.incarnation)
+        return;
+    if (isOutdatedLife(from, message.incarnation) && message.kind != RaftMessageKind::Probe)
+        return;
+    switch (message.kind) {
+    case RaftMessageKind::PreVote:
+        return onPreVote(now, from, message);
+    case RaftMessageKind::PreVoteReply:
+    case RaftMessageKind::VoteReply:
+        return onVoteReply(now, from, message);
+    case RaftMessageKind::Vote:
+        return onVote(now, from, message);
+    case RaftMessageKind::Append:
+        return onAppend(now, from, message);
+    case RaftMessageKind::AppendReply:
+        return onAppendReply(now, from, message);
+    case RaftMessageKind::SnapshotChunk:
+        return onSnapshotChunk(now, from, message);
+    case RaftMessageKind::SnapshotReply:
+        return onSnapshotReply(now, from, message);
+    case RaftMessageKind::Probe:
+        return onProbe(now, from, message);
+    case RaftMessageKind::ProbeReply:
+        return onProbeReply(from, message);
+    }
+}
+
+RaftReady RaftCore::takeReady()
+{
+    RaftReady ready = std::move(ready_);
+    ready_ = {};
+    if (stored_ < log_.lastIndex()) {
+        ready.appendFrom = stored_ + 1;
+        stored_ = log_.lastIndex();
+    }
+    // A leader's entries may reach its peers before its own disk, but its term must be durable first.
+    if (!ready.hardStateChanged) {
+        auto isEarly = [](const OutgoingMessage& out) { return out.message.kind == RaftMessageKind::Append; };
+        for (auto& out : ready.late) {
+            if (isEarly(out))
+                ready.early.push_back(std::move(out));
+        }
+        std::erase_if(ready.late, isEarly);
+    }
+    return ready;
+}
+
+void RaftCore::persisted(Instant now)
+{
+    synced_ = stored_;
+    if (role_ == RaftRole::Leader)
+        advanceCommit(now);
+}
+
+void RaftCore::becomeFollower(Instant now, uint64_t term, std::optional<NodeId> leader)
+{
+    assert(term >= hard_.term);
+    if (term > hard_.term) {
+        hard_.term = term;
+        hard_.votedFor = {};
+        ready_.hardStateChanged = true;
+    }
+    if (role_ == RaftRole::Leader)
+        peers_.clear();
+    role_ = RaftRole::Follower;
+    leader_ = leader;
+    votes_.clear();
+    electionDeadline_ = now + randomTimeout();
+}
+
+void RaftCore::startPreVote(Instant now)
+{
+    role_ = RaftRole::PreCandidate;
+    leader_.reset();
+    votes_ = { settings_.self };
+    electionDeadline_ = now + randomTimeout();
+    if (votes_.size() >= log_.membership().majority())
+        return startElection(now);
+    RaftMessage request = message(RaftMessageKind::PreVote);
+    request.term = hard_.term + 1;
+    request.index = log_.lastIndex();
+    request.indexTerm = log_.lastTerm();
+    sendToVoters(request);
+}
+
+void RaftCore::startElection(Instant now)
+{
+    role_ = RaftRole::Candidate;
+    ++hard_.term;
+    hard_.votedFor = settings_.self;
+    ready_.hardStateChanged = true;
+    votes_ = { settings_.self };
+    electionDeadline_ = now + randomTimeout();
+    if (votes_.size() >= log_.membership().majority())
+        return becomeLeader(now);
+    RaftMessage request = message(RaftMessageKind::Vote);
+    request.index = log_.lastIndex();
+    request.indexTerm = log_.lastTerm();
+    sendToVoters(request);
+}
+
+void RaftCore::onPreVote(Instant now, NodeId from, const RaftMessage& request)
+{
+    RaftMessage reply = message(RaftMessageKind::PreVoteReply);
+    reply.accepted = role_ != RaftRole::Leader && !heardLeaderRecently(now) && request.term > hard_.term && isUpToDate(request);
+    if (reply.accepted)
+        reply.term = request.term;
+    send(from, request.incarnation, std::move(reply));
+}
+
+void RaftCore::onVote(Instant now, NodeId from, const RaftMessage& request)
+{
+    // The leader that was just heard may hold a lease that counts on this voter.
+    bool hasLeader = role_ == RaftRole::Leader || heardLeaderRecently(now);
+    if (hasLeader && !settings_.faults.voteDespiteLeader)
+        return;
+    if (request.term > hard_.term)
+        becomeFollower(now, request.term, std::nullopt);
+    RaftMessage reply = message(RaftMessageKind::VoteReply);
+    bool isFree = !hard_.votedFor.isValid() || hard_.votedFor == from;
+    reply.accepted = request.term == hard_.term && isFree && isUpToDate(request);
+    if (reply.accepted) {
+        hard_.votedFor = from;
+        ready_.hardStateChanged = true;
+        electionDeadline_ = now + randomTimeout();
+    }
+    send(from, request.incarnation, std::move(reply));
+}
+
+void RaftCore::onVoteReply(Instant now, NodeId from, const RaftMessage& reply)
+{
+    if (!reply.accepted) {
+        if (reply.term > hard_.term)
+            becomeFollower(now, reply.term, std::nullopt);
+        return;
+    }
+    if (!log_.membership().isVoter(from, reply.incarnation) && !settings_.faults.ignoreIncarnations)
+        return;
+    bool isPreVote = reply.kind == RaftMessageKind::PreVoteReply;
+    if (isPreVote ? role_ != RaftRole::PreCandidate || reply.term != hard_.term + 1
+                  : role_ != RaftRole::Candidate || reply.term != hard_.term)
+        return;
+    votes_.insert(from);
+    if (votes_.size() < log_.membership().majority())
+        return;
+    if (isPreVote)
+        startElection(now);
+    else
+        becomeLeader(now);
+}
+
+void RaftCore::becomeLeader(Instant now)
+{
+    role_ = RaftRole::Leader;
+    leader_ = settings_.self;
+    peers_.clear();
+    peers_.setMembership(log_.membership(), log_.lastIndex() + 1, now);
+    termStart_ = log_.lastIndex() + 1;
+    appendOwn(now, EntryKind::Noop, {});
+}
+
+void RaftCore::tickUnformed(Instant now)
+{
+    bool listed = std::find(settings_.voters.begin(), settings_.voters.end(), settings_.self) != settings_.voters.end();
+    Membership membership = settingsMembership();
+    bool complete = listed;
+    for (auto& member : membership.members) {
+        auto it = unformedPeers_.find(member.node);
+        if (member.node == settings_.self)
+            member.incarnation = hard_.incarnation;
+        else if (it != unformedPeers_.end())
+            member.incarnation = it->second;
+        else
+            complete = false;
+    }
+    if (complete) {
+        hard_.initial = membership;
+        ready_.hardStateChanged = true;
+        log_.setInitial(std::move(membership));
+        electionDeadline_ = now + randomTimeout();
+        if (log_.membership().members.size() == 1)
+            startPreVote(now);
+        return;
+    }
+    if (now < nextProbe_)
+        return;
+    nextProbe_ = now + 2 * settings_.heartbeatInterval;
+    RaftMessage probe = message(RaftMessageKind::Probe);
+    probe.membership = settingsMembership();
+    for (NodeId voter : settings_.voters) {
+        if (voter != settings_.self)
+            send(voter, Incarnation(), probe);
+    }
+}
+
+Membership RaftCore::settingsMembership() const
+{
+    Membership membership;
+    for (NodeId voter : settings_.voters)
+        membership = membership.with({ voter, Incarnation(), MemberRole::Voter });
+    return membership;
+}
+
+void RaftCore::noteUnformedPeer(NodeId from, const RaftMessage& message)
+{
+    // Voters with different lists must not form two groups.
+    if (!isFormed() && message.membership == settingsMembership())
+        unformedPeers_[from] = message.incarnation;
+}
+
+void RaftCore::onProbe(Instant now, NodeId from, const RaftMessage& probe)
+{
+    noteUnformedPeer(from, probe);
+    RaftMessage reply = message(RaftMessageKind::ProbeReply);
+    reply.accepted = isFormed();
+    reply.membership = isFormed() ? log_.membership() : settingsMembership();
+    reply.membershipIndex = log_.membershipIndex();
+    send(from, probe.incarnation, std::move(reply));
+    if (role_ == RaftRole::Leader)
+        considerJoin(now, from, probe.incarnation);
+}
+
+void RaftCore::onProbeReply(NodeId from, const RaftMessage& reply)
+{
+    if (isFormed())
+        return;
+    if (!reply.accepted)
+        return noteUnformedPeer(from, reply);
+    // The others have formed the group, so this node must not form one without them.
+    unformedPeers_.erase(from);
+    const auto* self = reply.membership.find(settings_.self);
+    if (!self)
+        return;
+    if (self->incarnation > hard_.incarnation) {
+        // The clock that numbered this life was behind; nothing depends on the number yet.
+        hard_.incarnation = Incarnation(self->incarnation.value() + 1);
+        ready_.hardStateChanged = true;
+    } else if (self->incarnation == hard_.incarnation && reply.membershipIndex == 0) {
+        hard_.initial = reply.membership;
+        ready_.hardStateChanged = true;
+        log_.setInitial(reply.membership);
+    }
+}
+
+void RaftCore::considerJoin(Instant now, NodeId from, Incarnation incarnation)
+{
+    const auto* member = log_.membership().find(from);
+    if (!member || member->incarnation >= incarnation || !mayChangeMembership())
+        return;
+    // The earlier life is gone with its disk; this one starts without a vote.
+    auto role = member->role == MemberRole::Learner ? MemberRole::Learner : MemberRole::Joining;
+    (void)proposeMembership(now, log_.membership().with({ from, incarnation, role }));
+}
+
+bool RaftCore::hasLeaderLease(Instant now) const
+{
+    if (!isReadyLeader())
+        return false;
+    auto since = peers_.majorityAnsweredSend(log_.membership(), now);
+    auto promise = std::chrono::duration_cast<Duration>(settings_.electionTimeoutMin / clockDriftBound);
+    return isSelfVoter() && now - since < promise;
+}
+
+}
--- /dev/null
+++ b/src/consensus/RaftCore.h
@@ -0,0 +1,164 @@
+#pragma once
+
+#include "briarhitch/core/Error.h"
+#include "briarhitch/core/Random.h"
+#include "consensus/PeerTable.h"
+#include "consensus/RaftLog.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace briarhitch {
+
+/** Deliberate faults, set by tests only, which show that the tests' checks can fail. */
+struct RaftFaults {
+    /** Grants votes although a leader was heard a moment ago. */
+    bool voteDespiteLeader { false };
+    /** Commits entries of earlier terms by counting replicas. */
+    bool commitEarlierTerms { false };
+    /** Answers and counts entries before they are synced. */
+    bool acknowledgeUnsynced { false };
+    /** Does not store the vote. */
+    bool forgetVote { false };
+    /** Counts replies of any life of a node. */
+    bool ignoreIncarnations { false };
+};
+
+struct RaftCoreSettings {
+    NodeId self;
+    /** Used only until the voters have found each other for the first time. */
+    std::vector<NodeId> voters;
+    Duration electionTimeoutMin { std::chrono::milliseconds(400) };
+    Duration electionTimeoutMax { std::chrono::milliseconds(800) };
+    Duration heartbeatInterval { std::chrono::milliseconds(100) };
+    size_t maxBatchBytes { 256 * 1024 };
+    size_t maxBatchEntries { 1024 };
+    /** Appends to one peer that are not answered yet. */
+    size_t maxInFlight { 8 };
+    size_t snapshotChunkBytes { 256 * 1024 };
+    uint64_t maxSnapshotBytes { 1024ULL * 1024 * 1024 };
+    uint64_t seed { 1 };
+    RaftFaults faults;
+};
+
+/** What must be done after a step, in the order of the fields. */
+struct RaftReady {
+    /** May be sent before anything is stored. */
+    std::vector<OutgoingMessage> early;
+    bool hardStateChanged { false };
+    /** Store it and give it to the state machine. */
+    SnapshotPtr install;
+    /** With install: the stored entries are to be dropped. */
+    bool dropLog { false };
+    std::optional<uint64_t> truncateFrom;
+    /** Store the entries from here to the end of the log; none if zero. */
+    uint64_t appendFrom { 0 };
+    /** To be sent after all of the above is synced. */
+    std::vector<OutgoingMessage> late;
+
+    [[nodiscard]] bool needsStore() const { return hardStateChanged || install || truncateFrom || appendFrom; }
+};
+
+/** The decisions of Raft: events go in, a RaftReady comes out. No clock, no sockets, no files. */
+class RaftCore {
+public:
+    RaftCore(RaftCoreSettings settings, HardState hardState, RaftLog log, Instant now);
+
+    void tick(Instant now);
+    void receive(Instant now, NodeId from, RaftMessage message);
+    /** The index of the new entry; none if this is not the leader. */
+    std::optional<uint64_t> propose(Instant now, std::string command);
+    /** NotLeader, or Unavailable while another change is not committed, or BadRequest if it changes more than one voter. */
+    Result<uint64_t> proposeMembership(Instant now, const Membership& membership);
+
+    RaftReady takeReady();
+    /** Everything of the last RaftReady is synced. */
+    void persisted(Instant now);
+    /** The state machine has applied all entries up to this one. */
+    void setApplied(uint64_t index) { applied_ = index; }
+    /** The state machine's state after an applied entry; entries up to keepAfter are dropped. */
+    void compact(SnapshotPtr snapshot, uint64_t keepAfter) { log_.compact(std::move(snapshot), keepAfter); }
+
+    /** True while no other node can be leader and everything committed before is applied. */
+    [[nodiscard]] bool hasLeaderLease(Instant now) const;
+    [[nodiscard]] bool isReadyLeader() const { return role_ == RaftRole::Leader && applied_ >= termStart_; }
+    [[nodiscard]] RaftRole role() const { return role_; }
+    [[nodiscard]] uint64_t term() const { return hard_.term; }
+    [[nodiscard]] std::optional<NodeId> leader() const { return leader_; }
+    [[nodiscard]] uint64_t commitIndex() const { return commit_; }
+    [[nodiscard]] const RaftLog& log() const { return log_; }
+    [[nodiscard]] const HardState& hardState() const { return hard_; }
+    [[nodiscard]] const RaftCoreSettings& settings() const { return settings_; }
+
+private:
+    bool isFormed() const { return !log_.membership().isEmpty(); }
+    bool isSelfVoter() const { return log_.membership().isVoter(settings_.self, hard_.incarnation); }
+    bool isOutdatedLife(NodeId from, Incarnation incarnation) const;
+    bool heardLeaderRecently(Instant now) const;
+    bool isUpToDate(const RaftMessage& message) const;
+    Duration randomTimeout();
+
+    RaftMessage message(RaftMessageKind kind) const;
+    void send(NodeId to, Incarnation toIncarnation, RaftMessage message);
+    void sendToVoters(const RaftMessage& message);
+
+    void becomeFollower(Instant now, uint64_t term, std::optional<NodeId> leader);
+    void startPreVote(Instant now);
+    void startElection(Instant now);
+    void becomeLeader(Instant now);
+    void onPreVote(Instant now, NodeId from, const RaftMessage& message);
+    void onVote(Instant now, NodeId from, const RaftMessage& message);
+    void onVoteReply(Instant now, NodeId from, const RaftMessage& message);
+
+    void tickUnformed(Instant now);
+    void onProbe(Instant now, NodeId from, const RaftMessage& message);
+    void onProbeReply(NodeId from, const RaftMessage& message);
+    void noteUnformedPeer(NodeId from, const RaftMessage& message);
+    Membership settingsMembership() const;
+    void considerJoin(Instant now, NodeId from, Incarnation incarnation);
+
+    void tickLeader(Instant now);
+    void promoteJoining(Instant now);
+    bool mayChangeMembership() const;
+    void appendOwn(Instant now, EntryKind kind, std::string data);
+    void advanceCommit(Instant now);
+    void sendLog(Instant now, NodeId to, PeerProgress& peer);
+    void sendHeartbeat(Instant now, NodeId to, PeerProgress& peer);
+    void sendEntries(Instant now, NodeId to, PeerProgress& peer, bool empty);
+    void sendChunk(Instant now, NodeId to, PeerProgress& peer);
+    PeerProgress* noteReply(Instant now, NodeId from, const RaftMessage& message);
+    void onAppendReply(Instant now, NodeId from, const RaftMessage& message);
+    void onSnapshotReply(Instant now, NodeId from, const RaftMessage& message);
+
+    void onAppend(Instant now, NodeId from, RaftMessage& message);
+    void onSnapshotChunk(Instant now, NodeId from, RaftMessage& message);
+    bool acceptLeader(Instant now, NodeId from, const RaftMessage& message, RaftMessageKind replyKind);
+    void takeEntries(RaftMessage& message);
+    void finishSnapshot();
+
+    RaftCoreSettings settings_;
+    HardState hard_;
+    RaftLog log_;
+    Random random_;
+    RaftRole role_ { RaftRole::Follower };
+    std::optional<NodeId> leader_;
+    uint64_t commit_ { 0 };
+    uint64_t applied_ { 0 };
+    /** The leader's first entry of its term. */
+    uint64_t termStart_ { 0 };
+    /** Last entry that was given out for storing, and last that is synced. */
+    uint64_t stored_ { 0 };
+    uint64_t synced_ { 0 };
+    Instant electionDeadline_;
+    Instant lastLeaderContact_;
+    Instant nextProbe_ {};
+    std::set<NodeId> votes_;
+    std::map<NodeId, Incarnation> unformedPeers_;
+    PeerTable peers_;
+    /** The snapshot that is arriving, as far as it came. */
+    std::shared_ptr<Snapshot> arriving_;
+    RaftReady ready_;
+};
+
+}
--- /dev/null
+++ b/src/consensus/RaftCoreReplication.cpp
@@ -0,0 +1,346 @@
+#include "consensus/RaftCore.h"
+#include "wire/Codec.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace briarhitch {
+
+namespace {
+
+    // A joining member becomes a voter when it lacks at most this many entries, so that commits do not wait for it.
+    constexpr uint64_t joinLagEntries = 64;
+
+    /** Voters that only one of the two memberships has; a new life of a node is another voter. */
+    size_t changedVoters(const Membership& left, const Membership& right)
+    {
+        auto missing = [](const Membership& from, const Membership& in) {
+            return std::count_if(from.members.begin(), from.members.end(), [&](const Member& member) {
+                return member.role == MemberRole::Voter && !in.isVoter(member.node, member.incarnation);
+            });
+        };
+        return static_cast<size_t>(missing(left, right) + missing(right, left));
+    }
+
+}
+
+std::optional<uint64_t> RaftCore::propose(Instant now, std::string command)
+{
+    if (role_ != RaftRole::Leader)
+        return std::nullopt;
+    appendOwn(now, EntryKind::Command, std::move(command));
+    return log_.lastIndex();
+}
+
+Result<uint64_t> RaftCore::proposeMembership(Instant now, const Membership& membership)
+{
+    if (role_ != RaftRole::Leader)
+        return fail(ErrorKind::NotLeader, "this voter is not the leader");
+    if (!mayChangeMembership())
+        return fail(ErrorKind::Unavailable, "an earlier membership change is not committed yet");
+    // Majorities of two memberships that differ in more than one voter need not overlap.
+    if (membership.voterCount() == 0 || changedVoters(log_.membership(), membership) > 1)
+        return fail(ErrorKind::BadRequest, "a membership change may add or remove one voter only");
+    appendOwn(now, EntryKind::Membership, encode(membership));
+    return log_.lastIndex();
+}
+
+bool RaftCore::mayChangeMembership() const
+{
+    return commit_ >= termStart_ && log_.membershipIndex() <= commit_;
+}
+
+void RaftCore::appendOwn(Instant now, EntryKind kind, std::string data)
+{
+    bool appended = log_.append({ log_.lastIndex() + 1, hard_.term, kind, std::move(data) });
+    assert(appended);
+    (void)appended;
+    if (kind == EntryKind::Membership)
+        peers_.setMembership(log_.membership(), log_.lastIndex(), now);
+    for (auto& [node, peer] : peers_.all())
+        sendLog(now, node, peer);
+}
+
+void RaftCore::advanceCommit(Instant now)
+{
+    uint64_t own = settings_.faults.acknowledgeUnsynced ? log_.lastIndex() : synced_;
+    uint64_t index = peers_.majorityMatch(log_.membership(), own);
+    if (index <= commit_)
+        return;
+    // An entry of an earlier term may still be overwritten although a majority has it.
+    if (log_.termAt(index) != hard_.term && !settings_.faults.commitEarlierTerms)
+        return;
+    commit_ = index;
+    if (!isSelfVoter() && log_.membershipIndex() <= commit_)
+        becomeFollower(now, hard_.term, std::nullopt);
+}
+
+void RaftCore::tickLeader(Instant now)
+{
+    // A leader that a majority does not answer gives up, so that callers look for another one.
+    if (now - peers_.majorityHeard(log_.membership(), now) > settings_.electionTimeoutMax) {
+        becomeFollower(now, hard_.term, std::nullopt);
+        return;
+    }
+    for (auto& [node, peer] : peers_.all()) {
+        if (now - peer.lastSent >= settings_.heartbeatInterval)
+            sendHeartbeat(now, node, peer);
+    }
+    promoteJoining(now);
+}
+
+void RaftCore::promoteJoining(Instant now)
+{
+    if (!mayChangeMembership())
+        return;
+    for (const auto& member : log_.membership().members) {
+        auto* peer = peers_.find(member.node, member.incarnation);
+        if (member.role != MemberRole::Joining || !peer || peer->match + joinLagEntries < log_.lastIndex() || peer->match == 0)
+            continue;
+        Member voter = member;
+        voter.role = MemberRole::Voter;
+        (void)proposeMembership(now, log_.membership().with(voter));
+        return;
+    }
+}
+
+void RaftCore::sendLog(Instant now, NodeId to, PeerProgress& peer)
+{
+    if (peer.mode == PeerMode::Snapshot || !log_.termAt(peer.next - 1)) {
+        if (!peer.waiting || peer.mode != PeerMode::Snapshot)
+            sendChunk(now, to, peer);
+        return;
+    }
+    if (peer.mode == PeerMode::Probe) {
+        if (!peer.waiting)
+            sendEntries(now, to, peer, false);
+        return;
+    }
+    while (peer.next <= log_.lastIndex() && peer.inFlight.size() < settings_.maxInFlight)
+        sendEntries(now, to, peer, false);
+}
+
+void RaftCore::sendHeartbeat(Instant now, NodeId to, PeerProgress& peer)
+{
+    // Whatever was in flight may be lost: a probe or a chunk is sent again, and a refused heartbeat starts a probe.
+    if (peer.mode == PeerMode::Snapshot || !log_.termAt(peer.next - 1))
+        sendChunk(now, to, peer);
+    else
+        sendEntries(now, to, peer, peer.mode == PeerMode::Replicate);
+}
+
+void RaftCore::sendEntries(Instant now, NodeId to, PeerProgress& peer, bool empty)
+{
+    RaftMessage append = message(RaftMessageKind::Append);
+    append.index = peer.next - 1;
+    append.indexTerm = *log_.termAt(append.index);
+    append.commit = commit_;
+    append.sentAt = now.time_since_epoch().count();
+    size_t bytes = 0;
+    uint64_t index = peer.next;
+    while (!empty && index <= log_.lastIndex() && append.entries.size() < settings_.maxBatchEntries && bytes < settings_.maxBatchBytes) {
+        bytes += log_.entry(index).data.size();
+        append.entries.push_back(log_.entry(index++));
+    }
+    peer.lastSent = now;
+    if (peer.mode == PeerMode::Probe) {
+        peer.waiting = true;
+    } else if (!append.entries.empty()) {
+        peer.next = index;
+        peer.inFlight.push_back(index - 1);
+    }
+    send(to, peer.incarnation, std::move(append));
+}
+
+void RaftCore::sendChunk(Instant now, NodeId to, PeerProgress& peer)
+{
+    if (peer.mode != PeerMode::Snapshot || !peer.snapshot) {
+        assert(log_.snapshot());
+        peer.mode = PeerMode::Snapshot;
+        peer.snapshot = log_.snapshot();
+        peer.snapshotOffset = 0;
+        peer.inFlight.clear();
+    }
+    const auto& snapshot = *peer.snapshot;
+    RaftMessage chunk = message(RaftMessageKind::SnapshotChunk);
+    chunk.index = snapshot.index;
+    chunk.indexTerm = snapshot.term;
+    chunk.membership = snapshot.membership;
+    chunk.membershipIndex = snapshot.membershipIndex;
+    chunk.sentAt = now.time_since_epoch().count();
+    chunk.offset = peer.snapshotOffset;
+    chunk.totalBytes = snapshot.data.size();
+    chunk.chunk = snapshot.data.substr(peer.snapshotOffset, settings_.snapshotChunkBytes);
+    peer.waiting = true;
+    peer.lastSent = now;
+    send(to, peer.incarnation, std::move(chunk));
+}
+
+PeerProgress* RaftCore::noteReply(Instant now, NodeId from, const RaftMessage& reply)
+{
+    if (reply.term > hard_.term) {
+        becomeFollower(now, reply.term, std::nullopt);
+        return nullptr;
+    }
+    if (role_ != RaftRole::Leader || reply.term < hard_.term)
+        return nullptr;
+    const auto* member = log_.membership().find(from);
+    auto life = settings_.faults.ignoreIncarnations && member ? member->incarnation : reply.incarnation;
+    auto* peer = peers_.find(from, life);
+    if (!peer)
+        return nullptr;
+    peer->lastHeard = now;
+    auto sentAt = std::min(Instant(Duration(reply.sentAt)), now);
+    peer->lastAnsweredSend = std::max(peer->lastAnsweredSend, sentAt);
+    return peer;
+}
+
+void RaftCore::onAppendReply(Instant now, NodeId from, const RaftMessage& reply)
+{
+    auto* peer = noteReply(now, from, reply);
+    if (!peer || peer->mode == PeerMode::Snapshot)
+        return;
+    if (!reply.accepted) {
+        // A refusal that was overtaken by later replies says nothing new.
+        if (reply.index <= peer->match || reply.index >= peer->next)
+            return;
+        peer->next = std::clamp(reply.hint, peer->match + 1, reply.index);
+        peer->mode = PeerMode::Probe;
+        peer->waiting = false;
+        peer->inFlight.clear();
+        sendLog(now, from, *peer);
+        return;
+    }
+    if (reply.commit > log_.lastIndex())
+        return;
+    peer->match = std::max(peer->match, reply.commit);
+    peer->next = std::max(peer->next, peer->match + 1);
+    while (!peer->inFlight.empty() && peer->inFlight.front() <= peer->match)
+        peer->inFlight.pop_front();
+    if (peer->mode == PeerMode::Probe) {
+        peer->mode = PeerMode::Replicate;
+        peer->next = peer->match + 1;
+        peer->waiting = false;
+    }
+    advanceCommit(now);
+    if (role_ == RaftRole::Leader)
+        sendLog(now, from, *peer);
+}
+
+void RaftCore::onSnapshotReply(Instant now, NodeId from, const RaftMessage& reply)
+{
+    auto* peer = noteReply(now, from, reply);
+    if (!peer || peer->mode != PeerMode::Snapshot || reply.index != peer->snapshot->index)
+        return;
+    if (reply.accepted) {
+        peer->match = std::max(peer->match, reply.index);
+        peer->next = peer->match + 1;
+        peer->mode = PeerMode::Probe;
+        peer->snapshot.reset();
+    } else if (reply.offset <= peer->snapshot->data.size()) {
+        peer->snapshotOffset = reply.offset;
+    }
+    peer->waiting = false;
+    sendLog(now, from, *peer);
+}
+
+bool RaftCore::acceptLeader(Instant now, NodeId from, const RaftMessage& request, RaftMessageKind replyKind)
+{
+    if (request.term < hard_.term) {
+        send(from, request.incarnation, message(replyKind));
+        return false;
+    }
+    // Two leaders of one term cannot exist; the message is forged or broken.
+    if (role_ == RaftRole::Leader && request.term == hard_.term)
+        return false;
+    becomeFollower(now, request.term, from);
+    lastLeaderContact_ = now;
+    return true;
+}
+
+void RaftCore::onAppend(Instant now, NodeId from, RaftMessage& append)
+{
+    if (!acceptLeader(now, from, append, RaftMessageKind::AppendReply))
+        return;
+    RaftMessage reply = message(RaftMessageKind::AppendReply);
+    reply.sentAt = append.sentAt;
+    reply.index = append.index;
+    bool agrees = append.index <= commit_ || log_.termAt(append.index) == append.indexTerm;
+    if (!agrees) {
+        bool shorter = append.index > log_.lastIndex();
+        reply.hint = shorter ? log_.lastIndex() + 1 : std::max(log_.firstOfTermAt(append.index), commit_ + 1);
+        send(from, append.incarnation, std::move(reply));
+        return;
+    }
+    uint64_t last = append.index + append.entries.size();
+    takeEntries(append);
+    uint64_t known = std::min(last, log_.lastIndex());
+    commit_ = std::max(commit_, std::min(append.commit, known));
+    reply.accepted = true;
+    reply.commit = known;
+    send(from, append.incarnation, std::move(reply));
+}
+
+void RaftCore::takeEntries(RaftMessage& append)
+{
+    for (auto& entry : append.entries) {
+        if (entry.index <= commit_)
+            continue;
+        if (entry.index <= log_.lastIndex()) {
+            if (log_.termAt(entry.index) == entry.term)
+                continue;
+            if (entry.index <= stored_) {
+                ready_.truncateFrom = std::min(ready_.truncateFrom.value_or(entry.index), entry.index);
+                stored_ = entry.index - 1;
+                synced_ = std::min(synced_, stored_);
+            }
+            log_.truncateFrom(entry.index);
+        }
+        if (!log_.append(std::move(entry)))
+            return;
+    }
+}
+
+void RaftCore::onSnapshotChunk(Instant now, NodeId from, RaftMessage& chunk)
+{
+    if (!acceptLeader(now, from, chunk, RaftMessageKind::SnapshotReply) || chunk.totalBytes > settings_.maxSnapshotBytes)
+        return;
+    RaftMessage reply = message(RaftMessageKind::SnapshotReply);
+    reply.sentAt = chunk.sentAt;
+    reply.index = chunk.index;
+    reply.accepted = chunk.index <= commit_;
+    if (!reply.accepted) {
+        bool isSame = arriving_ && arriving_->index == chunk.index && arriving_->term == chunk.indexTerm;
+        if (!isSame) {
+            arriving_ = std::make_shared<Snapshot>();
+            *arriving_ = { chunk.index, chunk.indexTerm, chunk.membership, chunk.membershipIndex, {} };
+        }
+        bool fits = chunk.chunk.size() <= chunk.totalBytes && chunk.offset <= chunk.totalBytes - chunk.chunk.size();
+        if (fits && chunk.offset == arriving_->data.size())
+            arriving_->data += chunk.chunk;
+        reply.offset = arriving_->data.size();
+        if (arriving_->data.size() == chunk.totalBytes) {
+            finishSnapshot();
+            reply.accepted = true;
+        }
+    }
+    send(from, chunk.incarnation, std::move(reply));
+}
+
+void RaftCore::finishSnapshot()
+{
+    SnapshotPtr snapshot = std::move(arriving_);
+    arriving_.reset();
+    log_.install(snapshot);
+    commit_ = snapshot->index;
+    ready_.install = snapshot;
+    bool storedFollows = log_.lastIndex() > snapshot->index && stored_ >= snapshot->index;
+    if (storedFollows)
+        return;
+    // Nothing that is stored comes after the snapshot, or it conflicts with it.
+    ready_.dropLog = true;
+    ready_.truncateFrom.reset();
+    stored_ = synced_ = snapshot->index;
+}
+
+}
--- /dev/null
+++ b/src/consensus/RaftReplica.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "briarhitch/consensus/ReplicatedLog.h"
+#include "consensus/LogStore.h"
+#include "consensus/RaftCore.h"
+
+namespace briarhitch {
+
+struct RaftReplicaHooks {
+    ReplicatedLogHooks state;
+    std::function<void(NodeId to, const RaftMessage&)> send;
+    /** An entry was applied; the term tells whose proposal it was. */
+    std::function<void(const LogEntry&, std::string result)> onApplied;
+    /** A snapshot replaced all entries up to this one. */
+    std::function<void(uint64_t index)> onInstalled;
+};
+
+struct RaftReplicaSettings {
+    RaftCoreSettings core;
+    LogStoreSettings store;
+    /** A snapshot is taken after so many applied entries; must be greater than zero. */
+    uint64_t snapshotEveryEntries { 50000 };
+    /** Applied entries that are kept for peers that are a little behind. */
+    uint64_t keepEntries { 10000 };
+    /** Number for a disk that has none; must be greater than that of the node's earlier disks. */
+    Incarnation newIncarnation;
+};
+
+/** One member of the log without clock and transport: decisions, durable log and state machine. */
+class RaftReplica {
+public:
+    /** Damaged if the stored log cannot be used. */
+    static Result<std::unique_ptr<RaftReplica>> open(FileSystem& files, RaftReplicaSettings settings, RaftReplicaHooks hooks, Instant now);
+
+    /** After these, process() must be called before time passes; several may share one process(). */
+    void tick(Instant now) { core_.tick(now); }
+    void receive(Instant now, NodeId from, RaftMessage message) { core_.receive(now, from, std::move(message)); }
+    std::optional<uint64_t> propose(Instant now, std::string command) { return core_.propose(now, std::move(command)); }
+    Result<uint64_t> proposeMembership(Instant now, const Membership& membership) { return core_.proposeMembership(now, membership); }
+
+    /** Stores, sends and applies what the steps above led to. False after the store has failed. */
+    bool process(Instant now);
+
+    [[nodiscard]] const RaftCore& core() const { return core_; }
+    [[nodiscard]] const LogStore& store() const { return *store_; }
+    [[nodiscard]] uint64_t appliedIndex() const { return applied_; }
+
+private:
+    RaftReplica(std::unique_ptr<LogStore> store, RaftReplicaSettings settings, RaftReplicaHooks hooks, RaftCore core);
+    Result<void> persist(const RaftReady& ready);
+    void install(const SnapshotPtr& snapshot);
+    void send(const std::vector<OutgoingMessage>& messages);
+    bool applyCommitted();
+    Result<void> takeSnapshotIfDue();
+    void reportRole();
+
+    std::unique_ptr<LogStore> store_;
+    RaftReplicaSettings settings_;
+    RaftReplicaHooks hooks_;
+    RaftCore core_;
+    uint64_t applied_ { 0 };
+    bool reportedLeader_ { false };
+    uint64_t reportedTerm_ { 0 };
+    bool failed_ { false };
+};
+
+}
--- /dev/null
+++ b/src/consensus/RaftTypes.h
@@ -0,0 +1,178 @@
+#pragma once
+
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/Ids.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+enum class MemberRole : uint8_t {
+    Voter,
+    /** Gets the log, does not vote, is never promoted. */
+    Learner,
+    /** A learner that the leader makes a voter as soon as it has caught up. */
+    Joining,
+};
+
+/** One process that takes part in the log. */
+struct Member {
+    NodeId node;
+    /** The life of its disk; zero until the node has reported it. */
+    Incarnation incarnation;
+    MemberRole role { MemberRole::Voter };
+
+    bool operator==(const Member&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(node, incarnation, role);
+    }
+};
+
+/** The members of the log from one entry on; ordered by node. */
+struct Membership {
+    std::vector<Member> members;
+
+    bool operator==(const Membership&) const = default;
+
+    [[nodiscard]] const Member* find(NodeId node) const;
+    /** True if the node is a voter in this life of its disk. */
+    [[nodiscard]] bool isVoter(NodeId node, Incarnation incarnation) const;
+    [[nodiscard]] size_t voterCount() const;
+    [[nodiscard]] size_t majority() const { return voterCount() / 2 + 1; }
+    [[nodiscard]] bool isEmpty() const { return members.empty(); }
+    /** A copy with this member added, or replacing the entry of the same node. */
+    [[nodiscard]] Membership with(Member member) const;
+    [[nodiscard]] Membership without(NodeId node) const;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(members);
+    }
+};
+
+enum class EntryKind : uint8_t {
+    Command,
+    /** First entry of a term; commits the entries of earlier terms. */
+    Noop,
+    /** An encoded Membership; in force from the moment it is in the log. */
+    Membership,
+};
+
+struct LogEntry {
+    uint64_t index { 0 };
+    uint64_t term { 0 };
+    EntryKind kind { EntryKind::Command };
+    std::string data;
+
+    bool operator==(const LogEntry&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(index, term, kind, data);
+    }
+};
+
+/** What a voter promised; durable before any message that depends on it is sent. */
+struct HardState {
+    uint64_t term { 0 };
+    NodeId votedFor;
+    Incarnation incarnation;
+    /** Members before the first membership entry; empty until the voters have found each other. */
+    Membership initial;
+
+    bool operator==(const HardState&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(term, votedFor, incarnation, initial);
+    }
+};
+
+/** The applied state after one entry. */
+struct Snapshot {
+    uint64_t index { 0 };
+    uint64_t term { 0 };
+    Membership membership;
+    /** Index of the entry that set the membership; zero for the initial one. */
+    uint64_t membershipIndex { 0 };
+    std::string data;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(index, term, membership, membershipIndex, data);
+    }
+};
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+enum class RaftMessageKind : uint8_t {
+    PreVote = 1,
+    PreVoteReply,
+    Vote,
+    VoteReply,
+    Append,
+    AppendReply,
+    SnapshotChunk,
+    SnapshotReply,
+    /** From a node that knows no members: who are you, and am I a member? */
+    Probe,
+    ProbeReply,
+};
+inline constexpr uint8_t maxRaftMessageKind = static_cast<uint8_t>(RaftMessageKind::ProbeReply);
+
+/** All consensus messages share one shape; a field that a kind does not use takes one byte. */
+struct RaftMessage {
+    RaftMessageKind kind { RaftMessageKind::Probe };
+    uint64_t term { 0 };
+    /** The sender's life, and the receiver's as the sender knows it (zero: any). */
+    Incarnation incarnation;
+    Incarnation toIncarnation;
+    /** Entry before the entries (Append), the candidate's last entry (Vote), the snapshot's entry. */
+    uint64_t index { 0 };
+    uint64_t indexTerm { 0 };
+    /** Leader's commit index; in AppendReply the last entry that is the same as the leader's. */
+    uint64_t commit { 0 };
+    bool accepted { false };
+    /** In a refused AppendReply: where the leader should try next. */
+    uint64_t hint { 0 };
+    /** The leader's clock at sending, in ns; the reply returns it, so the leader's lease needs no other clock. */
+    int64_t sentAt { 0 };
+    std::vector<LogEntry> entries;
+    /** SnapshotChunk: position of the chunk; in its reply the bytes received so far. */
+    uint64_t offset { 0 };
+    uint64_t totalBytes { 0 };
+    std::string chunk;
+    /** SnapshotChunk and ProbeReply. */
+    Membership membership;
+    uint64_t membershipIndex { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(kind, term, incarnation, toIncarnation, index, indexTerm, commit, accepted, hint, sentAt, entries, offset,
+            totalBytes, chunk, membership, membershipIndex);
+    }
+};
+
+struct OutgoingMessage {
+    NodeId to;
+    RaftMessage message;
+};
+
+enum class RaftRole : uint8_t {
+    Follower,
+    PreCandidate,
+    Candidate,
+    Leader,
+};
+
+}
