Run briarhitch-control on the replicated log

The daemon kept its state in memory only. It now opens a RaftNode in its data folder and dials every other voter; consensus traffic goes as posts over links whose peer proved the control role. The parts of the process moved from the main file to ControlProcess, so that tests can run one.

The process ends without destroying its parts: the log is durable at every acknowledgement, and fibers that still wait refer to them. LocalLog stays for tests. Tried by hand with one voter.

--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -1,12 +1,7 @@
-#include "briarhitch/control/AdminApi.h"
-#include "briarhitch/control/ControlServer.h"
-#include "briarhitch/control/LocalLog.h"
+#include "briarhitch/control/ControlProcess.h"
 #include "briarhitch/core/Log.h"
-#include "briarhitch/http/HttpServer.h"
-#include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Loop.h"
 #include "briarhitch/settings/ControlSettings.h"
-#include "briarhitch/wire/Link.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -21,15 +16,10 @@
 namespace briarhitch {
 namespace {
 
-    using namespace std::chrono_literals;
-
     /** Exit codes, as the usage text lists them. */
     constexpr int exitGood = 0;
     constexpr int exitFailed = 1;
     constexpr int exitWrongUsage = 2;
-    /** Requests of operators that are still running get this long before the process ends. */
-    constexpr Duration drainLimit = 5s;
-    constexpr Duration drainStep = 20ms;
 
     constexpr auto usageText = "a voter of the control log and the operators' HTTP API of a Briarhitch fleet.\n\n"
                                "usage: briarhitch-control --config FILE [--check_config]\n\n"
@@ -37,131 +27,37 @@
                                "exit codes: 0 ended by a signal, or the settings are good; 1 an address cannot be bound or the\n"
                                "data folder cannot be used; 2 wrong flags or settings";
 
-    LinkSettings linkSettingsOf(const ControlSettings& settings)
+    void endOnSignals(Loop& loop, ControlProcess& process)
     {
-        LinkSettings link;
-        link.fleetKey = settings.fleetKey;
-        link.identity = { LinkRole::Control, settings.node, Incarnation(static_cast<uint64_t>(wallClockMs())) };
-        return link;
+        auto ending = std::make_shared<bool>(false);
+        auto end = [&loop, &process, ending] {
+            if (*ending)
+                exitProcess(exitGood);
+            *ending = true;
+            loop.spawn([&process] {
+                process.drain();
+                exitProcess(exitGood);
+            });
+        };
+        loop.onSignal(SIGTERM, end);
+        loop.onSignal(SIGINT, end);
     }
 
-    ControlServerSettings serverSettingsOf(const ControlSettings& settings)
+    [[noreturn]] void serve(ControlSettings settings)
     {
-        ControlServerSettings server;
-        server.self = settings.node;
-        server.voters = settings.voters;
-        server.maxRunRecords = settings.maxRunRecords;
-        server.maxAnswerBytes = settings.maxAnswerBytes;
-        server.answerRetention = settings.answerRetention;
-        return server;
-    }
-
-    /** All parts of the running process. */
-    class ControlProcess {
-    public:
-        explicit ControlProcess(ControlSettings settings)
-            : settings_(std::move(settings))
-            , server_(loop_, serverSettingsOf(settings_), state_, metrics_)
-            , admin_(loop_, { settings_.node, settings_.voters, settings_.operatorKeyHashes, settings_.poolScope }, server_, metrics_)
-            , log_(settings_.node, logHooks())
-        {
-            server_.setLog(log_);
-        }
-
-        int run()
-        {
-            loop_.spawn([this] { start(); });
-            loop_.run();
-            return exitCode_;
-        }
-
-    private:
-        ReplicatedLogHooks logHooks()
-        {
-            ReplicatedLogHooks hooks;
-            hooks.apply = [this](uint64_t, std::string_view command) { return state_.apply(command); };
-            hooks.takeSnapshot = [this] { return state_.takeSnapshot(); };
-            hooks.loadSnapshot = [this](uint64_t, std::string_view snapshot) { loadSnapshot(snapshot); };
-            hooks.onRoleChange = [this](bool isLeader, uint64_t term) { server_.onRoleChange(isLeader, term); };
-            return hooks;
-        }
-
-        void loadSnapshot(std::string_view snapshot)
-        {
-            if (auto loaded = state_.loadSnapshot(snapshot); !loaded) {
-                console_.error(loaded.error().message);
-                exitProcess(exitFailed);
-            }
-        }
-
-        void start()
-        {
-            auto started = listen();
+        Loop loop;
+        ControlProcess process(loop, std::move(settings));
+        loop.spawn([&] {
+            endOnSignals(loop, process);
+            auto started = process.start();
             if (!started) {
-                console_.error(started.error().message);
-                exitCode_ = exitFailed;
-                loop_.stop();
-                return;
+                Log("control:").error(started.error().message);
+                exitProcess(exitFailed);
             }
-            loop_.onSignal(SIGTERM, [this] { onEndSignal(); });
-            loop_.onSignal(SIGINT, [this] { onEndSignal(); });
-            log_.start();
-            server_.start();
-            console_.info("node " + std::to_string(settings_.node.value()) + " serves links on " + settings_.linkHost + ":" + std::to_string(links_->port())
-                + " and operators on " + settings_.adminHost + ":" + std::to_string(http_->port()));
-        }
-
-        Result<void> listen()
-        {
-            LinkHooks hooks;
-            hooks.onRequest = [this](const Peer& peer, MessageType type, std::string_view body) { return server_.onRequest(peer, type, body); };
-            auto links = LinkServer::listen(loop_, settings_.linkHost, settings_.linkPort, linkSettingsOf(settings_), hooks);
-            if (!links)
-                return tl::unexpected(links.error());
-            links_ = std::move(*links);
-            HttpServerSettings http;
-            http.host = settings_.adminHost;
-            http.port = settings_.adminPort;
-            auto listening = HttpServer::listen(loop_, http, [this](const HttpRequest& request, HttpExchange& exchange) { admin_.handle(request, exchange); });
-            if (!listening)
-                return tl::unexpected(listening.error());
-            http_ = std::move(*listening);
-            return {};
-        }
-
-        void onEndSignal()
-        {
-            if (ending_)
-                exitProcess(exitGood);
-            ending_ = true;
-            console_.info("ends after the running requests");
-            loop_.spawn([this] { drain(); });
-        }
-
-        void drain()
-        {
-            http_->drain();
-            Instant deadline = BootClock::now() + drainLimit;
-            while (http_->requestsRunning() > 0 && BootClock::now() < deadline)
-                sleepFor(loop_, drainStep);
-            server_.stop();
-            links_->close();
-            loop_.stop();
-        }
-
-        ControlSettings settings_;
-        Loop loop_;
-        MetricRegistry metrics_;
-        StateMachine state_;
-        ControlServer server_;
-        AdminApi admin_;
-        LocalLog log_;
-        std::unique_ptr<LinkServer> links_;
-        std::unique_ptr<HttpServer> http_;
-        Log console_ { "control:" };
-        bool ending_ { false };
-        int exitCode_ { exitGood };
-    };
+        });
+        loop.run();
+        exitProcess(exitGood);
+    }
 
     int runMain()
     {
@@ -180,8 +76,7 @@
             return exitGood;
         }
         setUpLogging(settings->logLevel);
-        ControlProcess process(std::move(*settings));
-        return process.run();
+        serve(std::move(*settings));
     }
 
 }
--- a/include/briarhitch/control/AdminApi.h
+++ b/include/briarhitch/control/AdminApi.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "briarhitch/consensus/RaftNode.h"
 #include "briarhitch/control/ControlServer.h"
 #include "briarhitch/http/HttpServer.h"
 
@@ -16,6 +17,8 @@
     /** SHA-256 of the operators' bearer keys, in hexadecimal. */
     std::vector<std::string> operatorKeyHashes;
     PoolScope poolScope { PoolScope::Region };
+    /** State of the replicated log for the status page; may be unset. */
+    std::function<RaftStatus()> logStatus;
 };
 
 /** The operators' HTTP API; see docs/design.md 4.4 and docs/control.md. */
--- a/src/control/StatusReport.cpp
+++ b/src/control/StatusReport.cpp
@@ -23,6 +23,12 @@
         return json;
     }
 
+    Json logToJson(const RaftStatus& status)
+    {
+        return { { "commit_index", status.commitIndex }, { "applied_index", status.appliedIndex }, { "last_index", status.lastIndex },
+            { "voters", toJson(status.voters) }, { "learners", toJson(status.learners) } };
+    }
+
     Json nodesToJson(const ControlServer& server, Instant now)
     {
         Json json = Json::array();
@@ -98,6 +104,8 @@
     json["leader"] = leader ? Json(leader->node.value()) : Json();
     json["term"] = server.term();
     json["voters"] = votersToJson(settings, leader);
+    if (settings.logStatus)
+        json["log"] = logToJson(settings.logStatus());
     json["config_version"] = state.config().version.value();
     json["customers"] = state.config().customers.size();
     json["targets"] = state.config().targets.size();
--- a/tools/ctl/CtlPrinter.cpp
+++ b/tools/ctl/CtlPrinter.cpp
@@ -149,6 +149,10 @@
     std::vector<Row> pools { { "POOL", "OWNER", "EPOCH", "HANDED OVER BY" } };
     for (const auto& pool : answer.at("pools"))
         pools.push_back({ word(pool.at("name")), word(pool.at("owner")), word(pool.at("epoch")), word(pool.at("previous_owner")) });
+    if (answer.contains("log")) {
+        const auto& log = answer.at("log");
+        text += "log: committed to " + word(log.at("commit_index")) + ", voters " + list(log.at("voters")) + ", learners " + list(log.at("learners")) + "\n";
+    }
     const auto& runs = answer.at("run_records");
     return text + "\n" + table(voters) + "\n" + table(nodes) + "\n" + table(pools) + "\nrun records: " + word(runs.at("kept")) + " kept, " + word(runs.at("retired"))
         + " retired, " + word(runs.at("answer_bytes")) + " bytes of answers\n" + repairsToText(answer.at("repairs"));
