--- /dev/null
+++ b/include/briarhitch/entry/PoolClient.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "briarhitch/entry/ClusterView.h"
+#include "briarhitch/entry/NodeTransport.h"
+#include "briarhitch/entry/PoolGateway.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string_view>
+
+namespace briarhitch {
+
+class Loop;
+
+struct PoolClientSettings {
+    NodeId self;
+    std::string region;
+    std::string zone;
+    /** Time without a reachable owner after which asks are refused. */
+    Duration ownerTimeout { std::chrono::seconds(6) };
+};
+
+/** An entry's side of the pools: asks their owners and remembers what this entry has running in them. */
+class PoolClient : public PoolGateway {
+public:
+    PoolClient(Loop& loop, PoolClientSettings settings, const ClusterView& view, NodeTransport& transport, ClockHook now);
+    ~PoolClient() override;
+
+    Result<PoolId> findPool(PoolKind kind, const std::string& serves) const override;
+    Result<Grant> acquire(const Ask& ask, Instant deadline) override;
+    void abandon(AttemptId attempt) override;
+    bool isCurrent(const Grant& grant) const override;
+    void release(const Grant& grant) override;
+    void started(const Started& started) override;
+    void finished(const Finished& finished) override;
+
+    /** Sends a target's load to the owner of its pool; dropped if that cannot be reached. */
+    void reportLoad(const LoadReport& report);
+
+    /** Grant or Refuse from an owner; others are ignored. */
+    void onMessage(MessageType type, std::string_view body);
+    /** Syncs with new owners and asks them again. */
+    void onConfigChange(const ClusterConfig& config);
+    /** A link to this node opened: syncs its pools, because messages may have been lost with the last link. */
+    void onNodeOpen(NodeId node);
+    /** To be called several times a second: refuses asks whose pool has had no reachable owner for too long. */
+    void checkOwners();
+
+    [[nodiscard]] size_t pendingCount() const { return pending_.size(); }
+    [[nodiscard]] size_t runningCount() const { return running_.size(); }
+
+private:
+    struct Pending;
+    struct PoolState {
+        Epoch epoch;
+        NodeId owner;
+        /** Since when the owner cannot be reached; none while it can. */
+        std::optional<Instant> unreachableSince;
+    };
+    struct Recent {
+        PoolId pool;
+        RecentRepeat repeat;
+        Instant sentAt;
+    };
+
+    template <class T>
+    void postToOwner(PoolId pool, MessageType type, const T& message);
+    void onGrant(const Grant& grant);
+    void onRefuse(const Refuse& refuse);
+    void sendAsk(const Pending& pending);
+    void sync(PoolId pool);
+    void adoptAssignment(const PoolAssignment& assignment);
+    void remember(const Ask& ask, TargetId target);
+    void forgetOld();
+    bool isOwnerReachable(PoolState& state);
+    bool isOwnerOverdue(PoolState& state);
+    void refuseAll(PoolId pool);
+
+    Loop& loop_;
+    PoolClientSettings settings_;
+    const ClusterView& view_;
+    NodeTransport& transport_;
+    ClockHook now_;
+    std::map<PoolId, PoolState> pools_;
+    std::map<AttemptId, std::shared_ptr<Pending>> pending_;
+    std::map<AttemptId, RunningAttempt> running_;
+    std::deque<Recent> recent_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/entry/PoolHost.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include "briarhitch/entry/NodeTransport.h"
+#include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/sched/PoolScheduler.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <vector>
+
+namespace briarhitch {
+
+class MetricRegistry;
+
+struct PoolHostSettings {
+    NodeId self;
+    Incarnation incarnation;
+    std::string region;
+    /** For every pool; the kind is set for each. */
+    PoolSettings pool;
+    /** Longest wait for the nodes' PoolSync. */
+    Duration collectTime { std::chrono::milliseconds(500) };
+    /** Lease and drift of another node; see docs/design.md 6.1. */
+    Duration leaseAndDrift { std::chrono::milliseconds(3150) };
+};
+
+/** The pools that this node owns: takeover, grants, handover. Runs no fibers; time comes from the clock hook. */
+class PoolHost {
+public:
+    PoolHost(PoolHostSettings settings, NodeTransport& transport, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now);
+    ~PoolHost();
+
+    void onConfigChange(const ClusterConfig& config);
+    /** A message from an entry, or PoolRelease from a former owner. */
+    void onMessage(NodeId from, LinkId link, MessageType type, std::string_view body);
+    void onEntryOpen(NodeId node);
+    /** The entry has no link open any more. */
+    void onEntryClosed(NodeId node);
+    /** To be called every 20 ms while isBusy(), and every 50 ms otherwise. */
+    void tick();
+    /** Whether anything is queued, or a takeover or handover is going on. */
+    [[nodiscard]] bool isBusy() const;
+    [[nodiscard]] size_t poolCount() const { return pools_.size(); }
+    /** Whether this node may issue grants for the pool now. */
+    [[nodiscard]] bool isActive(PoolId pool) const;
+    /** Whether a former owner still waits to tell a new one that it issues no more grants. */
+    [[nodiscard]] bool isHandingOver() const { return !releases_.empty(); }
+
+private:
+    /** A request of an entry, queued or granted. */
+    struct Hosted {
+        Ask ask;
+        Instant deadline;
+        NodeId entry;
+        /** The link over which the entry asked last. */
+        LinkId link;
+        /** None while it is queued. */
+        TargetId target;
+        bool isStarted { false };
+    };
+    struct Pool {
+        PoolAssignment assignment;
+        Instant assignedAt;
+        /** The earlier owner certainly issues no more grants. */
+        bool isReleased { false };
+        std::set<NodeId> awaited;
+        std::map<AttemptId, Hosted> hosted;
+        std::vector<RecentRepeat> recent;
+        /** None during the takeover and while this node has no lease. */
+        std::unique_ptr<PoolScheduler> scheduler;
+        bool isFlushing { false };
+    };
+    /** A message that came before this node learned that it owns the pool. */
+    struct Early {
+        Instant at;
+        NodeId from;
+        LinkId link;
+        MessageType type;
+        std::string body;
+    };
+    struct Release {
+        NodeId node;
+        PoolRelease message;
+        Instant since;
+    };
+
+    Pool* find(PoolId pool);
+    void adopt(const PoolAssignment& assignment, const ClusterConfig& config);
+    void dropOthers(const ClusterConfig& config);
+    void updateActive(const ClusterConfig& config);
+    void noteLostNodes(const ClusterConfig& config);
+    void setTargets(Pool& pool);
+    void setContracts(Pool& pool);
+    void activateIfReady(Pool& pool);
+    void activate(Pool& pool);
+    void handle(NodeId from, LinkId link, MessageType type, std::string_view body);
+    void keepEarly(NodeId from, LinkId link, MessageType type, std::string_view body);
+    void replayEarly();
+    void onAsk(NodeId from, LinkId link, const Ask& ask);
+    void onSync(NodeId from, LinkId link, const PoolSync& sync);
+    void dropMissing(Pool& pool, NodeId from, LinkId link, const PoolSync& sync);
+    void restore(Pool& pool, NodeId from, LinkId link, const RunningAttempt& running);
+    void onCancel(const Cancel& cancel);
+    void onStarted(const Started& started);
+    void onFinished(const Finished& finished);
+    void onLoadReport(const LoadReport& report);
+    void onRelease(NodeId from, const PoolRelease& release);
+    void remove(Pool& pool, AttemptId attempt);
+    void flush(Pool& pool);
+    void carryOut(Pool& pool, const PoolAction& action);
+    void sendGrant(const Pool& pool, const Hosted& hosted);
+    void freeLostEntries();
+    void sendReleases();
+    void publishStats();
+
+    PoolHostSettings settings_;
+    NodeTransport& transport_;
+    std::function<bool()> hasLease_;
+    MetricRegistry& metrics_;
+    ClockHook now_;
+    std::map<PoolId, Pool> pools_;
+    std::vector<Target> targets_;
+    std::map<CustomerId, Contract> contracts_;
+    std::deque<Early> early_;
+    std::map<NodeId, Instant> closedSince_;
+    std::vector<Release> releases_;
+    Instant statsPublishedAt_;
+};
+
+}
--- /dev/null
+++ b/include/briarhitch/entry/RequestHistory.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/Ids.h"
+#include "briarhitch/core/Units.h"
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** Why recent requests were queued, routed, limited, retried or refused. Never holds keys or prompts. */
+class RequestHistory {
+public:
+    RequestHistory(size_t maxRequests, ClockHook now);
+
+    void begin(RequestId request, const std::string& customer, const std::string& work, Tier tier);
+    /** Ignored for a request that is not known any more; at most 64 events are kept for each. */
+    void add(RequestId request, const std::string& event, const std::string& reason = {});
+    /** JSON object with all events; empty if the request is not known. */
+    [[nodiscard]] std::string toJson(RequestId request) const;
+    [[nodiscard]] size_t size() const { return records_.size(); }
+
+private:
+    struct Event {
+        Duration sinceStart;
+        std::string name;
+        std::string reason;
+    };
+    struct Record {
+        Instant begun;
+        int64_t wallClockMs { 0 };
+        std::string customer;
+        std::string work;
+        Tier tier;
+        std::vector<Event> events;
+        size_t droppedEvents { 0 };
+    };
+
+    size_t maxRequests_;
+    ClockHook now_;
+    std::map<RequestId, Record> records_;
+    std::deque<RequestId> order_;
+};
+
+}
--- /dev/null
+++ b/src/entry/EntrySettings.cpp
@@ -0,0 +1,128 @@
+#include "briarhitch/entry/EntrySettings.h"
+
+#include "briarhitch/core/Digest.h"
+#include "briarhitch/entry/CallerRequest.h"
+#include "briarhitch/settings/SettingsReader.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr int64_t maxPort = 65535;
+    constexpr size_t minFleetKeyBytes = 16;
+    constexpr size_t sha256HexDigits = 64;
+    constexpr double maxFloor = 0.5;
+
+    HostPort readHostPort(SettingsReader& reader)
+    {
+        HostPort address;
+        address.host = reader.string("host");
+        address.port = static_cast<uint16_t>(reader.integer("port", 1, maxPort));
+        return address;
+    }
+
+    Duration readMs(SettingsReader& reader, const std::string& name, int64_t minimum, int64_t maximum, Duration fallback)
+    {
+        return std::chrono::milliseconds(reader.integer(name, minimum, maximum, toMs(fallback)));
+    }
+
+    void readHttp(SettingsReader& reader, HttpServerSettings& http)
+    {
+        http.host = reader.string("host");
+        http.port = static_cast<uint16_t>(reader.integer("port", 1, maxPort));
+        http.maxConnections = static_cast<size_t>(reader.integer("max_connections", 1, 100000, static_cast<int64_t>(http.maxConnections)));
+        http.readTimeout = readMs(reader, "read_timeout_ms", 100, 600000, http.readTimeout);
+        http.writeTimeout = readMs(reader, "write_timeout_ms", 100, 600000, http.writeTimeout);
+        http.idleTimeout = readMs(reader, "idle_timeout_ms", 100, 3600000, http.idleTimeout);
+        http.maxBodyBytes = static_cast<size_t>(reader.integer("max_body_bytes", 1024, 64 * 1024 * 1024, static_cast<int64_t>(http.maxBodyBytes)));
+    }
+
+    void readFloor(SettingsReader& reader, PoolSettings& pool)
+    {
+        auto kind = workKindOf(reader.string("kind"));
+        pool.floors[kind] = reader.number("part", 0, maxFloor);
+    }
+
+    void readPolicy(SettingsReader& reader, PoolSettings& pool)
+    {
+        pool.policy = reader.choice("name", PoolSchedulerRegistry::names(), pool.policy);
+        pool.maxQueued = static_cast<size_t>(reader.integer("max_queued", 1, 1000000, static_cast<int64_t>(pool.maxQueued)));
+        pool.seed = static_cast<uint64_t>(reader.integer("seed", 0, INT64_MAX, static_cast<int64_t>(pool.seed)));
+        for (const auto& part : reader.strings("disabled_parts"))
+            pool.disabledParts.insert(part);
+        reader.objects("floors", false, [&](SettingsReader& floor) { readFloor(floor, pool); });
+    }
+
+    void readLimits(SettingsReader& reader, EntryLimits& limits)
+    {
+        limits.defaultDeadline = readMs(reader, "default_deadline_ms", 1, 600000, limits.defaultDeadline);
+        limits.maxDeadline = readMs(reader, "max_deadline_ms", 1, 3600000, limits.maxDeadline);
+        limits.tokenTimeout = readMs(reader, "token_timeout_ms", 10, 600000, limits.tokenTimeout);
+        limits.wholeAnswerTimeout = readMs(reader, "whole_answer_timeout_ms", 10, 3600000, limits.wholeAnswerTimeout);
+        limits.chargeTimeout = readMs(reader, "charge_timeout_ms", 10, 3600000, limits.chargeTimeout);
+        limits.duplicateWait = readMs(reader, "duplicate_wait_ms", 0, 600000, limits.duplicateWait);
+        limits.claimTimeout = readMs(reader, "claim_timeout_ms", 10, 60000, limits.claimTimeout);
+        limits.ownerTimeout = readMs(reader, "owner_timeout_ms", 0, 600000, limits.ownerTimeout);
+        limits.maxAttempts = static_cast<uint32_t>(reader.integer("max_attempts", 1, 10, limits.maxAttempts));
+        limits.historySize = static_cast<uint32_t>(reader.integer("history_size", 1, 1000000, limits.historySize));
+        limits.loadPollInterval = readMs(reader, "load_poll_interval_ms", 100, 600000, limits.loadPollInterval);
+        limits.handoverTimeout = readMs(reader, "handover_timeout_ms", 0, 600000, limits.handoverTimeout);
+    }
+
+    void readOperatorKeys(SettingsReader& reader, EntrySettings& settings)
+    {
+        settings.operatorKeyHashes = reader.strings("operator_key_hashes");
+        for (const auto& hash : settings.operatorKeyHashes) {
+            bool isHash = hash.size() == sha256HexDigits && hash.find_first_not_of("0123456789abcdef") == std::string::npos;
+            if (!isHash)
+                reader.problem("operator_key_hashes", "allowed are SHA-256 hashes of keys, as 64 lower-case hexadecimal digits");
+        }
+    }
+
+    LogLevel readLogLevel(SettingsReader& reader)
+    {
+        auto word = reader.choice("log_level", { "debug", "info", "warning", "error" }, "info");
+        if (word == "debug")
+            return LogLevel::Debug;
+        if (word == "warning")
+            return LogLevel::Warning;
+        return word == "error" ? LogLevel::Error : LogLevel::Info;
+    }
+
+    Result<EntrySettings> readSettings(SettingsReader reader)
+    {
+        EntrySettings settings;
+        settings.node = NodeId(static_cast<uint32_t>(reader.integer("node_id", 1, UINT32_MAX)));
+        settings.region = reader.string("region");
+        settings.zone = reader.string("zone");
+        settings.fleetKey = reader.string("fleet_key", minFleetKeyBytes);
+        reader.object("http", true, [&](SettingsReader& http) { readHttp(http, settings.http); });
+        reader.object("link", true, [&](SettingsReader& link) { settings.link = readHostPort(link); });
+        reader.objects("control_voters", true, [&](SettingsReader& voter) { settings.controlVoters.push_back(readHostPort(voter)); });
+        reader.object("policy", false, [&](SettingsReader& policy) { readPolicy(policy, settings.pool); });
+        reader.object("limits", false, [&](SettingsReader& limits) { readLimits(limits, settings.limits); });
+        readOperatorKeys(reader, settings);
+        settings.logLevel = readLogLevel(reader);
+        if (settings.controlVoters.empty())
+            reader.problem("control_voters", "needs at least one address");
+        auto finished = reader.finish();
+        if (!finished)
+            return tl::unexpected(finished.error());
+        return settings;
+    }
+
+}
+
+Result<EntrySettings> EntrySettings::fromFile(const std::string& path)
+{
+    return SettingsReader::fromFile(path).and_then([](SettingsReader&& reader) { return readSettings(std::move(reader)); });
+}
+
+Result<EntrySettings> EntrySettings::fromText(const std::string& text, const std::string& fileName)
+{
+    return SettingsReader::fromText(text, fileName).and_then([](SettingsReader&& reader) { return readSettings(std::move(reader)); });
+}
+
+}
--- /dev/null
+++ b/src/entry/EventSplitter.cpp
@@ -0,0 +1,74 @@
+#include "entry/EventSplitter.h"
+
+#include <absl/strings/numbers.h>
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    /** Position after the blank line that ends the first event; npos if there is none. */
+    size_t endOfEvent(std::string_view text)
+    {
+        auto plain = text.find("\n\n");
+        auto withReturns = text.find("\r\n\r\n");
+        if (plain == std::string_view::npos && withReturns == std::string_view::npos)
+            return std::string_view::npos;
+        if (plain < withReturns)
+            return plain + 2;
+        return withReturns + 4;
+    }
+
+    std::string_view valueOf(std::string_view line, std::string_view field)
+    {
+        line.remove_prefix(field.size());
+        if (!line.empty() && line.front() == ' ')
+            line.remove_prefix(1);
+        return line;
+    }
+
+    void readLine(StreamEvent& event, std::string_view line)
+    {
+        if (!line.empty() && line.back() == '\r')
+            line.remove_suffix(1);
+        if (line.starts_with("id:")) {
+            uint64_t id = 0;
+            if (absl::SimpleAtoi(valueOf(line, "id:"), &id))
+                event.id = id;
+        } else if (line.starts_with("data:")) {
+            if (!event.data.empty())
+                event.data += '\n';
+            event.data += valueOf(line, "data:");
+        }
+    }
+
+    StreamEvent parseEvent(std::string_view text)
+    {
+        StreamEvent event;
+        event.text = text;
+        while (!text.empty()) {
+            auto end = std::min(text.find('\n'), text.size());
+            readLine(event, text.substr(0, end));
+            text.remove_prefix(std::min(end + 1, text.size()));
+        }
+        return event;
+    }
+
+}
+
+std::vector<StreamEvent> EventSplitter::feed(std::string_view bytes)
+{
+    buffer_ += bytes;
+    std::vector<StreamEvent> events;
+    std::string_view rest(buffer_);
+    for (auto end = endOfEvent(rest); end != std::string_view::npos; end = endOfEvent(rest)) {
+        auto event = parseEvent(rest.substr(0, end));
+        rest.remove_prefix(end);
+        if (event.id || !event.data.empty())
+            events.push_back(std::move(event));
+    }
+    buffer_.erase(0, buffer_.size() - rest.size());
+    return events;
+}
+
+}
--- /dev/null
+++ b/src/entry/EventSplitter.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace briarhitch {
+
+/** One whole server-sent event. */
+struct StreamEvent {
+    std::optional<uint64_t> id;
+    /** The event's bytes, with the blank line that ends it. */
+    std::string text;
+    /** Content of its data lines. */
+    std::string data;
+
+    [[nodiscard]] bool isEndMark() const { return data == "[DONE]"; }
+};
+
+/** Cuts the bytes of an event stream into whole events. */
+class EventSplitter {
+public:
+    /** The events that these bytes complete; comments without data are left out. */
+    std::vector<StreamEvent> feed(std::string_view bytes);
+    /** Forgets a part of an event, after its connection was lost. */
+    void reset() { buffer_.clear(); }
+    /** Bytes of an event that is not complete. */
+    [[nodiscard]] size_t pendingBytes() const { return buffer_.size(); }
+
+private:
+    std::string buffer_;
+};
+
+}
--- /dev/null
+++ b/src/entry/RequestHistory.cpp
@@ -0,0 +1,71 @@
+#include "briarhitch/entry/RequestHistory.h"
+
+#include <nlohmann/json.hpp>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr size_t maxEvents = 64;
+    /** Reasons may come from other processes. */
+    constexpr size_t maxReasonBytes = 200;
+    constexpr double msPerSecond = 1000;
+
+}
+
+RequestHistory::RequestHistory(size_t maxRequests, ClockHook now)
+    : maxRequests_(maxRequests)
+    , now_(std::move(now))
+{
+}
+
+void RequestHistory::begin(RequestId request, const std::string& customer, const std::string& work, Tier tier)
+{
+    auto [it, isNew] = records_.try_emplace(request);
+    if (!isNew)
+        return;
+    it->second.begun = now_();
+    it->second.wallClockMs = wallClockMs();
+    it->second.customer = customer;
+    it->second.work = work.substr(0, maxReasonBytes);
+    it->second.tier = tier;
+    order_.push_back(request);
+    while (order_.size() > maxRequests_) {
+        records_.erase(order_.front());
+        order_.pop_front();
+    }
+}
+
+void RequestHistory::add(RequestId request, const std::string& event, const std::string& reason)
+{
+    auto it = records_.find(request);
+    if (it == records_.end())
+        return;
+    auto& record = it->second;
+    if (record.events.size() >= maxEvents) {
+        ++record.droppedEvents;
+        return;
+    }
+    record.events.push_back({ now_() - record.begun, event, reason.substr(0, maxReasonBytes) });
+}
+
+std::string RequestHistory::toJson(RequestId request) const
+{
+    auto it = records_.find(request);
+    if (it == records_.end())
+        return {};
+    const auto& record = it->second;
+    nlohmann::ordered_json json;
+    json["request"] = toString(request);
+    json["begun_unix_ms"] = record.wallClockMs;
+    json["customer"] = record.customer;
+    json["work"] = record.work;
+    json["tier"] = record.tier.value();
+    json["events"] = nlohmann::ordered_json::array();
+    for (const auto& event : record.events)
+        json["events"].push_back({ { "after_ms", toSeconds(event.sinceStart) * msPerSecond }, { "event", event.name }, { "reason", event.reason } });
+    json["dropped_events"] = record.droppedEvents;
+    return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
+}
+
+}
--- /dev/null
+++ b/src/entry/TargetClient.cpp
@@ -0,0 +1,78 @@
+#include "briarhitch/entry/TargetClient.h"
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration cancelTimeout = 1s;
+    constexpr int okStatus = 200;
+    constexpr int firstRedirectStatus = 300;
+    constexpr int notFoundStatus = 404;
+    constexpr int goneStatus = 410;
+
+    HttpCallSettings settingsFor(const TargetCall& call)
+    {
+        HttpCallSettings settings;
+        settings.host = call.target.host;
+        settings.port = call.target.port;
+        settings.headers.emplace_back("X-Request-Id", toString(call.attempt));
+        settings.headers.emplace_back("X-Fencing-Token", std::to_string(call.epoch.value()));
+        return settings;
+    }
+
+    std::string streamPath(const TargetCall& call)
+    {
+        return "/v1/streams/" + toString(call.attempt);
+    }
+
+}
+
+TargetClient::TargetClient(StartHook start)
+    : start_(std::move(start))
+{
+}
+
+Result<std::shared_ptr<HttpCall>> TargetClient::send(const TargetCall& call)
+{
+    auto settings = settingsFor(call);
+    settings.method = call.method;
+    settings.target = call.path;
+    settings.headers.insert(settings.headers.end(), call.headers.begin(), call.headers.end());
+    settings.body = call.body;
+    settings.headerTimeout = call.headerTimeout;
+    // A kept connection may have been closed by the target, and then nobody knows whether the call ran.
+    settings.isReuseAllowed = call.isRepeatable;
+    return start_(settings);
+}
+
+Result<std::shared_ptr<HttpCall>> TargetClient::resume(const TargetCall& call, std::optional<uint64_t> lastEventId, Duration headerTimeout)
+{
+    auto settings = settingsFor(call);
+    settings.target = streamPath(call);
+    if (lastEventId)
+        settings.headers.emplace_back("Last-Event-ID", std::to_string(*lastEventId));
+    settings.headerTimeout = headerTimeout;
+    // Kept connections to the same engine may have gone silent together with the lost one.
+    settings.isReuseAllowed = false;
+    return start_(settings);
+}
+
+bool TargetClient::cancelStream(const TargetCall& call)
+{
+    auto settings = settingsFor(call);
+    settings.method = "DELETE";
+    settings.target = streamPath(call);
+    settings.headerTimeout = cancelTimeout;
+    settings.isReuseAllowed = false;
+    auto answer = start_(settings);
+    if (!answer)
+        return false;
+    auto status = (*answer)->status();
+    (void)(*answer)->readAll(cancelTimeout);
+    bool isDone = status >= okStatus && status < firstRedirectStatus;
+    return isDone || status == notFoundStatus || status == goneStatus;
+}
+
+}
