--- /dev/null
+++ b/src/sched/BaselineScheduler.cpp
@@ -0,0 +1,226 @@
+#include "sched/BaselineScheduler.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // A usual limit of connections to one back end; beyond it requests wait in the proxy.
+    constexpr uint32_t inFlightBySlot = 8;
+
+    PoolSchedulerRegistry::Registration naive("naive", [](const PoolSettings& settings) {
+        return std::make_unique<BaselineScheduler>(settings, BaselineScheduler::Choice::RoundRobin);
+    });
+    PoolSchedulerRegistry::Registration twoChoices("two-choices", [](const PoolSettings& settings) {
+        return std::make_unique<BaselineScheduler>(settings, BaselineScheduler::Choice::TwoChoices);
+    });
+
+}
+
+BaselineScheduler::BaselineScheduler(const PoolSettings& settings, Choice choice)
+    : settings_(settings)
+    , choice_(choice)
+    , random_(settings.seed)
+{
+}
+
+void BaselineScheduler::setTargets(const std::vector<Target>& targets, Instant now)
+{
+    for (auto& [id, load] : loads_)
+        load.isActive = false;
+    active_.clear();
+    for (const auto& target : targets) {
+        auto& load = loads_[target.id];
+        load.slots = std::max(1U, target.slots);
+        load.isActive = target.state == TargetState::Active;
+        if (load.isActive)
+            active_.push_back(target.id);
+    }
+    dispatch(now);
+}
+
+void BaselineScheduler::setContract(const Contract&) { }
+
+bool BaselineScheduler::mayUse(const PoolRequest& request, TargetId target) const
+{
+    const auto& excluded = request.excluded;
+    return std::find(excluded.begin(), excluded.end(), target) == excluded.end() && !repeats_.had(request.repeatKey, target);
+}
+
+bool BaselineScheduler::hasRoom(TargetId target) const
+{
+    const auto& load = loads_.at(target);
+    return load.reachable && load.inFlight < load.slots * inFlightBySlot;
+}
+
+bool BaselineScheduler::hasUsableTarget(const PoolRequest& request) const
+{
+    return std::any_of(active_.begin(), active_.end(), [&](TargetId target) { return mayUse(request, target); });
+}
+
+double BaselineScheduler::loadOf(TargetId target) const
+{
+    const auto& load = loads_.at(target);
+    return static_cast<double>(load.reported + load.sentSinceReport) / load.slots;
+}
+
+std::optional<TargetId> BaselineScheduler::nextInTurn(const PoolRequest& request)
+{
+    for (size_t i = 0; i < active_.size(); ++i) {
+        const TargetId target = active_[turn_++ % active_.size()];
+        if (mayUse(request, target) && hasRoom(target))
+            return target;
+    }
+    return std::nullopt;
+}
+
+std::optional<TargetId> BaselineScheduler::choose(const PoolRequest& request)
+{
+    if (choice_ == Choice::RoundRobin || active_.empty())
+        return nextInTurn(request);
+    const TargetId first = active_[random_.below(active_.size())];
+    const TargetId second = active_[random_.below(active_.size())];
+    const bool firstFits = mayUse(request, first) && hasRoom(first);
+    const bool secondFits = mayUse(request, second) && hasRoom(second);
+    if (firstFits && secondFits)
+        return loadOf(first) <= loadOf(second) ? first : second;
+    if (firstFits || secondFits)
+        return firstFits ? first : second;
+    return nextInTurn(request);
+}
+
+void BaselineScheduler::submit(PoolRequest request, Instant now)
+{
+    if (queued_.contains(request.attempt) || running_.contains(request.attempt))
+        return;
+    if (!hasUsableTarget(request)) {
+        refuse(request, ErrorKind::NoTarget, "no target can take the request");
+        return;
+    }
+    if (queue_.size() >= settings_.maxQueued) {
+        refuse(request, ErrorKind::QueueFull, "queue is full");
+        return;
+    }
+    ++stats_.queued[request.tier.value()];
+    stats_.queuedTokens += request.promptTokens;
+    queued_.insert(request.attempt);
+    queue_.push_back(std::move(request));
+    dispatch(now);
+}
+
+void BaselineScheduler::dispatch(Instant now)
+{
+    while (!queue_.empty()) {
+        auto& head = queue_.front();
+        const bool isQueued = queued_.contains(head.attempt);
+        std::optional<TargetId> target;
+        if (isQueued) {
+            target = choose(head);
+            if (!target && hasUsableTarget(head))
+                return;
+            queued_.erase(head.attempt);
+            --stats_.queued[head.tier.value()];
+            stats_.queuedTokens -= head.promptTokens;
+            if (target)
+                grant(head, *target, now);
+            else
+                refuse(head, ErrorKind::NoTarget, "all its targets had it or left");
+        }
+        queue_.pop_front();
+    }
+}
+
+void BaselineScheduler::grant(const PoolRequest& request, TargetId target, Instant now)
+{
+    auto& load = loads_[target];
+    ++load.inFlight;
+    ++load.sentSinceReport;
+    running_.emplace(request.attempt, Running { target, request.tier });
+    ++stats_.running[request.tier.value()];
+    repeats_.remember(request.repeatKey, target, now);
+    actions_.emplace_back(PoolGrant { request.attempt, target });
+}
+
+void BaselineScheduler::refuse(const PoolRequest& request, ErrorKind kind, std::string_view reason)
+{
+    actions_.emplace_back(PoolRefusal { request.attempt, kind, errorInfo(kind).retryAfter.value_or(1s), std::string(reason) });
+}
+
+void BaselineScheduler::release(AttemptId attempt)
+{
+    auto it = running_.find(attempt);
+    if (it == running_.end())
+        return;
+    auto& load = loads_[it->second.target];
+    if (load.inFlight > 0)
+        --load.inFlight;
+    --stats_.running[it->second.tier.value()];
+    running_.erase(it);
+}
+
+void BaselineScheduler::cancel(AttemptId attempt, Instant now)
+{
+    if (queued_.erase(attempt) > 0) {
+        auto it = std::find_if(queue_.begin(), queue_.end(), [&](const PoolRequest& request) { return request.attempt == attempt; });
+        --stats_.queued[it->tier.value()];
+        stats_.queuedTokens -= it->promptTokens;
+        queue_.erase(it);
+    }
+    release(attempt);
+    dispatch(now);
+}
+
+void BaselineScheduler::started(AttemptId, Duration, Instant) { }
+
+void BaselineScheduler::finished(AttemptId attempt, AttemptOutcome, Tokens, Tokens, Duration, Instant now)
+{
+    release(attempt);
+    dispatch(now);
+}
+
+void BaselineScheduler::restore(PoolRequest request, TargetId target, bool, Instant now)
+{
+    if (queued_.contains(request.attempt) || running_.contains(request.attempt))
+        return;
+    ++loads_[target].inFlight;
+    running_.emplace(request.attempt, Running { target, request.tier });
+    ++stats_.running[request.tier.value()];
+    repeats_.remember(request.repeatKey, target, now);
+}
+
+void BaselineScheduler::restoreRepeat(uint64_t repeatKey, TargetId target, Instant now)
+{
+    repeats_.remember(repeatKey, target, now);
+}
+
+void BaselineScheduler::reportLoad(const LoadReport& report, Instant now)
+{
+    auto it = loads_.find(report.target);
+    if (it == loads_.end())
+        return;
+    it->second.reported = report.running + report.waiting;
+    it->second.sentSinceReport = 0;
+    it->second.reachable = report.reachable;
+    dispatch(now);
+}
+
+void BaselineScheduler::tick(Instant now)
+{
+    repeats_.expire(now);
+    dispatch(now);
+}
+
+std::vector<PoolAction> BaselineScheduler::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+PoolStats BaselineScheduler::stats() const
+{
+    return stats_;
+}
+
+}
--- /dev/null
+++ b/src/sched/BaselineScheduler.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include "briarhitch/core/Random.h"
+#include "briarhitch/sched/PoolScheduler.h"
+#include "sched/RepeatMemory.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/container/flat_hash_set.h>
+#include <deque>
+
+namespace briarhitch {
+
+/**
+ * The baselines "naive" and "two-choices": first in first out, with a limit of requests in flight at each target and
+ * no tiers. They differ in how they choose a target.
+ */
+class BaselineScheduler : public PoolScheduler {
+public:
+    enum class Choice : uint8_t {
+        RoundRobin,
+        /** The less loaded of two random targets, by load reports and what was sent since. */
+        TwoChoices,
+    };
+
+    BaselineScheduler(const PoolSettings& settings, Choice choice);
+
+    void setTargets(const std::vector<Target>& targets, Instant now) override;
+    void setContract(const Contract& contract) override;
+    void submit(PoolRequest request, Instant now) override;
+    void cancel(AttemptId attempt, Instant now) override;
+    void started(AttemptId attempt, Duration firstToken, Instant now) override;
+    void finished(AttemptId attempt, AttemptOutcome outcome, Tokens promptTokens, Tokens outputTokens, Duration duration, Instant now) override;
+    void restore(PoolRequest request, TargetId target, bool isStarted, Instant now) override;
+    void restoreRepeat(uint64_t repeatKey, TargetId target, Instant now) override;
+    void reportLoad(const LoadReport& report, Instant now) override;
+    void tick(Instant now) override;
+    std::vector<PoolAction> takeActions() override;
+    [[nodiscard]] PoolStats stats() const override;
+
+private:
+    struct Load {
+        uint32_t slots { 1 };
+        uint32_t inFlight { 0 };
+        uint32_t reported { 0 };
+        uint32_t sentSinceReport { 0 };
+        bool isActive { false };
+        bool reachable { true };
+    };
+    struct Running {
+        TargetId target;
+        Tier tier;
+    };
+
+    [[nodiscard]] bool mayUse(const PoolRequest& request, TargetId target) const;
+    [[nodiscard]] bool hasRoom(TargetId target) const;
+    [[nodiscard]] bool hasUsableTarget(const PoolRequest& request) const;
+    [[nodiscard]] double loadOf(TargetId target) const;
+    std::optional<TargetId> choose(const PoolRequest& request);
+    std::optional<TargetId> nextInTurn(const PoolRequest& request);
+    void dispatch(Instant now);
+    void grant(const PoolRequest& request, TargetId target, Instant now);
+    void refuse(const PoolRequest& request, ErrorKind kind, std::string_view reason);
+    void release(AttemptId attempt);
+
+    PoolSettings settings_;
+    Choice choice_;
+    Random random_;
+    absl::flat_hash_map<TargetId, Load> loads_;
+    std::vector<TargetId> active_;
+    size_t turn_ { 0 };
+    std::deque<PoolRequest> queue_;
+    absl::flat_hash_set<AttemptId> queued_;
+    absl::flat_hash_map<AttemptId, Running> running_;
+    RepeatMemory repeats_;
+    std::vector<PoolAction> actions_;
+    PoolStats stats_;
+};
+
+}
