--- /dev/null
+++ b/include/briarhitch/entry/HttpFront.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "briarhitch/core/Random.h"
+#include "briarhitch/entry/CallerRequest.h"
+#include "briarhitch/entry/ClusterView.h"
+#include "briarhitch/entry/RequestHistory.h"
+#include "briarhitch/http/HttpServer.h"
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+class MetricRegistry;
+
+struct HttpFrontSettings {
+    CallerDefaults defaults;
+    std::vector<std::string> operatorKeyHashes;
+    /** Seeds the request ids. */
+    uint64_t seed { 1 };
+};
+
+struct HttpFrontHooks {
+    /** Answers the caller; called in the fiber of its connection. */
+    std::function<void(const CallerRequest&, const Contract&, HttpExchange&)> run;
+    /** Why this node takes no requests; empty if it does. */
+    std::function<std::string()> unreadyReason;
+};
+
+/** Routes and checks callers' HTTP requests; see docs/design.md 8. */
+class HttpFront {
+public:
+    HttpFront(HttpFrontSettings settings, const ClusterView& view, const RequestHistory& history, MetricRegistry& metrics, HttpFrontHooks hooks);
+
+    void handle(const HttpRequest& request, HttpExchange& exchange);
+
+private:
+    void route(const HttpRequest& request, HttpExchange& exchange, RequestId id);
+    void runWork(const HttpRequest& request, HttpExchange& exchange, RequestId id);
+    Result<Contract> authenticate(const HttpRequest& request) const;
+    void answerReady(HttpExchange& exchange, RequestId id) const;
+    void answerDebug(const HttpRequest& request, HttpExchange& exchange, RequestId id) const;
+    [[nodiscard]] bool isOperator(const HttpRequest& request) const;
+    void refuse(HttpExchange& exchange, RequestId id, const Error& error) const;
+    RequestId nextRequestId();
+
+    HttpFrontSettings settings_;
+    const ClusterView& view_;
+    const RequestHistory& history_;
+    MetricRegistry& metrics_;
+    HttpFrontHooks hooks_;
+    Random random_;
+};
+
+}
--- a/include/briarhitch/entry/TargetClient.h
+++ b/include/briarhitch/entry/TargetClient.h
@@ -6,6 +6,8 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
+#include <string>
 
 namespace briarhitch {
 
@@ -22,6 +24,8 @@
     /** A second sending over another connection does no harm. */
     bool isRepeatable { false };
     Duration headerTimeout { std::chrono::seconds(30) };
+    /** Gets the call before the first byte is sent, so that a hook can cancel it. */
+    std::function<void(const std::shared_ptr<HttpCall>&)> onSending;
 };
 
 /** Speaks to engines and services; one call of send() makes at most one attempt at the target. */
--- a/src/entry/CallerRequest.cpp
+++ b/src/entry/CallerRequest.cpp
@@ -3,10 +3,9 @@
 #include "briarhitch/core/Digest.h"
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/match.h>
-#include <absl/strings/numbers.h>
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <stdexcept>
 
@@ -53,16 +52,25 @@
         return result;
     }
 
+    std::optional<uint32_t> readNumber(std::string_view text)
+    {
+        uint32_t number = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
     Result<Tier> readTier(const HttpRequest& http, const Contract& contract)
     {
         auto text = http.header("X-Tier");
         if (text.empty())
             return contract.tier;
-        uint32_t value = 0;
-        if (!absl::SimpleAtoi(text, &value) || value >= Tier::count)
+        auto value = readNumber(text);
+        if (!value || *value >= Tier::count)
             return fail(ErrorKind::BadRequest, "X-Tier must be a number from 0 to 3");
         // The contract bounds the urgency; a caller may only lower it.
-        return std::max(contract.tier, Tier(static_cast<uint8_t>(value)));
+        return std::max(contract.tier, Tier(static_cast<uint8_t>(*value)));
     }
 
     Result<Duration> readDeadline(const HttpRequest& http, const CallerDefaults& defaults)
@@ -70,10 +78,10 @@
         auto text = http.header("X-Deadline-Ms");
         if (text.empty())
             return defaults.deadline;
-        uint32_t value = 0;
-        if (!absl::SimpleAtoi(text, &value) || value == 0)
+        auto value = readNumber(text);
+        if (!value || *value == 0)
             return fail(ErrorKind::BadRequest, "X-Deadline-Ms must be a positive number of milliseconds");
-        return std::min<Duration>(std::chrono::milliseconds(value), defaults.maxDeadline);
+        return std::min<Duration>(std::chrono::milliseconds(*value), defaults.maxDeadline);
     }
 
     /** Fills what both kinds of requests have; needs target, method and body. */
@@ -268,7 +276,7 @@
 
 Result<CallerRequest> parseServiceRequest(const HttpRequest& http, const Contract& contract, RequestId id, const CallerDefaults& defaults)
 {
-    if (!absl::StartsWith(http.path, servicesPrefix))
+    if (!http.path.starts_with(servicesPrefix))
         return fail(ErrorKind::NotFound, "no such path");
     auto rest = http.path.substr(servicesPrefix.size());
     auto slash = rest.find('/');
--- a/src/entry/EventSplitter.cpp
+++ b/src/entry/EventSplitter.cpp
@@ -1,7 +1,7 @@
 #include "entry/EventSplitter.h"
 
-#include <absl/strings/numbers.h>
 #include <algorithm>
+#include <charconv>
 
 namespace briarhitch {
 
@@ -27,14 +27,21 @@
         return line;
     }
 
+    std::optional<uint64_t> readNumber(std::string_view text)
+    {
+        uint64_t number = 0;
+        auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+        if (error != std::errc() || end != text.data() + text.size())
+            return std::nullopt;
+        return number;
+    }
+
     void readLine(StreamEvent& event, std::string_view line)
     {
         if (!line.empty() && line.back() == '\r')
             line.remove_suffix(1);
         if (line.starts_with("id:")) {
-            uint64_t id = 0;
-            if (absl::SimpleAtoi(valueOf(line, "id:"), &id))
-                event.id = id;
+            event.id = readNumber(valueOf(line, "id:"));
         } else if (line.starts_with("data:")) {
             if (!event.data.empty())
                 event.data += '\n';
--- /dev/null
+++ b/src/entry/HttpFront.cpp
@@ -0,0 +1,167 @@
+#include "briarhitch/entry/HttpFront.h"
+
+#include "briarhitch/core/Digest.h"
+#include "briarhitch/core/Log.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+
+#include <algorithm>
+#include <exception>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr int okStatus = 200;
+    constexpr int unavailableStatus = 503;
+    constexpr std::string_view bearerPrefix = "Bearer ";
+    constexpr std::string_view servicesPrefix = "/services/";
+    constexpr std::string_view debugPrefix = "/debug/requests/";
+
+    const Log& entryLog()
+    {
+        static const Log log("entry:");
+        return log;
+    }
+
+    /** Empty if there is no bearer key. */
+    std::string bearerKeyHash(const HttpRequest& request)
+    {
+        auto value = request.header("Authorization");
+        if (!value.starts_with(bearerPrefix) || value.size() == bearerPrefix.size())
+            return {};
+        return sha256Hex(value.substr(bearerPrefix.size()));
+    }
+
+    bool isLoopback(const std::string& address)
+    {
+        return address.starts_with("127.") || address == "::1" || address.starts_with("::ffff:127.");
+    }
+
+    bool isModelPath(const std::string& path)
+    {
+        return path == "/v1/chat/completions" || path == "/v1/completions";
+    }
+
+    HttpHeaders headersFor(RequestId id, const std::string& contentType)
+    {
+        return { { "Content-Type", contentType }, { "X-Request-Id", toString(id) } };
+    }
+
+}
+
+HttpFront::HttpFront(HttpFrontSettings settings, const ClusterView& view, const RequestHistory& history, MetricRegistry& metrics, HttpFrontHooks hooks)
+    : settings_(std::move(settings))
+    , view_(view)
+    , history_(history)
+    , metrics_(metrics)
+    , hooks_(std::move(hooks))
+    , random_(settings_.seed)
+{
+}
+
+RequestId HttpFront::nextRequestId()
+{
+    auto value = random_.next();
+    return RequestId(value == 0 ? 1 : value);
+}
+
+void HttpFront::handle(const HttpRequest& request, HttpExchange& exchange)
+{
+    auto id = nextRequestId();
+    try {
+        route(request, exchange, id);
+    } catch (const std::exception&) {
+        // What one caller sent must not end the process for all others. The text may quote the input.
+        entryLog().error("Request " + toString(id) + " met an unexpected exception.");
+        metrics_.count("entry_exceptions_total");
+        exchange.abort();
+    }
+}
+
+void HttpFront::route(const HttpRequest& request, HttpExchange& exchange, RequestId id)
+{
+    bool isGet = request.method == "GET";
+    if (isGet && request.path == "/healthz")
+        exchange.send(okStatus, headersFor(id, "text/plain"), "ok\n");
+    else if (isGet && request.path == "/readyz")
+        answerReady(exchange, id);
+    else if (isGet && request.path == "/metrics")
+        exchange.send(okStatus, headersFor(id, "text/plain; version=0.0.4"), metrics_.toPrometheusText());
+    else if (isGet && request.path.starts_with(debugPrefix))
+        answerDebug(request, exchange, id);
+    else if (isModelPath(request.path) || request.path.starts_with(servicesPrefix))
+        runWork(request, exchange, id);
+    else
+        refuse(exchange, id, makeError(ErrorKind::NotFound, "no such path"));
+}
+
+void HttpFront::answerReady(HttpExchange& exchange, RequestId id) const
+{
+    auto reason = hooks_.unreadyReason();
+    if (reason.empty())
+        exchange.send(okStatus, headersFor(id, "text/plain"), "ready\n");
+    else
+        exchange.send(unavailableStatus, headersFor(id, "text/plain"), reason + "\n");
+}
+
+bool HttpFront::isOperator(const HttpRequest& request) const
+{
+    if (isLoopback(request.peer))
+        return true;
+    auto hash = bearerKeyHash(request);
+    return std::any_of(settings_.operatorKeyHashes.begin(), settings_.operatorKeyHashes.end(),
+        [&](const std::string& known) { return constantTimeEqual(known, hash); });
+}
+
+void HttpFront::answerDebug(const HttpRequest& request, HttpExchange& exchange, RequestId id) const
+{
+    if (!isOperator(request)) {
+        refuse(exchange, id, makeError(ErrorKind::Unauthorized, "needs an operator key"));
+        return;
+    }
+    auto json = history_.toJson(parseRequestId(request.path.substr(debugPrefix.size())));
+    if (json.empty())
+        refuse(exchange, id, makeError(ErrorKind::NotFound, "this node has no history of this request"));
+    else
+        exchange.send(okStatus, headersFor(id, "application/json"), json);
+}
+
+Result<Contract> HttpFront::authenticate(const HttpRequest& request) const
+{
+    auto hash = bearerKeyHash(request);
+    // Without any configuration no key is known; a caller must not be told that its key is wrong then.
+    if (view_.config().version == Version())
+        return fail(ErrorKind::NoLease, "this node has not reached the control leader yet");
+    const auto* contract = hash.empty() ? nullptr : view_.findCustomerByKeyHash(hash);
+    if (!contract || contract->state == CustomerState::Erased)
+        return fail(ErrorKind::Unauthorized, "the bearer key is missing or unknown");
+    return *contract;
+}
+
+void HttpFront::runWork(const HttpRequest& request, HttpExchange& exchange, RequestId id)
+{
+    auto contract = authenticate(request);
+    if (!contract) {
+        refuse(exchange, id, contract.error());
+        return;
+    }
+    bool isModel = isModelPath(request.path);
+    if (isModel && request.method != "POST") {
+        refuse(exchange, id, makeError(ErrorKind::BadRequest, "this path takes POST only"));
+        return;
+    }
+    auto parsed = isModel ? parseModelRequest(request, *contract, id, settings_.defaults) : parseServiceRequest(request, *contract, id, settings_.defaults);
+    if (!parsed) {
+        refuse(exchange, id, parsed.error());
+        return;
+    }
+    hooks_.run(*parsed, *contract, exchange);
+}
+
+void HttpFront::refuse(HttpExchange& exchange, RequestId id, const Error& error) const
+{
+    metrics_.count("entry_refusals_total", "kind=\"" + std::string(errorInfo(error.kind).name) + "\"");
+    sendError(exchange, error, { { "X-Request-Id", toString(id) } });
+}
+
+}
--- /dev/null
+++ b/src/entry/RequestRunner.cpp
@@ -0,0 +1,94 @@
+#include "briarhitch/entry/RequestRunner.h"
+
+#include "briarhitch/core/Log.h"
+#include "briarhitch/runtime/Loop.h"
+#include "entry/RequestRun.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** After that the record stays claimed until this node's lease or incarnation ends. */
+    constexpr Duration recordingTime = 60s;
+    constexpr Duration finishTimeout = 5s;
+    constexpr Duration finishRetryDelay = 500ms;
+
+    const Log& entryLog()
+    {
+        static const Log log("entry:");
+        return log;
+    }
+
+}
+
+RequestRunner::RequestRunner(Loop& loopToUse, NodeRecord selfToUse, const EntryLimits& limitsToUse, const ClusterView& viewToUse, PoolGateway& poolsToUse,
+    TargetClient& targetsToUse, RequestHistory& historyToUse, MetricRegistry& metricsToUse, RunnerHooks hooksToUse)
+    : loop(loopToUse)
+    , self(std::move(selfToUse))
+    , limits(limitsToUse)
+    , view(viewToUse)
+    , pools(poolsToUse)
+    , targets(targetsToUse)
+    , history(historyToUse)
+    , metrics(metricsToUse)
+    , hooks(std::move(hooksToUse))
+{
+}
+
+void RequestRunner::run(const CallerRequest& request, const Contract& contract, HttpExchange& exchange)
+{
+    ++inFlight_;
+    ++inFlightByCustomer_[request.customer];
+    RequestRun(*this, request, contract, exchange).run();
+    if (--inFlightByCustomer_[request.customer] == 0)
+        inFlightByCustomer_.erase(request.customer);
+    --inFlight_;
+}
+
+std::vector<CustomerId> RequestRunner::busyClosingCustomers() const
+{
+    std::vector<CustomerId> busy;
+    for (const auto& [customer, count] : inFlightByCustomer_) {
+        auto it = view.config().customers.find(customer);
+        if (it != view.config().customers.end() && it->second.state != CustomerState::Active)
+            busy.push_back(customer);
+    }
+    return busy;
+}
+
+void RequestRunner::recordLater(const FinishRun& finish)
+{
+    ++background_;
+    loop.spawn([this, finish] {
+        recordNow(finish);
+        --background_;
+    });
+}
+
+void RequestRunner::cancelLater(const TargetCall& call)
+{
+    ++background_;
+    loop.spawn([this, call] {
+        (void)targets.cancelStream(call);
+        --background_;
+    });
+}
+
+void RequestRunner::recordNow(const FinishRun& finish)
+{
+    auto end = hooks.now() + recordingTime;
+    for (;;) {
+        if (hooks.finishRun(finish, finishTimeout))
+            return;
+        if (hooks.now() >= end)
+            break;
+        hooks.sleep(finishRetryDelay);
+    }
+    entryLog().warning("The outcome of request " + toString(finish.attempt.request) + " could not be recorded.");
+}
+
+}
--- a/src/entry/TargetClient.cpp
+++ b/src/entry/TargetClient.cpp
@@ -43,7 +43,9 @@
     settings.body = call.body;
     settings.headerTimeout = call.headerTimeout;
     // A kept connection may have been closed by the target, and then nobody knows whether the call ran.
-    settings.isReuseAllowed = call.isRepeatable;
+    // The HTTP client sends a GET again in that case, which would be a second sending to this target.
+    settings.isReuseAllowed = call.isRepeatable && call.method != "GET";
+    settings.onSending = call.onSending;
     return start_(settings);
 }
 
