Add the entry daemon

briarhitch-entry wires front, runner, pools, links and control client. Settings name the node "node", as control does.

--- /dev/null
+++ b/daemons/EntryMain.cpp
@@ -0,0 +1,120 @@
+#include "briarhitch/core/Log.h"
+#include "briarhitch/entry/EntryNode.h"
+#include "briarhitch/runtime/Loop.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <csignal>
+#include <iostream>
+
+ABSL_FLAG(std::string, config, "", "settings file, JSON with comments; see examples/entry.json");
+ABSL_FLAG(bool, check_config, false, "check the settings file, print what is wrong with it, and exit");
+
+namespace briarhitch {
+namespace {
+
+    /** Exit codes, as the usage text lists them. */
+    constexpr int exitGood = 0;
+    constexpr int exitFailed = 1;
+    constexpr int exitWrongUsage = 2;
+    /** As a shell reports a process that SIGTERM ended. */
+    constexpr int exitCutShort = 128 + SIGTERM;
+
+    constexpr auto usageText = "an entry of a Briarhitch fleet: takes callers' requests and owns pools.\n\n"
+                               "usage: briarhitch-entry --config FILE [--check_config]\n\n"
+                               "SIGTERM and SIGINT drain: no new work, work in flight ends, pools are handed over. A second one ends\n"
+                               "the process at once.\n"
+                               "exit codes: 0 drained, or the settings are good; 1 an address cannot be bound; 2 wrong flags or\n"
+                               "settings; 143 ended at once";
+
+    /** The running process; only its loop and its signals. */
+    class EntryProcess {
+    public:
+        explicit EntryProcess(EntrySettings settings)
+            : node_(loop_, std::move(settings))
+        {
+        }
+
+        int run()
+        {
+            loop_.spawn([this] { start(); });
+            loop_.run();
+            return exitCode_;
+        }
+
+    private:
+        void start()
+        {
+            auto started = node_.start();
+            if (!started) {
+                console_.error(started.error().message);
+                exitCode_ = exitFailed;
+                loop_.stop();
+                return;
+            }
+            loop_.onSignal(SIGTERM, [this] { onEndSignal(); });
+            loop_.onSignal(SIGINT, [this] { onEndSignal(); });
+            console_.info("Serves.");
+        }
+
+        void onEndSignal()
+        {
+            if (isEnding_) {
+                console_.warning("Ends at once.");
+                exitProcess(exitCutShort);
+            }
+            isEnding_ = true;
+            loop_.spawn([this] {
+                node_.drain();
+                loop_.stop();
+            });
+        }
+
+        Loop loop_;
+        EntryNode node_;
+        Log console_ { "entry:" };
+        bool isEnding_ { false };
+        int exitCode_ { exitGood };
+    };
+
+    int runMain()
+    {
+        auto path = absl::GetFlag(FLAGS_config);
+        if (path.empty()) {
+            std::cerr << "briarhitch-entry: --config is missing; see --help\n";
+            return exitWrongUsage;
+        }
+        auto settings = EntrySettings::fromFile(path);
+        if (!settings) {
+            std::cerr << settings.error().message << "\n";
+            return exitWrongUsage;
+        }
+        if (absl::GetFlag(FLAGS_check_config)) {
+            std::cout << path << ": good\n";
+            return exitGood;
+        }
+        setUpLogging(settings->logLevel);
+        // Fibers still wait on the parts of the process when run() returns, so it is never taken apart.
+        auto* process = new EntryProcess(std::move(*settings));
+        return process->run();
+    }
+
+}
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage(briarhitch::usageText);
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] { return std::string("briarhitch-entry " BRIARHITCH_VERSION "\n"); };
+    absl::SetFlagsUsageConfig(usage);
+    if (absl::ParseCommandLine(argc, argv).size() > 1) {
+        std::cerr << "briarhitch-entry: takes flags only; see --help\n";
+        return briarhitch::exitWrongUsage;
+    }
+    int code = briarhitch::runMain();
+    std::cout.flush();
+    briarhitch::exitProcess(code);
+}
--- /dev/null
+++ b/src/entry/EntryNode.cpp
@@ -0,0 +1,294 @@
+#include "briarhitch/entry/EntryNode.h"
+
+#include "briarhitch/core/Log.h"
+#include "briarhitch/core/Random.h"
+#include "briarhitch/entry/ControlClient.h"
+#include "briarhitch/entry/HttpFront.h"
+#include "briarhitch/entry/LoadPoller.h"
+#include "briarhitch/entry/NodeLinks.h"
+#include "briarhitch/entry/PoolClient.h"
+#include "briarhitch/entry/PoolHost.h"
+#include "briarhitch/entry/RequestRunner.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/Loop.h"
+
+#include <set>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration busyTickInterval = 20ms;
+    constexpr Duration idleTickInterval = 50ms;
+    constexpr Duration ownerCheckInterval = 100ms;
+    constexpr Duration gaugeInterval = 1s;
+    constexpr Duration drainStep = 20ms;
+    /** Callers whose answer is complete may still be taking its last bytes. */
+    constexpr Duration lastBytesTime = 5s;
+
+    const Log& entryLog()
+    {
+        static const Log log("entry:");
+        return log;
+    }
+
+    NodeRecord selfOf(const EntrySettings& settings)
+    {
+        NodeRecord self;
+        self.id = settings.node;
+        self.incarnation = Incarnation(static_cast<uint64_t>(wallClockMs()));
+        self.region = settings.region;
+        self.zone = settings.zone;
+        self.host = settings.link.host;
+        self.port = settings.link.port;
+        return self;
+    }
+
+    LinkSettings linkSettingsOf(const EntrySettings& settings, const NodeRecord& self)
+    {
+        LinkSettings link;
+        link.fleetKey = settings.fleetKey;
+        link.identity = { LinkRole::Entry, self.id, self.incarnation };
+        return link;
+    }
+
+    ControlClientSettings controlSettingsOf(const EntrySettings& settings, const NodeRecord& self)
+    {
+        ControlClientSettings control;
+        control.voters = settings.controlVoters;
+        control.link = linkSettingsOf(settings, self);
+        control.self = self;
+        return control;
+    }
+
+    PoolHostSettings hostSettingsOf(const EntrySettings& settings, const NodeRecord& self)
+    {
+        PoolHostSettings host;
+        host.self = self.id;
+        host.incarnation = self.incarnation;
+        host.region = self.region;
+        host.pool = settings.pool;
+        return host;
+    }
+
+}
+
+struct EntryNode::Impl {
+    Impl(Loop& loopToUse, EntrySettings settingsToUse)
+        : loop(loopToUse)
+        , settings(std::move(settingsToUse))
+        , self(selfOf(settings))
+        , history(settings.limits.historySize, &BootClock::now)
+        , control(loop, controlSettingsOf(settings, self), view, metrics)
+        , http(loop)
+        , targets([this](const HttpCallSettings& call) { return http.start(call); })
+        , poller({ self.id, self.region }, pollerHooks())
+        , front(frontSettings(), view, history, metrics, frontHooks())
+    {
+    }
+
+    LoadPollerHooks pollerHooks()
+    {
+        LoadPollerHooks hooks;
+        hooks.fetch = [this](const HttpCallSettings& call) { return fetch(http, call); };
+        hooks.report = [this](const LoadReport& report) { pools->reportLoad(report); };
+        return hooks;
+    }
+
+    HttpFrontSettings frontSettings() const
+    {
+        HttpFrontSettings front;
+        front.defaults = { settings.limits.defaultDeadline, settings.limits.maxDeadline };
+        front.operatorKeyHashes = settings.operatorKeyHashes;
+        front.seed = systemSeed();
+        return front;
+    }
+
+    HttpFrontHooks frontHooks()
+    {
+        HttpFrontHooks hooks;
+        hooks.run = [this](const CallerRequest& request, const Contract& contract, HttpExchange& exchange) { runner->run(request, contract, exchange); };
+        hooks.unreadyReason = [this] { return unreadyReason(); };
+        return hooks;
+    }
+
+    std::string unreadyReason() const
+    {
+        if (runner->isDraining())
+            return "draining";
+        if (!control.hasConfiguration())
+            return "no configuration from a control leader yet";
+        return control.hasLease() ? "" : "no lease";
+    }
+
+    NodeLinksHooks linkHooks()
+    {
+        NodeLinksHooks hooks;
+        hooks.onOwnerMessage = [this](NodeId from, LinkId link, MessageType type, std::string_view body) { host->onMessage(from, link, type, body); };
+        hooks.onOwnerCall = [](NodeId, MessageType, std::string_view) -> Result<std::string> { return fail(ErrorKind::NotFound, "no such call"); };
+        hooks.onEntryMessage = [this](MessageType type, std::string_view body) { pools->onMessage(type, body); };
+        hooks.onNodeOpen = [this](NodeId node) { pools->onNodeOpen(node); };
+        hooks.onEntryOpen = [this](NodeId node) { host->onEntryOpen(node); };
+        hooks.onEntryClosed = [this](NodeId node) { host->onEntryClosed(node); };
+        return hooks;
+    }
+
+    RunnerHooks runnerHooks()
+    {
+        RunnerHooks hooks;
+        hooks.hasLease = [this] { return control.hasLease(); };
+        hooks.hasConfiguration = [this] { return control.hasConfiguration(); };
+        hooks.claimRun = [this](const ClaimRun& claim, Duration timeout) { return control.claimRun(claim, timeout); };
+        hooks.finishRun = [this](const FinishRun& finish, Duration timeout) { return control.finishRun(finish, timeout); };
+        hooks.enterCeiling = [](const Contract&, Tokens) -> Result<void> { return {}; };
+        hooks.leaveCeiling = [](CustomerId, Tokens, Tokens) {};
+        hooks.noteRequest = [] {};
+        hooks.takeRetry = [] { return true; };
+        hooks.now = &BootClock::now;
+        hooks.sleep = [this](Duration time) { sleepFor(loop, time); };
+        return hooks;
+    }
+
+    Result<void> start()
+    {
+        auto listening = NodeLinks::listen(loop, settings.link, linkSettingsOf(settings, self), view, linkHooks());
+        if (!listening)
+            return tl::unexpected(listening.error());
+        links = std::move(*listening);
+        host = std::make_unique<PoolHost>(
+            hostSettingsOf(settings, self), *links, [this] { return control.hasLease(); }, metrics, &BootClock::now);
+        PoolClientSettings client { self.id, self.region, self.zone, settings.limits.ownerTimeout };
+        pools = std::make_unique<PoolClient>(loop, client, view, *links, &BootClock::now);
+        runner = std::make_unique<RequestRunner>(loop, self, settings.limits, view, *pools, targets, history, metrics, runnerHooks());
+        auto serving = HttpServer::listen(loop, settings.http, [this](const HttpRequest& request, HttpExchange& exchange) { front.handle(request, exchange); });
+        if (!serving)
+            return tl::unexpected(serving.error());
+        server = std::move(*serving);
+        view.onChange([this](const ClusterConfig& config) { onConfigChange(config); });
+        control.setBusyClosingCustomersHook([this] { return runner->busyClosingCustomers(); });
+        control.start();
+        startFibers();
+        return {};
+    }
+
+    void onConfigChange(const ClusterConfig& config)
+    {
+        links->onConfigChange(config);
+        // The local owner must know its new pools before the local entry syncs with them.
+        host->onConfigChange(config);
+        pools->onConfigChange(config);
+    }
+
+    void startFibers()
+    {
+        loop.spawn([this] {
+            for (;;) {
+                sleepFor(loop, host->isBusy() ? busyTickInterval : idleTickInterval);
+                host->tick();
+            }
+        });
+        repeat(ownerCheckInterval, [this] { pools->checkOwners(); });
+        repeat(settings.limits.loadPollInterval, [this] { pollTargets(); });
+        repeat(gaugeInterval, [this] { publishGauges(); });
+    }
+
+    void repeat(Duration interval, std::function<void()> step)
+    {
+        loop.spawn([this, interval, step = std::move(step)] {
+            for (;;) {
+                sleepFor(loop, interval);
+                step();
+            }
+        });
+    }
+
+    void pollTargets()
+    {
+        for (const auto& target : poller.targetsToPoll(view.config())) {
+            // A target that answers slowly is not asked again meanwhile.
+            if (!polling.insert(target.id).second)
+                continue;
+            loop.spawn([this, target] {
+                poller.poll(target);
+                polling.erase(target.id);
+            });
+        }
+    }
+
+    void publishGauges()
+    {
+        metrics.setGauge("entry_in_flight", {}, static_cast<double>(runner->inFlight()));
+        metrics.setGauge("entry_waiting_for_grant", {}, static_cast<double>(pools->pendingCount()));
+        metrics.setGauge("entry_has_lease", {}, control.hasLease() ? 1 : 0);
+        metrics.setGauge("entry_config_version", {}, static_cast<double>(view.config().version.value()));
+        metrics.setGauge("entry_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
+        metrics.setGauge("entry_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
+        metrics.setGauge("entry_fibers", {}, static_cast<double>(loop.fiberCount()));
+    }
+
+    void drain()
+    {
+        runner->setDraining();
+        control.setDraining();
+        entryLog().info("Drains: " + std::to_string(runner->inFlight()) + " requests are in flight, " + std::to_string(host->poolCount()) + " pools are owned.");
+        while (runner->inFlight() > 0)
+            sleepFor(loop, drainStep);
+        waitUntil(settings.limits.handoverTimeout, [this] { return host->poolCount() == 0 && !host->isHandingOver(); });
+        if (host->poolCount() > 0)
+            entryLog().warning("Ends with " + std::to_string(host->poolCount()) + " pools that no other node took over.");
+        server->drain();
+        waitUntil(lastBytesTime, [this] { return server->requestsRunning() == 0; });
+        entryLog().info("Has drained.");
+    }
+
+    void waitUntil(Duration limit, const std::function<bool()>& isDone) const
+    {
+        auto end = BootClock::now() + limit;
+        while (!isDone() && BootClock::now() < end)
+            sleepFor(loop, drainStep);
+    }
+
+    Loop& loop;
+    EntrySettings settings;
+    NodeRecord self;
+    MetricRegistry metrics;
+    ClusterView view;
+    RequestHistory history;
+    ControlClient control;
+    HttpClient http;
+    TargetClient targets;
+    LoadPoller poller;
+    HttpFront front;
+    std::unique_ptr<NodeLinks> links;
+    std::unique_ptr<PoolHost> host;
+    std::unique_ptr<PoolClient> pools;
+    std::unique_ptr<RequestRunner> runner;
+    std::unique_ptr<HttpServer> server;
+    std::set<TargetId> polling;
+};
+
+EntryNode::EntryNode(Loop& loop, EntrySettings settings)
+    : impl_(std::make_unique<Impl>(loop, std::move(settings)))
+{
+}
+
+EntryNode::~EntryNode() = default;
+
+Result<void> EntryNode::start()
+{
+    return impl_->start();
+}
+
+void EntryNode::drain()
+{
+    impl_->drain();
+}
+
+bool EntryNode::isDraining() const
+{
+    return impl_->runner && impl_->runner->isDraining();
+}
+
+}
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -94,7 +94,7 @@
     Result<EntrySettings> readSettings(SettingsReader reader)
     {
         EntrySettings settings;
-        settings.node = NodeId(static_cast<uint32_t>(reader.integer("node_id", 1, UINT32_MAX)));
+        settings.node = NodeId(static_cast<uint32_t>(reader.integer("node", 1, UINT32_MAX)));
         settings.region = reader.string("region");
         settings.zone = reader.string("zone");
         settings.fleetKey = reader.string("fleet_key", minFleetKeyBytes);
