Add the engine and service stand-ins

The process tests, the quickstart and the soak run need targets that are observable and that fail on order. Both stand-ins keep a ledger of what they received, answer deterministically from the request, and take faults over POST /admin/faults.

--- /dev/null
+++ b/tools/fake_service/FakeServiceMain.cpp
@@ -0,0 +1,37 @@
+#include "fake_service/ServiceApi.h"
+#include "support/StandInServer.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/time/time.h>
+
+ABSL_FLAG(absl::Duration, call_time, absl::Milliseconds(5), "time of one call");
+ABSL_FLAG(uint32_t, slots, 16, "calls that run side by side at full speed");
+ABSL_FLAG(absl::Duration, load_delay, absl::Milliseconds(200), "age of the published load, up to twice this");
+
+namespace briarhitch {
+namespace {
+
+    int run()
+    {
+        ServiceApi::Settings settings;
+        settings.callTime = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_call_time));
+        settings.slots = absl::GetFlag(FLAGS_slots);
+        settings.loadDelay = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_load_delay));
+        Loop loop;
+        FaultSwitch faults(loop);
+        ServiceApi api(loop, faults, settings);
+        api.start();
+        return runStandIn(loop, [&api](const HttpRequest& request, HttpExchange& exchange) { api.handle(request, exchange); });
+    }
+
+}
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("stand-in for a booking or shop service; for tests only");
+    absl::ParseCommandLine(argc, argv);
+    briarhitch::exitProcess(briarhitch::run());
+}
