--- /dev/null
+++ b/tests/process/TcpCutter.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <cstdint>
+#include <memory>
+
+namespace briarhitch {
+
+/**
+ * Forwards TCP connections to a port of this machine and can silently stop doing so: the connections
+ * stay open and bytes vanish, as when a path between two VMs is lost. Runs in a thread of its own.
+ */
+class TcpCutter {
+public:
+    explicit TcpCutter(uint16_t targetPort);
+    ~TcpCutter();
+    TcpCutter(const TcpCutter&) = delete;
+    TcpCutter& operator=(const TcpCutter&) = delete;
+
+    [[nodiscard]] uint16_t port() const;
+    /** Cuts the directions of all open connections for good; later connections are forwarded. */
+    void cutOpenConnections(bool towardsTarget, bool towardsCaller);
+    /** Also cuts all later connections, until heal(). */
+    void cutAll();
+    void heal();
+    /** Bytes that reached the target so far. */
+    [[nodiscard]] uint64_t bytesToTarget() const;
+
+private:
+    struct Impl;
+    std::unique_ptr<Impl> impl_;
+};
+
+}
