--- a/tools/fake_engine/EngineApi.cpp
+++ b/tools/fake_engine/EngineApi.cpp
@@ -163,7 +163,7 @@
     std::string fencingToken(request.header("X-Fencing-Token"));
     if (faults_.take(FaultMode::Refuse)) {
         engine_.addRefused(id, prompt, StreamState::Refused, fencingToken);
-        sendJson(exchange, 503, errorBody("refused"));
+        exchange.send(503, { { "Content-Type", "application/json" }, { "X-Not-Run", "1" } }, errorBody("refused"));
         return;
     }
     if (isFenced(request)) {
--- a/tools/fake_service/ServiceApi.cpp
+++ b/tools/fake_service/ServiceApi.cpp
@@ -58,7 +58,7 @@
     auto call = absl::StrCat(request.method, " ", request.path);
     if (faults_.take(FaultMode::Refuse)) {
         receipts_.push_back({ requestId, call, false });
-        sendJson(exchange, 503, R"({"error":{"type":"refused"}})");
+        exchange.send(503, { { "Content-Type", "application/json" }, { "X-Not-Run", "1" } }, R"({"error":{"type":"refused"}})");
         return false;
     }
     // The charge is booked when it is read, whatever becomes of the answer.
