Measure capacity slopes on real daemons

Cause: docs/CAPACITY.md needs slopes of control cost, requests, tokens and run records from this repository's processes.

Change: briarhitch-capacity starts a control voter, entries and stand-ins, reads the kernel's counters and the daemons' metrics, and fits lines.

--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -317,6 +317,8 @@
     metrics_.setGauge("control_term", {}, static_cast<double>(log_->term()));
     metrics_.setGauge("control_config_version", {}, static_cast<double>(config.version.value()));
     metrics_.setGauge("control_nodes", {}, static_cast<double>(config.nodes.size()));
+    metrics_.setGauge("control_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
+    metrics_.setGauge("control_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
     metrics_.setGauge("control_nodes_lost", {}, static_cast<double>(lost));
     metrics_.setGauge("control_pools_without_owner", {}, static_cast<double>(unowned));
     metrics_.setGauge("control_run_records", {}, static_cast<double>(state_.runs().size()));
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -22,6 +22,7 @@
     void kill();
     /** Exit code; none if it still runs after the bound, negative if a signal ended it. */
     std::optional<int> waitExit(std::chrono::milliseconds bound);
+    [[nodiscard]] pid_t pid() const { return pid_; }
     [[nodiscard]] bool isRunning();
     [[nodiscard]] std::string log() const;
 
--- /dev/null
+++ b/tools/capacity/CapacityMain.cpp
@@ -0,0 +1,70 @@
+#include "capacity/FleetSlopes.h"
+#include "capacity/StaticSlopes.h"
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <cstdio>
+#include <exception>
+#include <functional>
+
+ABSL_FLAG(std::string, programs, "build/bin", "folder of the daemons and stand-ins");
+ABSL_FLAG(std::string, folder, "/tmp/briarhitch-capacity", "folder for settings, logs and data; removed at the end");
+ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, records; all if empty");
+
+namespace briarhitch {
+namespace {
+
+    void addSlopes(nlohmann::ordered_json& result, const std::vector<Slope>& slopes)
+    {
+        for (const auto& slope : slopes)
+            result["slopes"][slope.name] = toJson(slope);
+    }
+
+    void addFleet(nlohmann::ordered_json& result, const FleetSlopes& measured)
+    {
+        addSlopes(result, measured.slopes);
+        if (measured.figures.is_object())
+            result["figures"].update(measured.figures);
+    }
+
+    void addStatic(nlohmann::ordered_json& result)
+    {
+        for (const auto& [name, bytes] : messageBytes())
+            result["message_bytes"][name] = bytes;
+        addSlopes(result, configurationSlopes());
+    }
+
+    nlohmann::ordered_json measureAll(const std::string& only)
+    {
+        auto programs = absl::GetFlag(FLAGS_programs);
+        auto folder = absl::GetFlag(FLAGS_folder);
+        auto isWanted = [&](const char* part) { return only.empty() || only == part; };
+        nlohmann::ordered_json result;
+        if (isWanted("messages"))
+            addStatic(result);
+        using Measure = FleetSlopes (*)(const std::string&, const std::string&);
+        const std::vector<std::pair<const char*, Measure>> parts { { "nodes", measureNodes }, { "configuration", measureConfiguration },
+            { "requests", measureRequests }, { "records", measureRunRecords } };
+        for (const auto& [name, measure] : parts) {
+            if (isWanted(name))
+                addFleet(result, measure(programs, folder));
+        }
+        return result;
+    }
+
+}
+}
+
+int main(int argc, char** argv)
+{
+    absl::SetProgramUsageMessage("measures the slopes behind docs/CAPACITY.md on processes of this repository; prints one JSON line");
+    absl::ParseCommandLine(argc, argv);
+    try {
+        std::printf("%s\n", briarhitch::measureAll(absl::GetFlag(FLAGS_only)).dump().c_str());
+        return 0;
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "capacity: %s\n", error.what());
+        return 1;
+    }
+}
--- /dev/null
+++ b/tools/capacity/FleetSlopes.cpp
@@ -0,0 +1,228 @@
+#include "capacity/FleetSlopes.h"
+
+#include "capacity/CapacityFleet.h"
+
+#include <algorithm>
+#include <cstdio>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr double microseconds = 1e6;
+    constexpr double idleWindowSeconds = 8;
+    constexpr double loadSeconds = 6;
+    const std::vector<size_t> nodeCounts { 4, 16, 64, 160 };
+    const std::vector<size_t> customerCounts { 5, 500, 1500, 3000, 4500 };
+    const std::vector<size_t> targetCounts { 15, 300, 900, 1500, 2100 };
+    const std::vector<size_t> requestRates { 25, 50, 100, 200 };
+    const std::vector<size_t> tokenCounts { 10, 50, 100, 200 };
+    const std::vector<size_t> chargeRates { 20, 40, 80, 160 };
+
+    void progress(const std::string& text)
+    {
+        std::fprintf(stderr, "capacity: %s\n", text.c_str());
+    }
+
+    /** Mean over the entries; the first element is the control process. */
+    Usage meanOfEntries(const std::vector<Usage>& usage)
+    {
+        Usage mean;
+        auto count = static_cast<double>(usage.size() - 1);
+        for (size_t i = 1; i < usage.size(); ++i) {
+            mean.cpu += usage[i].cpu / count;
+            mean.residentBytes += usage[i].residentBytes / count;
+            mean.linkBytesSent += usage[i].linkBytesSent / count;
+            mean.linkBytesReceived += usage[i].linkBytesReceived / count;
+        }
+        return mean;
+    }
+
+    double median(std::vector<double> values)
+    {
+        std::sort(values.begin(), values.end());
+        return values[values.size() / 2];
+    }
+
+    /** Points of several quantities over the same x. */
+    class Table {
+    public:
+        void add(const std::string& name, const std::string& unit, double x, double y)
+        {
+            auto it = std::find_if(rows_.begin(), rows_.end(), [&](const Row& row) { return row.name == name; });
+            if (it == rows_.end())
+                it = rows_.insert(rows_.end(), Row { name, unit, {} });
+            it->points.push_back({ x, y });
+        }
+
+        [[nodiscard]] std::vector<Slope> fit() const
+        {
+            std::vector<Slope> slopes;
+            slopes.reserve(rows_.size());
+            for (const auto& row : rows_)
+                slopes.push_back(fitLine(row.name, row.unit, row.points));
+            return slopes;
+        }
+
+    private:
+        struct Row {
+            std::string name;
+            std::string unit;
+            std::vector<Point> points;
+        };
+        std::vector<Row> rows_;
+    };
+
+    double answeredOf(const nlohmann::json& result)
+    {
+        return result.at("answered").get<double>();
+    }
+
+    /** Differences of the processes' counters over one run of the load generator. */
+    struct LoadCost {
+        double answered { 0 };
+        double controlCpu { 0 };
+        double entryCpu { 0 };
+        double linkBytes { 0 };
+    };
+
+    LoadCost costOf(CapacityFleet& fleet, const std::vector<std::string>& flags, const nlohmann::json& mix)
+    {
+        auto before = fleet.totals();
+        LoadCost cost;
+        cost.answered = answeredOf(fleet.load(flags, mix));
+        auto after = fleet.totals();
+        for (size_t i = 0; i < after.usage.size(); ++i) {
+            double cpu = after.usage[i].cpuSeconds - before.usage[i].cpuSeconds;
+            (i == 0 ? cost.controlCpu : cost.entryCpu) += cpu;
+            if (i > 0)
+                cost.linkBytes += after.sent[i] - before.sent[i];
+        }
+        return cost;
+    }
+
+}
+
+FleetSlopes measureNodes(const std::string& programs, const std::string& folder)
+{
+    CapacityFleet fleet(programs, folder);
+    fleet.startControl();
+    fleet.addCustomers(1, 6);
+    Table table;
+    for (size_t nodes : nodeCounts) {
+        progress(std::to_string(nodes) + " idle entries");
+        fleet.growTo(nodes);
+        std::vector<double> times;
+        for (int i = 0; i < 3; ++i)
+            times.push_back(fleet.timeToForce());
+        auto usage = fleet.measure(idleWindowSeconds);
+        auto entry = meanOfEntries(usage);
+        auto x = static_cast<double>(nodes);
+        table.add("control_cpu_us_per_s_by_node", "us/s/node", x, usage[0].cpu * microseconds);
+        table.add("control_memory_by_node", "bytes/node", x, usage[0].residentBytes);
+        table.add("control_link_bytes_sent_by_node", "bytes/s/node", x, usage[0].linkBytesSent);
+        table.add("entry_idle_cpu_us_per_s_by_node", "us/s/node", x, entry.cpu * microseconds);
+        table.add("entry_memory_by_node", "bytes/node", x, entry.residentBytes);
+        table.add("entry_link_bytes_sent_by_node", "bytes/s/node", x, entry.linkBytesSent);
+        table.add("entry_link_bytes_received_by_node", "bytes/s/node", x, entry.linkBytesReceived);
+        table.add("change_in_force_s_by_node", "s/node", x, median(times));
+    }
+    return { table.fit(), {} };
+}
+
+FleetSlopes measureConfiguration(const std::string& programs, const std::string& folder)
+{
+    CapacityFleet fleet(programs, folder);
+    fleet.startControl();
+    fleet.growTo(4);
+    Table table;
+    auto sample = [&](const std::string& of, double x) {
+        auto usage = fleet.measure(2);
+        table.add("entry_memory_by_" + of, "bytes/" + of, x, meanOfEntries(usage).residentBytes);
+        table.add("control_memory_by_" + of, "bytes/" + of, x, usage[0].residentBytes);
+        table.add("entry_cpu_us_per_s_by_" + of, "us/s/" + of, x, meanOfEntries(usage).cpu * microseconds);
+    };
+    auto begin = fleet.totals();
+    size_t customers = 1;
+    for (size_t count : customerCounts) {
+        progress(std::to_string(count) + " customers");
+        fleet.addCustomers(customers, count + 1);
+        customers = count + 1;
+        fleet.timeToForce();
+        sample("customer", static_cast<double>(count));
+    }
+    auto end = fleet.totals();
+    nlohmann::ordered_json figures;
+    figures["control_cpu_us_per_change"] = (end.usage[0].cpuSeconds - begin.usage[0].cpuSeconds) / static_cast<double>(customers) * microseconds;
+    figures["entry_cpu_us_per_change"] = (end.usage[1].cpuSeconds - begin.usage[1].cpuSeconds) / static_cast<double>(customers) * microseconds;
+    size_t targets = 0;
+    for (size_t count : targetCounts) {
+        progress(std::to_string(count) + " targets");
+        fleet.addIdleTargets(targets, count);
+        targets = count;
+        fleet.timeToForce();
+        sample("target", static_cast<double>(count));
+    }
+    return { table.fit(), figures };
+}
+
+FleetSlopes measureRequests(const std::string& programs, const std::string& folder)
+{
+    CapacityFleet fleet(programs, folder);
+    fleet.startControl();
+    fleet.growTo(2);
+    fleet.addCustomers(1, 6);
+    for (int i = 0; i < 2; ++i)
+        fleet.addEngine({ "--slots=256", "--step_time=2ms", "--step_growth=0", "--prefill_tokens_per_second=1000000" });
+    fleet.timeToForce();
+    Table table;
+    auto time = "--time=" + std::to_string(static_cast<int>(loadSeconds)) + "s";
+    std::vector<std::string> common { time, "--count=1000000", "--shortest_prompt=20", "--longest_prompt=200" };
+    auto with = [&](std::vector<std::string> flags) {
+        flags.insert(flags.end(), common.begin(), common.end());
+        return flags;
+    };
+    nlohmann::json streamed { { "stream", 1 } };
+    (void)costOf(fleet, with({ "--rate=20", "--max_tokens=5" }), streamed);
+    for (size_t rate : requestRates) {
+        progress(std::to_string(rate) + " requests/s");
+        auto cost = costOf(fleet, with({ "--rate=" + std::to_string(rate), "--max_tokens=1" }), streamed);
+        table.add("entry_cpu_s_by_request", "s/request", cost.answered, cost.entryCpu);
+        table.add("link_bytes_by_request", "bytes/request", cost.answered, cost.linkBytes);
+        table.add("control_cpu_s_by_request", "s/request", cost.answered, cost.controlCpu);
+    }
+    for (size_t tokens : tokenCounts) {
+        progress(std::to_string(tokens) + " tokens a request");
+        auto cost = costOf(fleet, with({ "--rate=50", "--max_tokens=" + std::to_string(tokens) }), streamed);
+        table.add("entry_cpu_s_by_token", "s/token", cost.answered * static_cast<double>(tokens), cost.entryCpu);
+    }
+    return { table.fit(), {} };
+}
+
+FleetSlopes measureRunRecords(const std::string& programs, const std::string& folder)
+{
+    CapacityFleet fleet(programs, folder);
+    fleet.startControl();
+    fleet.growTo(2);
+    fleet.addCustomers(1, 6);
+    fleet.addService();
+    fleet.timeToForce();
+    Table table;
+    auto time = "--time=" + std::to_string(static_cast<int>(loadSeconds)) + "s";
+    nlohmann::json charges { { "charge", 1 } };
+    (void)costOf(fleet, { "--rate=20", "--time=2s", "--count=1000000" }, charges);
+    double total = 0;
+    for (size_t rate : chargeRates) {
+        progress(std::to_string(rate) + " charges/s");
+        double bytesBefore = fleet.dataBytes();
+        auto cost = costOf(fleet, { "--rate=" + std::to_string(rate), time, "--count=1000000" }, charges);
+        total += cost.answered;
+        table.add("control_cpu_s_by_run_record", "s/record", cost.answered, cost.controlCpu);
+        table.add("log_bytes_by_run_record", "bytes/record", cost.answered, fleet.dataBytes() - bytesBefore);
+        table.add("control_memory_by_run_record", "bytes/record", total, fleet.totals().usage[0].residentBytes);
+        table.add("link_bytes_by_run_record", "bytes/record", cost.answered, cost.linkBytes);
+    }
+    return { table.fit(), {} };
+}
+
+}
--- /dev/null
+++ b/tools/capacity/StaticSlopes.cpp
@@ -0,0 +1,144 @@
+#include "capacity/StaticSlopes.h"
+
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/Digest.h"
+#include "wire/Codec.h"
+#include "wire/LinkConnection.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr size_t frameLengthBytes = 4;
+    /** The best of several tries is the one least disturbed by other work on the machine. */
+    constexpr int timingTries = 5;
+    const std::vector<uint32_t> customerCounts { 5, 500, 1500, 3000, 4500 };
+    const std::vector<uint32_t> targetCounts { 15, 300, 900, 1500, 2100 };
+
+    template <class T>
+    double framedBytes(FrameKind kind, MessageType type, const T& body)
+    {
+        // A call number in the middle of its range, as a process has after some days.
+        constexpr uint32_t callNumber = 1000000;
+        return static_cast<double>(encode(Frame { kind, kind == FrameKind::Post ? 0 : callNumber, type, encode(body) }).size() + frameLengthBytes);
+    }
+
+    Contract contractNumber(uint32_t number)
+    {
+        Contract contract;
+        contract.customer = CustomerId(number);
+        contract.name = "customer-" + std::to_string(number);
+        contract.version = Version(3);
+        contract.tier = Tier(static_cast<uint8_t>(number % Tier::count));
+        contract.share = 1 + number % 7;
+        contract.ceiling = { 50, 20000, 100 };
+        contract.repeatable = { { "shop", "GET", "/status/" }, { "model", "POST", "/v1/" } };
+        contract.models = { "large", "small" };
+        contract.keyHashes = { sha256Hex(contract.name) };
+        return contract;
+    }
+
+    Target targetNumber(uint32_t number)
+    {
+        Target target;
+        target.id = TargetId(number);
+        target.name = "engine-" + std::to_string(number);
+        target.version = Version(2);
+        target.serves = "model-" + std::to_string(number % 19);
+        target.region = "region-" + std::to_string(number % 4);
+        target.zone = "zone-" + std::to_string(number % 15);
+        target.host = "10.20." + std::to_string(number / 250) + "." + std::to_string(number % 250);
+        target.port = 8000;
+        target.hardware = "g" + std::to_string(number % 4);
+        target.pool = PoolId(1 + number % 76);
+        return target;
+    }
+
+    NodeRecord nodeNumber(uint32_t number)
+    {
+        return { NodeId(number), Incarnation(1800000000000), "region-1", "zone-1", "10.20.30.40", 7000, false, false };
+    }
+
+    template <class Run>
+    double bestMicroseconds(Run&& run)
+    {
+        double best = 1e18;
+        for (int i = 0; i < timingTries; ++i) {
+            auto start = BootClock::now();
+            run();
+            best = std::min(best, toSeconds(BootClock::now() - start) * 1e6);
+        }
+        return best;
+    }
+
+    std::vector<Slope> snapshotSlopes(const std::string& of, const std::vector<uint32_t>& counts, const std::function<void(ClusterConfig&, uint32_t)>& add)
+    {
+        std::vector<Point> bytes;
+        std::vector<Point> decodeTime;
+        for (uint32_t count : counts) {
+            ClusterConfig config;
+            for (uint32_t number = 1; number <= count; ++number)
+                add(config, number);
+            std::string snapshot = encode(config);
+            bytes.push_back({ static_cast<double>(count), static_cast<double>(snapshot.size()) });
+            double time = bestMicroseconds([&] { (void)decode<ClusterConfig>(snapshot); });
+            decodeTime.push_back({ static_cast<double>(count), time });
+        }
+        return { fitLine("snapshot_bytes_by_" + of, "bytes/" + of, bytes), fitLine("snapshot_decode_us_by_" + of, "us/" + of, decodeTime) };
+    }
+
+}
+
+std::map<std::string, double> messageBytes()
+{
+    AttemptId attempt { RequestId(0x1234567890abcdef), 1 };
+    Ask ask;
+    ask.pool = PoolId(70);
+    ask.attempt = attempt;
+    ask.customer = CustomerId(4000);
+    ask.kind = WorkKindId(0x12345678);
+    ask.promptTokens = Tokens(1200);
+    ask.maxOutputTokens = Tokens(500);
+    ask.prefix = { 0x12345678, 0x22345678, 0x32345678, 0x42345678 };
+    ask.deadlineMs = 30000;
+
+    Heartbeat heartbeat { nodeNumber(300), Version(100000), {} };
+    HeartbeatReply reply;
+    reply.leaseDuration = std::chrono::seconds(3);
+    reply.term = 20;
+    HeartbeatReply withChange = reply;
+    withChange.deltas = { ConfigDelta { Version(100001), { contractNumber(4000) }, {}, {}, {} } };
+
+    std::map<std::string, double> result;
+    result["heartbeat"] = framedBytes(FrameKind::Request, MessageType::Heartbeat, heartbeat);
+    result["heartbeat_reply"] = framedBytes(FrameKind::Answer, MessageType::Heartbeat, reply);
+    result["contract_change"] = framedBytes(FrameKind::Answer, MessageType::Heartbeat, withChange) - result["heartbeat_reply"];
+    result["ask"] = framedBytes(FrameKind::Post, MessageType::Ask, ask);
+    result["grant"] = framedBytes(FrameKind::Post, MessageType::Grant, Grant { ask.pool, attempt, Epoch(500), TargetId(2000) });
+    result["started"] = framedBytes(FrameKind::Post, MessageType::Started, Started { ask.pool, attempt, 800 });
+    result["finished"] = framedBytes(FrameKind::Post, MessageType::Finished,
+        Finished { ask.pool, attempt, AttemptOutcome::Completed, Tokens(1200), Tokens(350), 20000 });
+    result["load_report"] = framedBytes(FrameKind::Post, MessageType::LoadReport, LoadReport { ask.pool, TargetId(2000), 30, 5, 0.73, true });
+    result["ceiling_ask"] = framedBytes(FrameKind::Request, MessageType::CeilingAsk, CeilingAsk { PoolId(3), CustomerId(4000), 2.5, 800.5, 12 });
+    result["ceiling_portion"] = framedBytes(FrameKind::Answer, MessageType::CeilingAsk, CeilingPortion { { 5, 2000, 20 }, true, 1000 });
+    result["link_heartbeat"] = static_cast<double>(encode(Frame {}).size() + frameLengthBytes);
+    result["claim_run"] = framedBytes(FrameKind::Request, MessageType::ClaimRun,
+        ClaimRun { { CustomerId(4000), "0123456789abcdef0123456789abcdef" }, 0x1234567890abcdef, attempt, NodeId(300), Incarnation(1800000000000) });
+    return result;
+}
+
+std::vector<Slope> configurationSlopes()
+{
+    auto slopes = snapshotSlopes("customer", customerCounts, [](ClusterConfig& config, uint32_t number) {
+        config.customers[CustomerId(number)] = contractNumber(number);
+    });
+    auto byTarget = snapshotSlopes("target", targetCounts, [](ClusterConfig& config, uint32_t number) {
+        config.targets[TargetId(number)] = targetNumber(number);
+    });
+    slopes.insert(slopes.end(), byTarget.begin(), byTarget.end());
+    return slopes;
+}
+
+}
