--- a/src/consensus/LogStore.cpp
+++ b/src/consensus/LogStore.cpp
@@ -226,11 +226,17 @@
     syncedBytes_ = 0;
     // From the last to the first, so that a crash in between leaves no gap.
     while (!segments_.empty()) {
-        if (auto removed = files_.remove(segments_.back().path); !removed)
+        if (auto removed = removeDurably(segments_.back().path); !removed)
             return removed;
         segments_.pop_back();
     }
-    return files_.syncFolder(settings_.folder);
+    return {};
+}
+
+Result<void> LogStore::removeDurably(const std::string& path)
+{
+    // Without the sync, the file system may let a later removal survive a crash and not this one.
+    return files_.remove(path).and_then([&] { return files_.syncFolder(settings_.folder); });
 }
 
 Result<void> LogStore::truncateFrom(uint64_t index)
@@ -238,12 +244,10 @@
     if (auto flushed = flush(); !flushed)
         return flushed;
     while (segments_.size() > 1 && segments_.back().firstIndex >= index) {
-        if (auto removed = check(files_.remove(segments_.back().path)); !removed)
+        if (auto removed = check(removeDurably(segments_.back().path)); !removed)
             return removed;
         segments_.pop_back();
     }
-    if (auto synced = check(files_.syncFolder(settings_.folder)); !synced)
-        return synced;
     assert(!segments_.empty() && segments_.back().firstIndex <= index);
     Segment& segment = segments_.back();
     if (index < segment.endIndex()) {
@@ -254,9 +258,11 @@
     }
     // Records that are appended over a cut that is not durable could be followed by remains of old ones.
     syncedBytes_ = segment.bytes;
-    newName_ = false;
     ++syncCount_;
-    return check(files_.sync(segment.path));
+    if (auto synced = check(files_.sync(segment.path)); !synced || !newName_)
+        return synced;
+    newName_ = false;
+    return check(files_.syncFolder(settings_.folder));
 }
 
 Result<void> LogStore::append(const LogEntry& entry)
@@ -316,7 +322,7 @@
 {
     // From the first to the last, so that a crash in between leaves no gap.
     while (segments_.size() > 1 && segments_[1].firstIndex <= index + 1) {
-        if (auto removed = check(files_.remove(segments_.front().path)); !removed)
+        if (auto removed = check(removeDurably(segments_.front().path)); !removed)
             return removed;
         segments_.erase(segments_.begin());
     }
--- a/src/consensus/LogStore.h
+++ b/src/consensus/LogStore.h
@@ -69,6 +69,7 @@
     Result<void> loadSegment(const std::string& name, bool isLast, StoredState& found);
     Result<void> checkAgainstSnapshot(StoredState& found);
     Result<void> dropAllSegments();
+    Result<void> removeDurably(const std::string& path);
     Result<void> removeOldSnapshots(uint64_t keptIndex);
     Result<void> writeWhole(const std::string& name, std::string_view content);
     Result<void> flush();
