--- a/tests/process/ProcessFixture.cpp
+++ b/tests/process/ProcessFixture.cpp
@@ -126,7 +126,7 @@
     Json voters = Json::array();
     for (const auto& voter : voters_)
         voters.push_back({ { "host", voter["host"] }, { "port", voter["port"] } });
-    Json settings = { { "node_id", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
+    Json settings = { { "node", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
         { "http", { { "host", "127.0.0.1" }, { "port", port } } }, { "link", { { "host", "127.0.0.1" }, { "port", linkPort } } },
         { "control_voters", voters }, { "limits", { { "token_timeout_ms", 1000 } } } };
     return start({ name, "briarhitch-entry", { "--config=" + writeSettings(name, settings) }, port, linkPort, nullptr });
@@ -188,7 +188,11 @@
 
 void ProcessFixture::waitReady(const Daemon& daemon)
 {
-    waitUntil(daemon.name + " is ready", [&] { return callPlain(daemon.port, { "GET", "/readyz", {}, "" }, 2s).status == 200; });
+    waitUntil(daemon.name + " is ready", [&] {
+        if (!daemon.process->isRunning())
+            throw std::runtime_error(daemon.name + " ended at its start");
+        return callPlain(daemon.port, { "GET", "/readyz", {}, "" }, 2s).status == 200;
+    });
 }
 
 PlainAnswer ProcessFixture::callOperators(const std::string& method, const std::string& path, const Json& body)
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -86,7 +86,7 @@
     std::string folder_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::vector<std::string> engines_;
-    Json voters_ { Json::array() };
+    Json voters_ = Json::array();
     uint16_t nextPort_ { 0 };
     int changes_ { 0 };
 };
