--- a/tools/packages.sh
+++ b/tools/packages.sh
@@ -6,6 +6,7 @@
     libboost-dev libboost-fiber-dev libboost-context-dev libmsgpack-cxx-dev
     libabsl-dev liblog4cplus-dev libexpected-dev nlohmann-json3-dev
     libssl-dev libxxhash-dev libgtest-dev libgmock-dev librapidcheck-dev
+    curl jq
 )
 missing=()
 for package in "${packages[@]}"; do
