--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -1,3 +1,4 @@
+# shellcheck shell=bash
 # Functions for scripts that run a fleet on loopback; sourced, not run.
 # Every process is stopped by its id when the script ends, however it ends.
 
