--- a/tests/process/ChildProcess.cpp
+++ b/tests/process/ChildProcess.cpp
@@ -1,6 +1,7 @@
 #include "process/ChildProcess.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
 #include <poll.h>
@@ -30,7 +31,7 @@
 
 }
 
-ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath)
+ChildProcess::ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath, const std::vector<std::string>& environment)
     : logPath_(logPath)
 {
     std::vector<char*> argv { const_cast<char*>(program.c_str()) };
@@ -39,8 +40,11 @@
     argv.push_back(nullptr);
     auto parent = getpid();
     pid_ = fork();
-    if (pid_ == 0)
-        runProgram(argv, logPath_, parent);
+    if (pid_ != 0)
+        return;
+    for (const auto& variable : environment)
+        putenv(const_cast<char*>(variable.c_str()));
+    runProgram(argv, logPath_, parent);
 }
 
 ChildProcess::~ChildProcess()
--- a/tests/process/ChildProcess.h
+++ b/tests/process/ChildProcess.h
@@ -11,8 +11,8 @@
 /** A process started by a test; killed by its id when the object goes. */
 class ChildProcess {
 public:
-    /** Output goes to the log file. */
-    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath);
+    /** Output goes to the log file; `environment` adds "NAME=VALUE" texts. */
+    ChildProcess(const std::string& program, const std::vector<std::string>& arguments, const std::string& logPath, const std::vector<std::string>& environment = {});
     ~ChildProcess();
     ChildProcess(const ChildProcess&) = delete;
     ChildProcess& operator=(const ChildProcess&) = delete;
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -50,6 +50,8 @@
     Daemon& daemon(const std::string& name);
     Daemon& entry(uint32_t node) { return daemon("entry-" + std::to_string(node)); }
 
+    [[nodiscard]] std::string logPath(const std::string& name) const { return folder_ + "/" + name + ".log"; }
+
     /** Throws, and so fails the test, if the condition doesn't come true in time. */
     static void waitUntil(const std::string& what, const std::function<bool()>& condition, std::chrono::seconds bound = std::chrono::seconds(30));
     void waitReady(const Daemon& daemon);
--- a/tools/load/LoadRequest.cpp
+++ b/tools/load/LoadRequest.cpp
@@ -185,8 +185,11 @@
     LoadOutcome outcome;
     auto started = BootClock::now();
     try {
-        if (auto call = client.start(callFor(plan, request, entry)))
+        auto call = client.start(callFor(plan, request, entry));
+        if (call)
             readAnswer(**call, plan, request, started, outcome);
+        else if (call.error().ran == Ran::No)
+            outcome.verdict = LoadVerdict::Unreachable;
     } catch (const nlohmann::json::exception&) {
         // A field of another type than the API has.
         outcome.verdict = LoadVerdict::Wrong;
--- a/tools/load/LoadRequest.h
+++ b/tools/load/LoadRequest.h
@@ -28,6 +28,8 @@
     Refused,
     /** The connection failed before the answer was whole. */
     Broken,
+    /** No byte of the request can have reached the entry. */
+    Unreachable,
 };
 
 struct LoadOutcome {
--- a/tools/load/LoadRunner.cpp
+++ b/tools/load/LoadRunner.cpp
@@ -70,8 +70,14 @@
 {
     std::vector<LoadOutcome> sendings;
     int resends = request.kind == LoadKind::Charge ? plan_.chargeResends : 0;
+    size_t otherEntries = plan_.entries.size() - 1;
     for (size_t entry = request.entry;; ++entry) {
         sendings.push_back(sendRequest(client_, plan_, request, entry % plan_.entries.size()));
+        // As a load balancer does, tries each other entry once if one cannot be reached.
+        if (sendings.back().verdict == LoadVerdict::Unreachable && otherEntries > 0) {
+            --otherEntries;
+            continue;
+        }
         if (!isOutcomeOpen(sendings.back()) || resends-- == 0)
             break;
         sleepFor(loop_, resendDelay);
--- a/tools/load/LoadTally.cpp
+++ b/tools/load/LoadTally.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-    constexpr std::array<std::string_view, 4> verdictNames { "right", "wrong", "refused", "broken" };
+    constexpr std::array<std::string_view, 5> verdictNames { "right", "wrong", "refused", "broken", "unreachable" };
 
     double quantile(const std::vector<double>& sorted, double part)
     {
@@ -57,6 +57,8 @@
         ++refused_[outcome.errorKind][outcome.ran];
     if (outcome.verdict == LoadVerdict::Broken)
         ++broken_;
+    if (outcome.verdict == LoadVerdict::Unreachable)
+        ++unreachable_;
     wrong_ += std::count_if(sendings.begin(), sendings.end(), [](const LoadOutcome& sending) { return sending.verdict == LoadVerdict::Wrong; });
     if (outcome.verdict == LoadVerdict::Right) {
         ++answered_;
@@ -82,7 +84,7 @@
 std::string LoadTally::toJson(Duration elapsed) const
 {
     nlohmann::json json = { { "seed", plan_.seed }, { "seconds", toSeconds(elapsed) }, { "offered", offered_ }, { "answered", answered_ },
-        { "wrong", wrong_ }, { "broken", broken_ }, { "resent", resent_ }, { "skipped", skipped_ }, { "refused", refused_ } };
+        { "wrong", wrong_ }, { "broken", broken_ }, { "unreachable", unreachable_ }, { "resent", resent_ }, { "skipped", skipped_ }, { "refused", refused_ } };
     for (size_t tier = 0; tier < tiers_.size(); ++tier) {
         const auto& count = tiers_[tier];
         if (count.offered > 0)
--- a/tools/load/LoadTally.h
+++ b/tools/load/LoadTally.h
@@ -37,6 +37,7 @@
     uint64_t answered_ { 0 };
     uint64_t wrong_ { 0 };
     uint64_t broken_ { 0 };
+    uint64_t unreachable_ { 0 };
     uint64_t resent_ { 0 };
     uint64_t skipped_ { 0 };
     std::array<TierCount, Tier::count> tiers_ {};
