--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -50,6 +50,8 @@
     Daemon& daemon(const std::string& name);
     Daemon& entry(uint32_t node) { return daemon("entry-" + std::to_string(node)); }
 
+    [[nodiscard]] std::string logPath(const std::string& name) const { return folder_ + "/" + name + ".log"; }
+
     /** Throws, and so fails the test, if the condition doesn't come true in time. */
     static void waitUntil(const std::string& what, const std::function<bool()>& condition, std::chrono::seconds bound = std::chrono::seconds(30));
     void waitReady(const Daemon& daemon);
@@ -68,7 +70,7 @@
 
     Json ledger(const Daemon& standIn);
     void orderFaults(const Daemon& standIn, const Json& faults);
-    /** How often the service booked the charge. */
+    /** How often the services together booked the charge. */
     uint64_t timesCharged(const std::string& chargeId);
     /** Requests with this prompt that any engine ran. */
     size_t timesRun(const std::string& prompt);
@@ -86,7 +88,8 @@
     std::string folder_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::vector<std::string> engines_;
-    Json voters_ { Json::array() };
+    std::vector<std::string> services_;
+    Json voters_ = Json::array();
     uint16_t nextPort_ { 0 };
     int changes_ { 0 };
 };
