--- a/tools/capacity/CapacityFleet.cpp
+++ b/tools/capacity/CapacityFleet.cpp
@@ -24,8 +24,6 @@
     constexpr auto region = "north";
     constexpr int pollMs = 20;
     constexpr auto longestWait = 60s;
-    /** Nobody listens on the discard port, so a poll of such a target fails at once. */
-    constexpr uint16_t closedPort = 9;
 
     void pause(double seconds)
     {
@@ -158,8 +156,10 @@
 
 void CapacityFleet::addIdleTargets(size_t from, size_t to)
 {
+    if (idlePort_ == 0)
+        idlePort_ = startStandIn("briarhitch-fake-engine", {});
     for (size_t number = from; number < to; ++number)
-        addTarget("engine", "idle-" + std::to_string(number % 19), closedPort);
+        addTarget("engine", "idle-" + std::to_string(number % 19), idlePort_);
 }
 
 uint16_t CapacityFleet::startStandIn(const std::string& program, std::vector<std::string> flags)
--- a/tools/capacity/CapacityFleet.h
+++ b/tools/capacity/CapacityFleet.h
@@ -34,7 +34,7 @@
     /** Adds engine or service stand-ins as targets. */
     void addEngine(const std::vector<std::string>& flags);
     void addService();
-    /** Targets whose address nobody listens on. */
+    /** Targets that get no requests; one engine stand-in answers the polls of their load. */
     void addIdleTargets(size_t from, size_t to);
     void addCustomers(size_t from, size_t to);
     /** Sends a change and returns the seconds until it was in force on every node. */
@@ -73,6 +73,7 @@
     std::string programFolder_;
     std::string folder_;
     uint16_t nextPort_ { 20000 };
+    uint16_t idlePort_ { 0 };
     uint16_t controlLink_ { 0 };
     uint16_t controlAdmin_ { 0 };
     std::unique_ptr<ChildProcess> control_;
--- a/tools/capacity/CapacityMain.cpp
+++ b/tools/capacity/CapacityMain.cpp
@@ -1,6 +1,9 @@
+#include "capacity/CapacityTable.h"
 #include "capacity/FleetSlopes.h"
 #include "capacity/StaticSlopes.h"
 
+#include "briarhitch/runtime/Loop.h"
+
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
@@ -10,6 +13,8 @@
 
 ABSL_FLAG(std::string, programs, "build/bin", "folder of the daemons and stand-ins");
 ABSL_FLAG(std::string, folder, "/tmp/briarhitch-capacity", "folder for settings, logs and data; removed at the end");
+ABSL_FLAG(std::string, fill_page, "", "page whose table is filled in from --data, in place of a measurement");
+ABSL_FLAG(std::string, data, "docs/data/capacity.json", "JSON line of an earlier run, for --fill_page");
 ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, records; all if empty");
 
 namespace briarhitch {
@@ -33,6 +38,8 @@
         for (const auto& [name, bytes] : messageBytes())
             result["message_bytes"][name] = bytes;
         addSlopes(result, configurationSlopes());
+        addSlopes(result, runRecordSnapshotSlopes());
+        addSlopes(result, { linkCallSlope() });
     }
 
     nlohmann::ordered_json measureAll(const std::string& only)
@@ -61,8 +68,14 @@
     absl::SetProgramUsageMessage("measures the slopes behind docs/CAPACITY.md on processes of this repository; prints one JSON line");
     absl::ParseCommandLine(argc, argv);
     try {
+        if (auto page = absl::GetFlag(FLAGS_fill_page); !page.empty()) {
+            briarhitch::fillPage(page, absl::GetFlag(FLAGS_data));
+            return 0;
+        }
         std::printf("%s\n", briarhitch::measureAll(absl::GetFlag(FLAGS_only)).dump().c_str());
-        return 0;
+        std::fflush(stdout);
+        // Links that were measured leave fibers behind, for which an orderly exit would wait for good.
+        briarhitch::exitProcess(0);
     } catch (const std::exception& error) {
         std::fprintf(stderr, "capacity: %s\n", error.what());
         return 1;
--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -11,6 +11,7 @@
 
     constexpr double microseconds = 1e6;
     constexpr double idleWindowSeconds = 8;
+    constexpr double configurationWindowSeconds = 6;
     constexpr double loadSeconds = 6;
     const std::vector<size_t> nodeCounts { 4, 16, 64, 160 };
     const std::vector<size_t> customerCounts { 5, 500, 1500, 3000, 4500 };
@@ -137,10 +138,11 @@
     fleet.growTo(4);
     Table table;
     auto sample = [&](const std::string& of, double x) {
-        auto usage = fleet.measure(2);
+        auto usage = fleet.measure(configurationWindowSeconds);
         table.add("entry_memory_by_" + of, "bytes/" + of, x, meanOfEntries(usage).residentBytes);
         table.add("control_memory_by_" + of, "bytes/" + of, x, usage[0].residentBytes);
         table.add("entry_cpu_us_per_s_by_" + of, "us/s/" + of, x, meanOfEntries(usage).cpu * microseconds);
+        table.add("entry_link_bytes_sent_by_" + of, "bytes/s/" + of, x, meanOfEntries(usage).linkBytesSent);
     };
     auto begin = fleet.totals();
     size_t customers = 1;
--- a/tools/capacity/Slope.cpp
+++ b/tools/capacity/Slope.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+    /** Part of the largest value below which differences are taken for noise. */
+    constexpr double smallestChange = 0.1;
+
     struct Line {
         double slope { 0 };
         double intercept { 0 };
@@ -47,7 +50,12 @@
         double lower = slopeBetween(points.front(), points[middle]);
         double upper = slopeBetween(points[middle], points.back());
         double larger = std::max(std::abs(lower), std::abs(upper));
-        return larger > 0 && std::abs(upper - lower) > 0.5 * larger;
+        double maxY = 0;
+        for (const auto& point : points)
+            maxY = std::max(maxY, std::abs(point.y));
+        // A quantity that hardly changes over the whole range has noise, but no bend.
+        bool changes = larger * (points.back().x - points.front().x) > smallestChange * maxY;
+        return changes && std::abs(upper - lower) > 0.5 * larger;
     }
 
 }
--- a/tools/capacity/StaticSlopes.cpp
+++ b/tools/capacity/StaticSlopes.cpp
@@ -1,11 +1,16 @@
 #include "capacity/StaticSlopes.h"
 
+#include "briarhitch/control/StateMachine.h"
 #include "briarhitch/core/Clock.h"
 #include "briarhitch/core/Digest.h"
+#include "briarhitch/runtime/Loop.h"
+#include "briarhitch/wire/Link.h"
 #include "wire/Codec.h"
 #include "wire/LinkConnection.h"
 
 #include <algorithm>
+#include <ctime>
+#include <stdexcept>
 
 namespace briarhitch {
 
@@ -16,6 +21,12 @@
     constexpr int timingTries = 5;
     const std::vector<uint32_t> customerCounts { 5, 500, 1500, 3000, 4500 };
     const std::vector<uint32_t> targetCounts { 15, 300, 900, 1500, 2100 };
+    const std::vector<uint32_t> callCounts { 1000, 2000, 4000, 8000 };
+    const std::vector<uint32_t> recordCounts { 20000, 50000, 100000, 200000 };
+    /** Body of a linked call, about that of an ask with a prefix. */
+    constexpr size_t callBodyBytes = 54;
+    /** Body of a recorded answer of a charge. */
+    constexpr size_t answerBodyBytes = 80;
 
     template <class T>
     double framedBytes(FrameKind kind, MessageType type, const T& body)
@@ -61,6 +72,62 @@
         return { NodeId(number), Incarnation(1800000000000), "region-1", "zone-1", "10.20.30.40", 7000, false, false };
     }
 
+    double processorSeconds()
+    {
+        timespec time {};
+        clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &time);
+        return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_nsec) * 1e-9;
+    }
+
+    LinkSettings linkSettingsOf(uint32_t node)
+    {
+        LinkSettings settings;
+        settings.fleetKey = "fleet key of the capacity run";
+        settings.identity = { LinkRole::Entry, NodeId(node), Incarnation(1) };
+        return settings;
+    }
+
+    std::vector<Point> measureCalls(Loop& loop)
+    {
+        LinkHooks hooks;
+        hooks.onRequest = [](const Peer&, MessageType, std::string_view body) -> Result<std::string> { return std::string(body); };
+        auto server = LinkServer::listen(loop, "127.0.0.1", 0, linkSettingsOf(1), hooks);
+        if (!server)
+            throw std::runtime_error(server.error().message);
+        LinkClient client(loop, "127.0.0.1", (*server)->port(), linkSettingsOf(2), {});
+        client.waitOpen(std::chrono::seconds(5));
+        std::vector<Point> points;
+        for (uint32_t count : callCounts) {
+            double begin = processorSeconds();
+            for (uint32_t i = 0; i < count; ++i) {
+                if (!client.call(MessageType::Ask, std::string(callBodyBytes, 'x'), std::chrono::seconds(5)))
+                    throw std::runtime_error("a call over a loopback link failed");
+            }
+            points.push_back({ static_cast<double>(count), processorSeconds() - begin });
+        }
+        return points;
+    }
+
+    std::string stateWithRecords(uint32_t count)
+    {
+        StateMachine state;
+        PutCustomerCommand put;
+        put.change = { "change-1", Version(0) };
+        put.contract = contractNumber(1);
+        state.apply(encodeCommand(put));
+        state.apply(encodeCommand(RegisterNodeCommand { nodeNumber(1) }, 1));
+        for (uint32_t i = 0; i < count; ++i) {
+            AttemptId attempt { RequestId(0x1234567800000000 + i), 1 };
+            RunKey key { CustomerId(1), sha256Hex(std::to_string(i)).substr(0, 32) };
+            state.apply(encodeCommand(ClaimRunCommand { { key, i, attempt, NodeId(1), nodeNumber(1).incarnation }, UINT64_MAX }, 1));
+            RecordedAnswer answer { 201, "application/json", std::string(answerBodyBytes, 'x') };
+            state.apply(encodeCommand(FinishRunCommand { { key, attempt, RunState::Done, answer }, UINT64_MAX }, 1));
+        }
+        if (state.runs().size() != count)
+            throw std::runtime_error("run records were not accepted");
+        return state.takeSnapshot();
+    }
+
     template <class Run>
     double bestMicroseconds(Run&& run)
     {
@@ -141,4 +208,32 @@
     return slopes;
 }
 
+Slope linkCallSlope()
+{
+    Loop loop;
+    std::vector<Point> points;
+    loop.spawn([&] {
+        points = measureCalls(loop);
+        loop.stop();
+    });
+    loop.run();
+    return fitLine("link_cpu_s_by_call", "s/call", points);
+}
+
+std::vector<Slope> runRecordSnapshotSlopes()
+{
+    std::vector<Point> bytes;
+    std::vector<Point> seconds;
+    for (uint32_t count : recordCounts) {
+        auto snapshot = stateWithRecords(count);
+        bytes.push_back({ static_cast<double>(count), static_cast<double>(snapshot.size()) });
+        double time = bestMicroseconds([&] {
+            StateMachine loaded;
+            (void)loaded.loadSnapshot(snapshot);
+        });
+        seconds.push_back({ static_cast<double>(count), time * 1e-6 });
+    }
+    return { fitLine("control_snapshot_bytes_by_run_record", "bytes/record", bytes), fitLine("control_snapshot_load_s_by_run_record", "s/record", seconds) };
+}
+
 }
--- a/tools/capacity/StaticSlopes.h
+++ b/tools/capacity/StaticSlopes.h
@@ -14,4 +14,10 @@
 /** Bytes and time of configuration snapshots against customers and targets. */
 std::vector<Slope> configurationSlopes();
 
+/** Processor time of both ends of a link against calls, each one request and its answer. */
+Slope linkCallSlope();
+
+/** Size of a control snapshot and the time to load it, against run records. */
+std::vector<Slope> runRecordSnapshotSlopes();
+
 }
