--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -18,6 +18,8 @@
     constexpr Duration heartbeatTimeout = 500ms;
     /** Pause before the next voter is asked while no leader is known. */
     constexpr Duration retryPause = 100ms;
+    /** Heartbeats that get no lease for longer than this are worth a line in the log. */
+    constexpr Duration failureGrace = 2s;
     /** Longest wait for one voter's answer to a claim or an outcome before the next voter is asked. */
     constexpr Duration commitAttemptTimeout = 1s;
 
@@ -53,10 +55,26 @@
         }
     }
 
+    /** The presumed leader, or the next voter with an open link; none if no link is open. */
+    std::optional<size_t> chooseVoter() const
+    {
+        for (size_t i = 0; i < voters.size(); ++i) {
+            size_t candidate = (leaderIndex + i) % voters.size();
+            if (voters[candidate]->isOpen())
+                return candidate;
+        }
+        return std::nullopt;
+    }
+
     /** One heartbeat to the presumed leader; true if it brought a lease. */
     bool heartbeat()
     {
-        size_t asked = leaderIndex;
+        auto chosen = chooseVoter();
+        if (!chosen) {
+            noteFailure("no control voter is reachable");
+            return false;
+        }
+        size_t asked = leaderIndex = *chosen;
         Heartbeat message;
         message.node = settings.self;
         message.appliedVersion = view.config().version;
@@ -70,7 +88,7 @@
         auto reply = answer.and_then([](const std::string& body) { return decode<HeartbeatReply>(body); });
         if (!reply) {
             metrics.count("control_heartbeats_failed_total");
-            noteFailure(reply.error());
+            noteFailure(reply.error().message);
             askAnother(asked);
             return false;
         }
@@ -86,6 +104,7 @@
     {
         metrics.count("control_heartbeats_total");
         lastFailure.clear();
+        lastLeaseAt = BootClock::now();
         auto before = view.config().version;
         // The configuration comes first: whoever sees the lease must also see what was true when it was given.
         view.apply(reply);
@@ -96,12 +115,14 @@
             wake.set();
     }
 
-    void noteFailure(const Error& error)
+    void noteFailure(const std::string& message)
     {
-        if (error.message == lastFailure)
+        // Links take a moment to open at the start, and every change of leader loses a heartbeat or two.
+        bool isUsual = BootClock::now() - lastLeaseAt < failureGrace;
+        if (isUsual || message == lastFailure)
             return;
-        lastFailure = error.message;
-        clientLog().warning("heartbeat got no lease: " + error.message);
+        lastFailure = message;
+        clientLog().warning("heartbeats get no lease: " + message);
     }
 
     void askAnother(size_t asked)
@@ -130,7 +151,12 @@
             Duration left = deadline - BootClock::now();
             if (left <= Duration::zero() || closed)
                 break;
-            size_t asked = leaderIndex;
+            auto chosen = chooseVoter();
+            if (!chosen) {
+                sleepFor(loop, std::min(left, retryPause));
+                continue;
+            }
+            size_t asked = *chosen;
             auto answer = voters[asked]->call(type, body, std::min(left, commitAttemptTimeout));
             if (answer) {
                 if (accept(*answer))
@@ -145,7 +171,7 @@
             askAnother(asked);
             sleepFor(loop, std::min(retryPause, std::max(Duration::zero(), deadline - BootClock::now())));
         }
-        return fail(ErrorKind::NoQuorum, mayBeCommitted ? "no control leader confirmed in time; it may still be committed" : "no time was left to reach a control leader");
+        return fail(ErrorKind::NoQuorum, mayBeCommitted ? "no control leader confirmed in time; it may still be committed" : "no control voter is reachable");
     }
 
     Loop& loop;
@@ -157,6 +183,8 @@
     std::function<std::vector<CustomerId>()> busyClosingCustomers;
     size_t leaderIndex { 0 };
     Instant leaseEnd {};
+    /** Time of the last lease, or of the start. */
+    Instant lastLeaseAt {};
     bool configured { false };
     bool closed { false };
     std::string lastFailure;
@@ -177,6 +205,7 @@
 
 void ControlClient::start()
 {
+    impl_->lastLeaseAt = BootClock::now();
     for (const auto& address : impl_->settings.voters)
         impl_->voters.push_back(std::make_unique<LinkClient>(impl_->loop, address.host, address.port, impl_->settings.link, LinkHooks {}));
     impl_->loop.spawn([impl = impl_] { impl->heartbeatUntilClosed(); });
--- a/tests/ControlServerTest.cpp
+++ b/tests/ControlServerTest.cpp
@@ -41,7 +41,7 @@
 
     /** A control process on free ports of this machine, with a log in memory. */
     struct Voter {
-        Voter(Loop& loopToUse, uint32_t id, bool isLeader, std::vector<ControlVoter> voters = {}, Duration lease = 3s)
+        Voter(Loop& loopToUse, uint32_t id, bool isLeader, const std::vector<ControlVoter>& voters = {}, Duration lease = 3s)
             : server(loopToUse, settingsOf(id, voters, lease), state, metrics)
             , admin(loopToUse, { NodeId(id), voters, { sha256Hex(operatorKey) }, PoolScope::Region, {} }, server, metrics)
             , log(NodeId(id), hooks())
