--- a/include/briarhitch/control/RunStore.h
+++ b/include/briarhitch/control/RunStore.h
@@ -3,6 +3,7 @@
 #include "briarhitch/control/Commands.h"
 
 #include <absl/container/btree_map.h>
+#include <functional>
 #include <map>
 #include <set>
 #include <string>
@@ -54,7 +55,7 @@
     }
 };
 
-/** All of a RunStore, for snapshots. */
+/** All of a RunStore, as read from a snapshot. */
 struct RunStoreImage {
     std::vector<StoredRun> runs;
     std::vector<RetiredRun> retired;
@@ -94,7 +95,9 @@
     [[nodiscard]] bool hasEndedBefore(int64_t timeMs) const;
     /** The customer's records in order of their keys. */
     [[nodiscard]] std::vector<StoredRun> runsOf(CustomerId customer) const;
-    [[nodiscard]] RunStoreImage image() const;
+    /** Visits all records in order of their keys; snapshots of many records must not copy them. */
+    void forEachRun(const std::function<void(const StoredRun&)>& visit) const;
+    void forEachRetired(const std::function<void(const RetiredRun&)>& visit) const;
     void restore(RunStoreImage image);
 
 private:
--- a/src/control/RunStore.cpp
+++ b/src/control/RunStore.cpp
@@ -180,18 +180,18 @@
     return result;
 }
 
-RunStoreImage RunStore::image() const
+void RunStore::forEachRun(const std::function<void(const StoredRun&)>& visit) const
 {
-    RunStoreImage image;
-    image.runs.reserve(runs_.size());
     for (const auto& [key, run] : runs_)
-        image.runs.push_back(run);
-    image.retired.reserve(retiredCount_);
+        visit(run);
+}
+
+void RunStore::forEachRetired(const std::function<void(const RetiredRun&)>& visit) const
+{
     for (const auto& [customer, keys] : retired_) {
         for (const auto& [key, state] : keys)
-            image.retired.push_back({ customer, key, state });
+            visit({ customer, key, state });
     }
-    return image;
 }
 
 void RunStore::restore(RunStoreImage image)
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -11,7 +11,12 @@
 
 namespace {
 
-    /** The stored form; fields are only ever added at the end. */
+    constexpr uint32_t snapshotFieldCount = 7;
+    /** First sizes of a snapshot's buffer. */
+    constexpr size_t expectedRunBytes = 64;
+    constexpr size_t minSnapshotBytes = 4096;
+
+    /** The stored form, which takeSnapshot() writes; fields are only ever added at the end. */
     struct Snapshot {
         ClusterConfig config;
         std::map<NodeId, Version> nodeChangedAt;
@@ -508,7 +513,22 @@
 
 std::string StateMachine::takeSnapshot() const
 {
-    return encode(Snapshot { config_, nodeChangedAt_, changes_.image(), runs_.image(), nextCustomer_, nextTarget_, nextPool_ });
+    msgpack::sbuffer buffer(configBytes_ + runs_.answerBytes() + runs_.size() * expectedRunBytes + minSnapshotBytes);
+    codec::Packer packer(buffer);
+    packer.pack_array(snapshotFieldCount);
+    codec::pack(packer, config_);
+    codec::pack(packer, nodeChangedAt_);
+    codec::pack(packer, changes_.image());
+    // The form of RunStoreImage, without a copy of all records.
+    packer.pack_array(2);
+    packer.pack_array(static_cast<uint32_t>(runs_.size() - runs_.retiredCount()));
+    runs_.forEachRun([&](const StoredRun& run) { codec::pack(packer, run); });
+    packer.pack_array(static_cast<uint32_t>(runs_.retiredCount()));
+    runs_.forEachRetired([&](const RetiredRun& run) { codec::pack(packer, run); });
+    codec::pack(packer, nextCustomer_);
+    codec::pack(packer, nextTarget_);
+    codec::pack(packer, nextPool_);
+    return { buffer.data(), buffer.size() };
 }
 
 Result<void> StateMachine::loadSnapshot(std::string_view bytes)
