Let an operator rebuild the log from one voter

When a majority of the disks is lost, the remaining voter can never be elected, and there was no way to start again from what it has. rebuildAsSoleVoter() appends a membership of this voter alone under a new term; the others then come back with empty folders and are added one by one.

Commands are limited to 1 MiB instead of 4: eight appends in flight, each of a batch and such a command, were more than the 32 MiB that a link queues before it closes.

--- a/include/briarhitch/consensus/RaftNode.h
+++ b/include/briarhitch/consensus/RaftNode.h
@@ -55,6 +55,12 @@
     /** Damaged names the file and the offset; Unavailable if another process uses the folder; InvalidSettings. */
     static Result<std::unique_ptr<RaftNode>> open(Loop& loop, RaftNodeSettings settings, ReplicatedLogHooks hooks);
     ~RaftNode() override;
+    /**
+     * For operators, after a majority of the disks is lost for good, while no process uses the folder: makes this
+     * voter the only one, with all that it has. Entries that only the lost voters had are gone. The other voters may
+     * only come back with empty folders.
+     */
+    static Result<void> rebuildAsSoleVoter(const std::string& dataFolder, NodeId self);
 
     /** Takes what sendMessage was given on another voter; bytes that are no message are ignored. */
     void receive(NodeId from, std::string_view bytes);
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -34,7 +34,8 @@
     , random_(settings_.seed)
     , stored_(log_.lastIndex())
     , synced_(stored_)
-    , lastLeaderContact_(now)
+    // A leader may hold a lease that counts on what this voter answered before it was restarted.
+    , lastLeaderContact_(settings_.faults.forgetPromise ? Instant() : now)
     , peers_(settings_.self)
 {
     assert(hard_.incarnation.isValid());
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -19,6 +19,8 @@
     bool commitEarlierTerms { false };
     /** Answers and counts entries before they are synced. */
     bool acknowledgeUnsynced { false };
+    /** Grants votes right after a restart. */
+    bool forgetPromise { false };
     /** Does not store the vote. */
     bool forgetVote { false };
     /** Counts replies of any life of a node. */
--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-    // Bounds the size of one append, which must fit into a frame of a link together with a whole batch.
-    constexpr size_t maxCommandBytes = 4 * 1024 * 1024;
+    // An append is a batch (256 KiB) and at most one command more; all that are in flight must fit into a link's queue.
+    constexpr size_t maxCommandBytes = 1024 * 1024;
     constexpr int ticksPerHeartbeat = 5;
 
     const Log& raftLog()
@@ -213,6 +213,29 @@
     return std::unique_ptr<RaftNode>(new RaftNode(std::move(impl)));
 }
 
+Result<void> RaftNode::rebuildAsSoleVoter(const std::string& dataFolder, NodeId self)
+{
+    PosixFileSystem files;
+    StoredState found;
+    LogStoreSettings settings;
+    settings.folder = dataFolder;
+    auto store = LogStore::open(files, settings, found);
+    if (!store)
+        return tl::unexpected(store.error());
+    HardState state = found.hardState;
+    if (!state.incarnation.isValid())
+        return fail(ErrorKind::NotFound, "folder " + dataFolder + " has no log");
+    auto log = RaftLog::make(state.initial, found.snapshot, std::move(found.entries));
+    if (!log)
+        return tl::unexpected(log.error());
+    // A new term, so that the entry cannot be taken for one of the former leader.
+    ++state.term;
+    state.votedFor = {};
+    auto sole = Membership().with({ self, state.incarnation, MemberRole::Voter });
+    LogEntry entry { log->lastIndex() + 1, state.term, EntryKind::Membership, encode(sole) };
+    return (*store)->saveHardState(state).and_then([&] { return (*store)->append(entry); }).and_then([&] { return (*store)->sync(); });
+}
+
 void RaftNode::receive(NodeId from, std::string_view bytes)
 {
     auto message = decode<RaftMessage>(bytes);
@@ -225,7 +248,7 @@
 Result<std::string> RaftNode::propose(std::string command, Duration timeout)
 {
     if (command.size() > maxCommandBytes)
-        return fail(ErrorKind::BodyTooLarge, "a change in the log is limited to 4 MiB");
+        return fail(ErrorKind::BodyTooLarge, "a change in the log is limited to 1 MiB");
     // The node may be destroyed while this fiber waits.
     auto impl = impl_;
     auto index = impl->replica->propose(impl->settings.clock(), std::move(command));
--- a/tests/RaftNodeTest.cpp
+++ b/tests/RaftNodeTest.cpp
@@ -66,9 +66,12 @@
         bool eventually(const std::function<bool()>& condition)
         {
             auto end = BootClock::now() + patience;
-            while (!condition() && BootClock::now() < end)
+            while (BootClock::now() < end) {
+                if (condition())
+                    return true;
                 sleepFor(loop_, 5ms);
-            return condition();
+            }
+            return false;
         }
 
         uint32_t waitForLeader()
@@ -167,6 +170,37 @@
         });
     }
 
+    // Guards against an operator who cannot get the group back after most disks are lost.
+    TEST(RaftNodeTest, LastVoterIsRebuiltAndTheOthersJoinIt)
+    {
+        runInLoop([](Loop& loop) {
+            Group group(loop, "rebuild");
+            for (uint32_t id : { 1, 2, 3 })
+                ASSERT_TRUE(group.start(id, threeVoters));
+            uint32_t leader = group.waitForLeader();
+            ASSERT_NE(leader, 0U);
+            ASSERT_TRUE(group.node(leader).propose("a", patience));
+            for (uint32_t id : { 1, 2, 3 })
+                group.stop(id);
+            ASSERT_TRUE(RaftNode::rebuildAsSoleVoter(group.folderOf(leader), NodeId(leader)));
+            for (uint32_t id : { 1, 2, 3 }) {
+                if (id != leader)
+                    std::filesystem::remove_all(group.folderOf(id));
+                ASSERT_TRUE(group.start(id, threeVoters));
+            }
+            ASSERT_EQ(group.waitForLeader(), leader);
+            EXPECT_EQ(group.state[leader], "a;");
+            for (uint32_t id : { 1, 2, 3 }) {
+                if (id != leader) {
+                    // Refused while the change before it is under way.
+                    EXPECT_TRUE(group.eventually([&] { return group.node(leader).addVoter(NodeId(id)).has_value(); }));
+                    EXPECT_TRUE(group.eventually([&] { return group.node(id).status().voters.size() >= 2 && group.state[id] == "a;"; }));
+                }
+            }
+            EXPECT_TRUE(group.eventually([&] { return group.node(leader).status().voters.size() == 3; }));
+        });
+    }
+
     // Guards against a voter that starts from a log with a hole in it.
     TEST(RaftNodeTest, DamagedSegmentIsReportedWithFileAndOffset)
     {
--- a/tests/RaftScheduleTest.cpp
+++ b/tests/RaftScheduleTest.cpp
@@ -73,6 +73,18 @@
         return options;
     }
 
+    /** A voter that cannot reach the leader asks one that can, and that has just been restarted. */
+    Options restartOptions()
+    {
+        Options options;
+        options.diskFailures = options.lostDisks = options.pauses = options.membershipChanges = 0;
+        options.crashes = 9;
+        options.singleLinkChance = 1;
+        options.longestDown = 50ms;
+        options.meanFaultInterval = 150ms;
+        return options;
+    }
+
     // Each case guards against lost or reordered commands, two leaders, and leases held by two, under mixed faults.
     class MixedFaults : public testing::TestWithParam<uint64_t> {
     };
@@ -118,6 +130,11 @@
         expectSafe(overwriteOptions(), 400000, 1000);
     }
 
+    TEST(RaftScheduleTest, QuickRestartsStaySafe)
+    {
+        expectSafe(restartOptions(), 500000, 1500);
+    }
+
     // The cases below show that the checks find the faults they are made for.
 
     TEST(RaftScheduleTest, ForgottenVoteIsFound)
@@ -134,6 +151,13 @@
         EXPECT_NE(findViolation(options, 2000).find("lease"), std::string::npos);
     }
 
+    TEST(RaftScheduleTest, ForgottenPromiseIsFound)
+    {
+        Options options = restartOptions();
+        options.faults.forgetPromise = true;
+        EXPECT_NE(findViolation(options, 3000).find("lease"), std::string::npos);
+    }
+
     TEST(RaftScheduleTest, ClocksBeyondTheDriftBoundAreFound)
     {
         Options options;
