--- a/include/briarhitch/consensus/RaftNode.h
+++ b/include/briarhitch/consensus/RaftNode.h
@@ -37,6 +37,7 @@
     uint64_t commitIndex { 0 };
     uint64_t appliedIndex { 0 };
     uint64_t lastIndex { 0 };
+    uint64_t lastTerm { 0 };
     /** Syncs of log segments since the start. */
     uint64_t syncCount { 0 };
     Incarnation incarnation;
--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -80,6 +80,8 @@
     /** Proposals that are waited for, by index. */
     std::map<uint64_t, std::shared_ptr<Waiter>> waiters;
     bool processScheduled { false };
+    /** The node is gone and its hooks must not be called; fibers that wait may still hold this. */
+    bool closed { false };
 };
 
 RaftReplicaSettings RaftNode::Impl::replicaSettings() const
@@ -122,7 +124,7 @@
 {
     loop.after(settings.heartbeatInterval / ticksPerHeartbeat, [weak = weak_from_this()] {
         auto self = weak.lock();
-        if (!self)
+        if (!self || self->closed)
             return;
         self->replica->tick(self->settings.clock());
         self->process();
@@ -145,6 +147,8 @@
 void RaftNode::Impl::process()
 {
     processScheduled = false;
+    if (closed)
+        return;
     replica->process(settings.clock());
 }
 
@@ -194,6 +198,7 @@
 
 RaftNode::~RaftNode()
 {
+    impl_->closed = true;
     while (!impl_->waiters.empty())
         impl_->finish(impl_->waiters.begin()->first, fail(ErrorKind::NoQuorum, "the voter stops"));
 }
@@ -301,6 +306,7 @@
     status.commitIndex = core.commitIndex();
     status.appliedIndex = impl_->replica->appliedIndex();
     status.lastIndex = core.log().lastIndex();
+    status.lastTerm = core.log().lastTerm();
     status.syncCount = impl_->replica->store().syncCount();
     status.incarnation = core.hardState().incarnation;
     for (const auto& member : core.log().membership().members)
--- a/tests/RaftCoreTest.cpp
+++ b/tests/RaftCoreTest.cpp
@@ -86,6 +86,7 @@
         static RaftLog logOf(uint32_t count, const std::vector<uint64_t>& terms)
         {
             std::vector<LogEntry> entries;
+            entries.reserve(terms.size());
             for (uint64_t term : terms)
                 entries.push_back({ entries.size() + 1, term, EntryKind::Command, "x" });
             return *RaftLog::make(votersOf(count), nullptr, std::move(entries));
--- a/tests/RaftNodeTest.cpp
+++ b/tests/RaftNodeTest.cpp
@@ -170,6 +170,31 @@
         });
     }
 
+    // Guards against hooks that are called after their owner destroyed the node, and against a caller that hangs.
+    TEST(RaftNodeTest, NodeMayBeDestroyedWhileAProposalWaits)
+    {
+        runInLoop([](Loop& loop) {
+            Group group(loop, "destroyed");
+            for (uint32_t id : { 1, 2, 3 })
+                ASSERT_TRUE(group.start(id, threeVoters));
+            uint32_t leader = group.waitForLeader();
+            ASSERT_NE(leader, 0U);
+            for (uint32_t id : { 1, 2, 3 }) {
+                if (id != leader)
+                    group.stop(id);
+            }
+            std::optional<Result<std::string>> result;
+            loop.spawn([&] { result = group.node(leader).propose("a", patience); });
+            sleepFor(loop, 1ms);
+            group.stop(leader);
+            group.state[leader] = "untouched";
+            ASSERT_TRUE(group.eventually([&] { return result.has_value(); }));
+            EXPECT_EQ(result->error().kind, ErrorKind::NoQuorum);
+            sleepFor(loop, 50ms);
+            EXPECT_EQ(group.state[leader], "untouched");
+        });
+    }
+
     // Guards against an operator who cannot get the group back after most disks are lost.
     TEST(RaftNodeTest, LastVoterIsRebuiltAndTheOthersJoinIt)
     {
--- a/tools/measure_log/MeasureLogMain.cpp
+++ b/tools/measure_log/MeasureLogMain.cpp
@@ -1,3 +1,6 @@
+#include "briarhitch/consensus/RaftNode.h"
+#include "briarhitch/core/Log.h"
+#include "briarhitch/runtime/Loop.h"
 #include "consensus/PosixFileSystem.h"
 #include "consensus/RaftReplica.h"
 
@@ -12,7 +15,9 @@
 
     constexpr size_t recordBytes = 100;
     constexpr uint64_t fillGroup = 1000;
-    constexpr Duration syncMeasureTime = 2s;
+    constexpr Duration syncMeasureTime = 500ms;
+    // Other users of the disk change its speed within seconds, so the variants take turns.
+    constexpr int rounds = 5;
 
     std::unique_ptr<LogStore> openStore(PosixFileSystem& files, const std::string& folder)
     {
@@ -38,17 +43,71 @@
             std::exit(1);
     }
 
-    /** Records that become durable in a second when each sync covers `group` of them. */
-    double recordsPerSecond(const std::string& folder, uint64_t group)
+    /** Appends groups of each size in turn to one store, so that all of them see the same disk. */
+    void measureSyncs(const std::string& folder)
     {
         std::filesystem::remove_all(folder);
         PosixFileSystem files;
         auto store = openStore(files, folder);
+        const std::vector<uint64_t> groups { 1, 8, 64, 512 };
+        std::vector<Duration> spent(groups.size());
         uint64_t index = 0;
+        uint64_t turns = 0;
         auto start = BootClock::now();
-        while (BootClock::now() - start < syncMeasureTime)
-            appendGroup(*store, index, group);
-        return static_cast<double>(index) / toSeconds(BootClock::now() - start);
+        while (BootClock::now() - start < syncMeasureTime * rounds) {
+            ++turns;
+            for (size_t i = 0; i < groups.size(); ++i) {
+                auto before = BootClock::now();
+                appendGroup(*store, index, groups[i]);
+                spent[i] += BootClock::now() - before;
+            }
+        }
+        auto rate = [&](size_t i) { return static_cast<double>(groups[i] * turns) / toSeconds(spent[i]); };
+        for (size_t i = 0; i < groups.size(); ++i)
+            std::printf("records in one sync %lu: %.0f records/s, %.0f syncs/s, ratio %.1f\n", groups[i], rate(i),
+                static_cast<double>(turns) / toSeconds(spent[i]), rate(i) / rate(0));
+    }
+
+    /** Confirmed proposals in a second on a sole voter, with so many fibers that propose one after the other. */
+    double proposalsPerSecond(const std::string& folder, uint64_t fibers)
+    {
+        std::filesystem::remove_all(folder);
+        Loop loop;
+        RaftNodeSettings settings;
+        settings.self = NodeId(1);
+        settings.voters = { NodeId(1) };
+        settings.dataFolder = folder;
+        ReplicatedLogHooks hooks;
+        hooks.apply = [](uint64_t, std::string_view) { return std::string(); };
+        hooks.takeSnapshot = [] { return std::string(); };
+        auto node = RaftNode::open(loop, settings, hooks);
+        if (!node)
+            std::exit(1);
+        uint64_t confirmed = 0;
+        auto start = BootClock::now();
+        for (uint64_t i = 0; i < fibers; ++i) {
+            loop.spawn([&] {
+                sleepFor(loop, 1ms);
+                while (BootClock::now() - start < syncMeasureTime)
+                    confirmed += (*node)->propose(std::string(recordBytes, 'x'), 1s) ? 1 : 0;
+                if (loop.fiberCount() == 1)
+                    loop.stop();
+            });
+        }
+        loop.run();
+        return static_cast<double>(confirmed) / toSeconds(BootClock::now() - start);
+    }
+
+    /** Prints the mean rate of each variant over all rounds, and its ratio to the first one. */
+    void measureTurns(const char* what, const std::vector<uint64_t>& variants, const std::function<double(uint64_t)>& measure)
+    {
+        std::vector<double> rates(variants.size());
+        for (int round = 0; round < rounds; ++round) {
+            for (size_t i = 0; i < variants.size(); ++i)
+                rates[i] += measure(variants[i]) / rounds;
+        }
+        for (size_t i = 0; i < variants.size(); ++i)
+            std::printf("%s %lu: %.0f records/s, ratio %.1f\n", what, variants[i], rates[i], rates[i] / rates[0]);
     }
 
     void fill(const std::string& folder, uint64_t records)
@@ -101,14 +160,10 @@
         std::fprintf(stderr, "usage: %s FOLDER\n", argv[0]);
         return 2;
     }
+    briarhitch::setUpLogging(briarhitch::LogLevel::Warning);
     std::string folder = std::string(argv[1]) + "/briarhitch-measure-log";
-    double single = briarhitch::recordsPerSecond(folder, 1);
-    std::printf("records per sync 1: %.0f records/s\n", single);
-    for (uint64_t group : { 8, 64, 512 }) {
-        double grouped = briarhitch::recordsPerSecond(folder, group);
-        std::printf("records per sync %lu: %.0f records/s, %.0f syncs/s, %.1f times as many records as with 1\n", group, grouped,
-            grouped / static_cast<double>(group), grouped / single);
-    }
+    briarhitch::measureSyncs(folder);
+    briarhitch::measureTurns("proposing fibers", { 1, 8, 64 }, [&](uint64_t fibers) { return briarhitch::proposalsPerSecond(folder, fibers); });
     for (uint64_t records : { 10000, 100000, 1000000 })
         briarhitch::measureRecovery(folder, records);
     std::filesystem::remove_all(folder);
