--- a/src/sched/BaselineScheduler.cpp
+++ b/src/sched/BaselineScheduler.cpp
@@ -10,6 +10,8 @@
 
     // A usual limit of connections to one back end; beyond it requests wait in the proxy.
     constexpr uint32_t inFlightBySlot = 8;
+    // Without pipelining the proxy sends no more than the target runs side by side.
+    constexpr auto pipeliningPart = "pipelining";
 
     PoolSchedulerRegistry::Registration naive("naive", [](const PoolSettings& settings) {
         return std::make_unique<BaselineScheduler>(settings, BaselineScheduler::Choice::RoundRobin);
@@ -24,6 +26,7 @@
     : settings_(settings)
     , choice_(choice)
     , random_(settings.seed)
+    , inFlightBySlot_(settings.disabledParts.contains(pipeliningPart) ? 1 : inFlightBySlot)
 {
 }
 
@@ -53,7 +56,7 @@
 bool BaselineScheduler::hasRoom(TargetId target) const
 {
     const auto& load = loads_.at(target);
-    return load.reachable && load.inFlight < load.slots * inFlightBySlot;
+    return load.reachable && load.inFlight < load.slots * inFlightBySlot_;
 }
 
 bool BaselineScheduler::hasUsableTarget(const PoolRequest& request) const
--- a/src/sched/BaselineScheduler.h
+++ b/src/sched/BaselineScheduler.h
@@ -65,6 +65,7 @@
     PoolSettings settings_;
     Choice choice_;
     Random random_;
+    uint32_t inFlightBySlot_;
     absl::flat_hash_map<TargetId, Load> loads_;
     std::vector<TargetId> active_;
     size_t turn_ { 0 };
--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -21,7 +21,7 @@
     constexpr double serviceGoalRatio = 3;
     // A target with the whole prompt in its cache may be filled by this much more than the least filled one.
     constexpr double affinityBound = 0.3;
-    constexpr int customersSweptByTick = 64;
+    constexpr int linesSweptByTick = 64;
     constexpr int refusalsByTick = 256;
     constexpr Duration shortestRetry = 1s;
     constexpr Duration longestRetry = 60s;
@@ -124,9 +124,10 @@
     auto record = std::make_unique<Record>();
     const int64_t cost = costOf(request);
     const Tier tier = parts_.tiers ? request.tier : Tier(0);
-    // Without fair sharing all work of a tier is one customer's.
+    // Without fair sharing all work of a tier is in one line.
     const CustomerId customer = parts_.fair ? request.customer : CustomerId(1);
-    record->place = { { request.attempt, customer, cost, ++lastSequence_ }, tier, request.kind, request.deadline };
+    const WorkKindId kind = parts_.fair ? request.kind : WorkKindId(1);
+    record->place = { { request.attempt, customer, kind, cost, ++lastSequence_ }, tier, request.kind, request.deadline };
     record->request = std::move(request);
     auto& slot = records_[record->request.attempt];
     slot = std::move(record);
@@ -149,7 +150,7 @@
         return;
     }
     const double weight = weightOf(asked.customer);
-    const double ahead = queue_.costAheadOfNew(place.tier, place.item.customer, place.item.cost, weight);
+    const double ahead = queue_.costAheadOfNew(place, weight);
     const Duration wait = waitFor(place, ahead, now);
     if (parts_.deadline && now + wait + firstToken > asked.deadline) {
         refuse(asked.attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
@@ -436,13 +437,13 @@
 
 void BriarhitchScheduler::refuseHopeless(Tier tier, Instant now)
 {
-    auto& customer = sweepAt_[tier.value()];
+    auto& line = sweepAt_[tier.value()];
     const auto& queue = queue_.tier(tier);
-    const auto customers = std::min<size_t>(customersSweptByTick, queue.backloggedCustomers());
+    const auto lines = std::min<size_t>(linesSweptByTick, queue.backloggedLines());
     int refusals = 0;
-    for (size_t i = 0; i < customers && !queue.empty(); ++i) {
-        customer = queue.nextBacklogged(customer);
-        for (auto newest = queue.newestOf(customer); newest && refusals < refusalsByTick; newest = queue.newestOf(customer)) {
+    for (size_t i = 0; i < lines && !queue.empty(); ++i) {
+        line = queue.nextBacklogged(line);
+        for (auto newest = queue.newestOf(line); newest && refusals < refusalsByTick; newest = queue.newestOf(line)) {
             const auto& record = *records_.at(newest->attempt);
             const Duration wait = waitFor(record.place, queue_.costAheadOfNewest(tier, *newest), now);
             if (now + wait + expectedFirstToken(record.request) <= record.request.deadline)
--- a/src/sched/BriarhitchScheduler.h
+++ b/src/sched/BriarhitchScheduler.h
@@ -89,7 +89,7 @@
     absl::flat_hash_map<CustomerId, double> weights_;
     absl::flat_hash_map<AttemptId, std::unique_ptr<Record>> records_;
     std::vector<PoolAction> actions_;
-    std::array<CustomerId, Tier::count> sweepAt_;
+    std::array<FairQueue::Line, Tier::count> sweepAt_;
     PoolStats stats_;
     uint64_t lastSequence_ { 0 };
     /** Whether the queue held something all the time since the last tick. */
--- a/src/sched/FairQueue.cpp
+++ b/src/sched/FairQueue.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-    constexpr int mostOffered = 16;
-    constexpr int mostOfferedByCustomer = 2;
+    constexpr int mostOffers = 16;
+    constexpr int mostOffersByKind = 2;
     // Flows of customers that went away are dropped when there are this many more flows than backlogged ones.
     constexpr size_t mostIdleFlows = 8192;
 
@@ -17,113 +17,139 @@
 void FairQueue::push(const Item& item, double weight)
 {
     assert(weight > 0);
-    if (flows_.size() > mostIdleFlows + order_.size())
-        absl::erase_if(flows_, [](const auto& entry) { return entry.second.items.empty(); });
+    if (flows_.size() > 2 * (mostIdleFlows + order_.size()))
+        absl::erase_if(flows_, [](const auto& entry) { return entry.second.backloggedKinds == 0; });
     auto& flow = flows_[item.customer];
-    if (flow.items.empty()) {
+    auto& kind = flow.kinds[item.kind];
+    if (flow.backloggedKinds == 0) {
         flow.weight = weight;
         // A customer that was idle does not save up a claim on the time it was away.
         flow.startTag = std::max(flow.startTag, virtualTime_);
         order_.emplace(flow.startTag, item.customer);
-        backlogged_.insert(item.customer);
         backloggedWeight_ += weight;
     }
-    flow.items.emplace(item.sequence, item);
-    flow.cost += item.cost;
+    if (kind.items.empty()) {
+        ++flow.backloggedKinds;
+        kind.startTag = std::max(kind.startTag, flow.virtualTime);
+        backlogged_.insert(item.line());
+    }
+    kind.items.emplace(item.sequence, item);
+    kind.cost += item.cost;
     cost_ += item.cost;
-    bySequence_.emplace(item.sequence, item.customer);
-}
-
-bool FairQueue::remove(CustomerId customer, uint64_t sequence)
-{
-    auto flow = flows_.find(customer);
-    if (flow == flows_.end() || !flow->second.items.contains(sequence))
-        return false;
-    take(flow->second, customer, sequence, false);
-    return true;
-}
-
-void FairQueue::serve(CustomerId customer, uint64_t sequence)
-{
-    auto flow = flows_.find(customer);
-    assert(flow != flows_.end());
-    take(flow->second, customer, sequence, true);
+    bySequence_.emplace(item.sequence, item.line());
 }
 
-void FairQueue::take(Flow& flow, CustomerId customer, uint64_t sequence, bool isServed)
+void FairQueue::take(const Item& item, bool isServed)
 {
-    auto item = flow.items.find(sequence);
-    assert(item != flow.items.end());
-    const int64_t cost = item->second.cost;
-    order_.erase({ flow.startTag, customer });
-    flow.items.erase(item);
-    bySequence_.erase(sequence);
-    flow.cost -= cost;
-    cost_ -= cost;
+    auto& flow = flows_.at(item.customer);
+    auto& kind = flow.kinds.at(item.kind);
+    [[maybe_unused]] const auto erased = kind.items.erase(item.sequence);
+    assert(erased == 1);
+    order_.erase({ flow.startTag, item.customer });
+    bySequence_.erase(item.sequence);
+    kind.cost -= item.cost;
+    cost_ -= item.cost;
     if (isServed) {
         virtualTime_ = std::max(virtualTime_, flow.startTag);
-        flow.startTag += static_cast<double>(cost) / flow.weight;
+        flow.startTag += static_cast<double>(item.cost) / flow.weight;
+        flow.virtualTime = std::max(flow.virtualTime, kind.startTag);
+        kind.startTag += static_cast<double>(item.cost);
+    }
+    if (kind.items.empty()) {
+        --flow.backloggedKinds;
+        backlogged_.erase(item.line());
     }
-    if (!flow.items.empty()) {
-        order_.emplace(flow.startTag, customer);
+    if (flow.backloggedKinds > 0) {
+        order_.emplace(flow.startTag, item.customer);
         return;
     }
-    backlogged_.erase(customer);
     // An empty sum is set to zero exactly, so that rounding errors do not add up.
     backloggedWeight_ = order_.empty() ? 0 : backloggedWeight_ - flow.weight;
 }
 
+const FairQueue::KindQueue* FairQueue::nextKind(const Flow& flow)
+{
+    const KindQueue* next = nullptr;
+    for (const auto& [id, kind] : flow.kinds) {
+        if (!kind.items.empty() && (!next || kind.startTag < next->startTag))
+            next = &kind;
+    }
+    return next;
+}
+
+std::optional<FairQueue::Item> FairQueue::offer(const Flow& flow, const std::function<bool(const Item&)>& accepts, int& offersLeft) const
+{
+    const auto* next = nextKind(flow);
+    if (accepts(next->items.begin()->second))
+        return next->items.begin()->second;
+    --offersLeft;
+    for (const auto& [id, kind] : flow.kinds) {
+        int ofKind = 0;
+        for (auto it = kind.items.begin(); it != kind.items.end() && ofKind < mostOffersByKind && offersLeft > 0; ++it, ++ofKind) {
+            if (&kind == next && ofKind == 0)
+                continue;
+            if (accepts(it->second))
+                return it->second;
+            --offersLeft;
+        }
+    }
+    return std::nullopt;
+}
+
 std::optional<FairQueue::Item> FairQueue::findFirst(const std::function<bool(const Item&)>& accepts) const
 {
-    int offered = 0;
+    int offersLeft = mostOffers;
     for (const auto& [tag, customer] : order_) {
-        int ofCustomer = 0;
-        for (const auto& [sequence, item] : flows_.at(customer).items) {
-            if (accepts(item))
-                return item;
-            if (++offered >= mostOffered)
-                return std::nullopt;
-            if (++ofCustomer >= mostOfferedByCustomer)
-                break;
-        }
+        if (auto accepted = offer(flows_.at(customer), accepts, offersLeft))
+            return accepted;
+        if (offersLeft <= 0)
+            break;
     }
     return std::nullopt;
 }
 
+const FairQueue::KindQueue* FairQueue::find(const Line& line) const
+{
+    auto flow = flows_.find(line.first);
+    if (flow == flows_.end())
+        return nullptr;
+    auto kind = flow->second.kinds.find(line.second);
+    return kind == flow->second.kinds.end() || kind->second.items.empty() ? nullptr : &kind->second;
+}
+
 std::optional<FairQueue::Item> FairQueue::newest() const
 {
-    if (bySequence_.empty())
-        return std::nullopt;
-    const auto& [sequence, customer] = *bySequence_.rbegin();
-    return flows_.at(customer).items.at(sequence);
+    return bySequence_.empty() ? std::nullopt : newestOf(bySequence_.rbegin()->second);
 }
 
-std::optional<FairQueue::Item> FairQueue::newestOf(CustomerId customer) const
+std::optional<FairQueue::Item> FairQueue::newestOf(const Line& line) const
 {
-    auto flow = flows_.find(customer);
-    if (flow == flows_.end() || flow->second.items.empty())
+    const auto* kind = find(line);
+    if (!kind)
         return std::nullopt;
-    return flow->second.items.rbegin()->second;
+    return kind->items.rbegin()->second;
 }
 
-CustomerId FairQueue::nextBacklogged(CustomerId customer) const
+FairQueue::Line FairQueue::nextBacklogged(const Line& line) const
 {
     if (backlogged_.empty())
         return {};
-    auto next = backlogged_.upper_bound(customer);
+    auto next = backlogged_.upper_bound(line);
     return next == backlogged_.end() ? *backlogged_.begin() : *next;
 }
 
-double FairQueue::costAhead(CustomerId customer, int64_t ownCost, double weight) const
+double FairQueue::costAhead(const Line& line, int64_t ownCost, double weight) const
 {
-    auto flow = flows_.find(customer);
-    const bool isBacklogged = flow != flows_.end() && !flow->second.items.empty();
-    const double ownWeight = isBacklogged ? flow->second.weight : weight;
-    const auto ownQueue = isBacklogged ? static_cast<double>(flow->second.cost) : 0.0;
-    const double othersWeight = std::max(0.0, backloggedWeight_ - (isBacklogged ? ownWeight : 0.0));
-    // While the customer's queue and the request itself are served, the others get their part by weight.
-    const double toOthers = (ownQueue + static_cast<double>(ownCost)) * othersWeight / ownWeight;
-    return std::min(static_cast<double>(cost_), ownQueue + toOthers);
+    const auto* queue = find(line);
+    auto it = flows_.find(line.first);
+    const bool isBacklogged = it != flows_.end() && it->second.backloggedKinds > 0;
+    const double ownWeight = isBacklogged ? it->second.weight : weight;
+    const double allWeight = backloggedWeight_ + (isBacklogged ? 0 : ownWeight);
+    const double kinds = isBacklogged ? static_cast<double>(it->second.backloggedKinds + (queue ? 0 : 1)) : 1;
+    const auto inLine = queue ? static_cast<double>(queue->cost) : 0.0;
+    // While the line and the request itself are served, customers get their parts by weight, and kinds in equal parts.
+    const double servedMeanwhile = (inLine + static_cast<double>(ownCost)) * kinds * allWeight / ownWeight;
+    return std::min(static_cast<double>(cost_), std::max(0.0, servedMeanwhile - static_cast<double>(ownCost)));
 }
 
 }
--- a/src/sched/PoolQueue.cpp
+++ b/src/sched/PoolQueue.cpp
@@ -18,14 +18,14 @@
 
 void PoolQueue::remove(const Place& place)
 {
-    tiers_[place.tier.value()].remove(place.item.customer, place.item.sequence);
+    tiers_[place.tier.value()].remove(place.item);
     floors_.left(place.kind, place.item.sequence, place.item.cost);
     byDeadline_.erase({ place.deadline, place.item.attempt });
 }
 
 void PoolQueue::serve(const Place& place, Instant now)
 {
-    tiers_[place.tier.value()].serve(place.item.customer, place.item.sequence);
+    tiers_[place.tier.value()].serve(place.item);
     floors_.left(place.kind, place.item.sequence, place.item.cost);
     floors_.granted(place.kind, place.item.cost, now);
     byDeadline_.erase({ place.deadline, place.item.attempt });
@@ -54,14 +54,14 @@
     return sum;
 }
 
-double PoolQueue::costAheadOfNew(Tier tier, CustomerId customer, int64_t cost, double weight) const
+double PoolQueue::costAheadOfNew(const Place& place, double weight) const
 {
-    return costAbove(tier) + tiers_[tier.value()].costAhead(customer, cost, weight);
+    return costAbove(place.tier) + tiers_[place.tier.value()].costAhead(place.item.line(), place.item.cost, weight);
 }
 
 double PoolQueue::costAheadOfNewest(Tier tier, const FairQueue::Item& newest) const
 {
-    const double inTier = tiers_[tier.value()].costAhead(newest.customer, 0, 1) - static_cast<double>(newest.cost);
+    const double inTier = tiers_[tier.value()].costAhead(newest.line(), 0, 1) - static_cast<double>(newest.cost);
     return costAbove(tier) + std::max(0.0, inTier);
 }
 
--- a/src/sched/PoolQueue.h
+++ b/src/sched/PoolQueue.h
@@ -16,6 +16,7 @@
     struct Place {
         FairQueue::Item item;
         Tier tier;
+        /** For floors; the item's kind differs if fair sharing is off. */
         WorkKindId kind;
         Instant deadline;
     };
@@ -31,8 +32,8 @@
     [[nodiscard]] std::optional<FairQueue::Item> newestOfLeastUrgent() const;
     [[nodiscard]] std::optional<Tier> leastUrgentTier() const;
     /** Cost that is served before a request that arrives now. */
-    [[nodiscard]] double costAheadOfNew(Tier tier, CustomerId customer, int64_t cost, double weight) const;
-    /** Cost that is served before the newest queued request of a customer. */
+    [[nodiscard]] double costAheadOfNew(const Place& place, double weight) const;
+    /** Cost that is served before the newest queued request of a line. */
     [[nodiscard]] double costAheadOfNewest(Tier tier, const FairQueue::Item& newest) const;
     /** The request whose deadline is next. */
     [[nodiscard]] std::optional<std::pair<Instant, AttemptId>> nextDeadline() const;
