--- a/bench/BenchMain.cpp
+++ b/bench/BenchMain.cpp
@@ -16,7 +16,7 @@
 ABSL_FLAG(std::string, arrivals, "", "poisson or bursts; the case's own if empty");
 ABSL_FLAG(std::string, disable, "", "parts of the policy to switch off, separated by commas");
 ABSL_FLAG(std::string, floors, "", "floors by kind of work, for example plan:0.2,tag:0.05");
-ABSL_FLAG(uint64_t, max_queued, 600, "most requests in the pool's queue");
+ABSL_FLAG(uint64_t, max_queued, 20000, "most requests in the pool's queue");
 ABSL_FLAG(bool, json, false, "print one line of JSON instead of an indented object");
 
 namespace briarhitch::bench {
--- a/bench/Measurement.cpp
+++ b/bench/Measurement.cpp
@@ -24,6 +24,18 @@
         return whole > 0 ? rounded(part / whole) : Json(nullptr);
     }
 
+    bool isCounted(const Arrival& arrival)
+    {
+        return arrival.time >= countedFrom && arrival.time < countedUntil;
+    }
+
+    /** Time of a full engine that a request takes, prefix cache left aside. */
+    double engineSeconds(const EngineSpec& engine, const Arrival& arrival)
+    {
+        const double decodeRate = engine.slots * engine.decodeTokensPerSecond / (1 + engine.slots / engine.halfSpeedBatch);
+        return static_cast<double>(arrival.promptTokens) / engine.prefillTokensPerSecond + static_cast<double>(arrival.outputTokens) / decodeRate;
+    }
+
     struct Run {
         std::vector<Arrival> arrivals;
         SimulationResult result;
@@ -32,6 +44,8 @@
     struct Counts {
         double offered { 0 };
         double good { 0 };
+        double offeredWork { 0 };
+        double goodWork { 0 };
     };
 
     class Comparison {
@@ -86,10 +100,13 @@
         for (size_t i = 0; i < run.arrivals.size(); ++i) {
             const auto& outcome = run.result.outcomes[i];
             // A caller that left on its own before its deadline asked for nothing that could still be given.
-            if (!selects(run.arrivals[i]) || (outcome.left && !outcome.isGood))
+            if (!isCounted(run.arrivals[i]) || !selects(run.arrivals[i]) || (outcome.left && !outcome.isGood))
                 continue;
             counts.offered += 1;
             counts.good += outcome.isGood ? 1 : 0;
+            const double work = engineSeconds(fleet_[0], run.arrivals[i]);
+            counts.offeredWork += work;
+            counts.goodWork += outcome.isGood ? work : 0;
         }
         return counts;
     }
@@ -103,6 +120,7 @@
         }
         const auto all = count(run, [](const Arrival&) { return true; });
         goodput["all"] = ratio(all.good, all.offered);
+        goodput["all_by_work"] = ratio(all.goodWork, all.offeredWork);
         return goodput;
     }
 
@@ -122,7 +140,7 @@
         for (uint8_t tier = 0; tier < Tier::count; ++tier) {
             std::vector<double> times;
             for (size_t i = 0; i < run.arrivals.size(); ++i) {
-                if (kinds_[run.arrivals[i].kind].tier == tier && run.result.outcomes[i].firstToken >= 0)
+                if (isCounted(run.arrivals[i]) && kinds_[run.arrivals[i].kind].tier == tier && run.result.outcomes[i].firstToken >= 0)
                     times.push_back(run.result.outcomes[i].firstToken);
             }
             std::sort(times.begin(), times.end());
@@ -164,6 +182,10 @@
         const auto smallAlone = count(alone, [&](const Arrival& arrival) { return !isLarge(arrival); });
         json["small_alone"] = ratio(smallAlone.good, smallAlone.offered);
         json["small_kept"] = ratio(small.good, smallAlone.good);
+        for (uint8_t tier = 0; tier < Tier::count; ++tier) {
+            auto isSmallOfTier = [&](const Arrival& arrival) { return !isLarge(arrival) && kinds_[arrival.kind].tier == tier; };
+            json["small_kept_by_tier"][std::to_string(tier)] = ratio(count(run, isSmallOfTier).good, count(alone, isSmallOfTier).good);
+        }
         return json;
     }
 
@@ -179,6 +201,8 @@
             top.back().part *= factor;
             offered += spec_.load * capacity_ * kind.part * factor;
         }
+        if (top.empty())
+            return 0;
         const double largeMean = (largeCustomers * spec_.largeFactor + (customerCount - largeCustomers)) / customerCount;
         return offered * largeMean / measuredCapacity(fleet_, top);
     }
@@ -194,7 +218,7 @@
         json["arrivals"] = spec_.comesInBursts ? "bursts" : "poisson";
         json["seed"] = settings_.seed;
         json["disabled"] = settings_.disabledParts;
-        json["offered"] = main.arrivals.size();
+        json["offered"] = count(main, [](const Arrival&) { return true; }).offered;
         json["capacity_per_s"] = rounded(capacity_);
         json["top_tier_load"] = rounded(topTierLoad());
         json["goodput_by_tier"] = goodputByTier(main);
@@ -217,6 +241,8 @@
         json["refused"] = Json::object();
         for (const auto& [kind, number] : result.refused)
             json["refused"][kind] = number;
+        json["slot_use"] = rounded(result.slotUse);
+        json["late_refusals"] = result.lateRefusals;
         json["tier_rule_violations"] = result.tierRuleViolations;
         json["deadline_refusals_above_queued"] = result.deadlineRefusalsAbove;
         json["wrong_targets"] = result.wrongTargets;
--- a/bench/Measurement.h
+++ b/bench/Measurement.h
@@ -14,7 +14,7 @@
     uint64_t seed { 1 };
     std::set<std::string> disabledParts;
     std::map<std::string, double> floors;
-    size_t maxQueued { 600 };
+    size_t maxQueued { 20000 };
 };
 
 /** Runs a case, with the runs that it is compared with, and gives all figures; the order of the fields is fixed. */
--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -11,8 +11,8 @@
 
     constexpr double stepSeconds = 0.01;
     constexpr int stepsByTick = 5;
-    // Long enough for the last requests to meet or miss their deadlines and to finish.
-    constexpr double drainSeconds = 60;
+    // Long enough for the last counted requests to finish.
+    constexpr double drainSeconds = 30;
     constexpr double reportPeriod = 1;
     constexpr double leastReportLag = 1;
     constexpr double mostReportLag = 5;
@@ -22,6 +22,7 @@
     // Callers that got no answer in time come back after this time.
     constexpr double comebackAfterTimeout = 1;
     constexpr uint8_t mostAttempts = 3;
+    constexpr double lateRefusalPart = 0.5;
     // A caller's limit of the answer, as a multiple of the longest answer of the kind.
     constexpr int64_t outputLimitFactor = 2;
 
@@ -35,14 +36,14 @@
         return TargetId(static_cast<uint32_t>(engine + 1));
     }
 
-    std::vector<Target> targetsOf(const std::vector<EngineSpec>& fleet)
+    std::vector<Target> targetsOf(const std::vector<EngineSpec>& fleet, uint32_t slotFactor)
     {
         std::vector<Target> targets;
         for (size_t i = 0; i < fleet.size(); ++i) {
             Target target;
             target.id = targetId(i);
             target.hardware = fleet[i].hardware;
-            target.slots = fleet[i].slots;
+            target.slots = fleet[i].slots * slotFactor;
             targets.push_back(target);
         }
         return targets;
@@ -72,7 +73,7 @@
     for (size_t entry = 0; entry < settings.entries; ++entry) {
         pool.seed = settings.seed * settings.entries + entry;
         pools_.push_back(std::move(*makePoolScheduler(pool)));
-        pools_.back()->setTargets(targetsOf(fleet), now());
+        pools_.back()->setTargets(targetsOf(fleet, spec.slotFactor), now());
     }
     result_.outcomes.resize(arrivals.size());
 }
@@ -206,6 +207,8 @@
     const uint64_t id = refusal.attempt.request.value();
     auto node = requests_.extract(id);
     ++result_.refused[std::string(errorInfo(refusal.kind).name)];
+    if (time_ - node.mapped().submittedAt > lateRefusalPart * kindOf(node.mapped()).deadlineSeconds)
+        ++result_.lateRefusals;
     result_.wastedPrefillTokens += node.mapped().prefillLost;
     comeBack(node.mapped(), toSeconds(refusal.retryAfter));
 }
@@ -293,6 +296,8 @@
         if (isLost_[static_cast<size_t>(&engine - engines_.data())])
             continue;
         engine.step(stepSeconds, events_);
+        if (time_ >= countedFrom && time_ < countedUntil)
+            slotUse_ += static_cast<double>(engine.running()) / engine.spec().slots;
         for (const auto& event : std::vector(events_)) {
             const uint64_t id = event.attempt.request.value();
             auto& request = requests_.at(id);
@@ -338,6 +343,7 @@
             carryOut(entry);
         }
     }
+    result_.slotUse = slotUse_ * stepSeconds / ((countedUntil - countedFrom) * static_cast<double>(engines_.size()));
     for (const auto& engine : engines_)
         result_.prefillTokens += engine.prefillTotal();
     for (const auto& check : checks_) {
--- a/bench/Simulation.h
+++ b/bench/Simulation.h
@@ -16,7 +16,7 @@
     std::set<std::string> disabledParts;
     /** Scheduler instances, each with a random part of the requests. */
     size_t entries { 1 };
-    size_t maxQueued { 600 };
+    size_t maxQueued { 20000 };
     uint64_t seed { 1 };
     /** By name of the kind. */
     std::map<std::string, double> floors;
@@ -34,11 +34,15 @@
 struct SimulationResult {
     std::vector<Outcome> outcomes;
     std::map<std::string, uint64_t> refused;
+    /** Refusals that came after more than half of the time to the deadline. */
+    uint64_t lateRefusals { 0 };
     double prefillTokens { 0 };
     /** Computed for prompts whose caller got no first token in time. */
     double wastedPrefillTokens { 0 };
     /** The part of it that was lost because the caller left before its deadline. */
     double leftPrefillTokens { 0 };
+    /** Mean part of the engines' slots in use while arrivals count. */
+    double slotUse { 0 };
     uint64_t decisions { 0 };
     double decisionNs { 0 };
     uint64_t tierRuleViolations { 0 };
@@ -110,6 +114,7 @@
     std::vector<EngineEvent> events_;
     SimulationResult result_;
     double time_ { 0 };
+    double slotUse_ { 0 };
     uint64_t lastRequest_ { 0 };
     uint64_t lastTimer_ { 0 };
 };
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -13,8 +13,9 @@
     constexpr EngineSpec oldest { "g1", 8, 6000, 35, 16, 60000 };
     constexpr EngineSpec middle { "g2", 16, 12000, 50, 24, 140000 };
     constexpr EngineSpec newest { "g3", 24, 24000, 70, 32, 300000 };
-    constexpr int commonPrefixes = 24;
-    constexpr int64_t commonPrefixTokens = 2048;
+    // Together several times what one engine can cache.
+    constexpr int commonPrefixes = 200;
+    constexpr int64_t commonPrefixTokens = 4096;
     constexpr double leaveMeanSeconds = 1.5;
     // Bursts: a fifth of the time at three times the rate, the rest at half of it, so the mean stays.
     constexpr double burstPeriod = 10;
@@ -41,10 +42,18 @@
         auto& urgent = add("flood-urgent", 0.6);
         urgent.floodKind = "question";
         urgent.floodFactor = 20;
+        // The same with so much of it that the fleet cannot serve the most urgent tier alone.
+        auto& over = add("flood-urgent-over", 1.5);
+        over.floodKind = "question";
+        over.floodFactor = 20;
         add("large-customers", 0.6).largeFactor = 10;
-        add("slow-engine", 0.7).slowEngines = 3;
+        auto& oneTier = add("large-customers-one-tier", 0.6);
+        oneTier.largeFactor = 10;
+        oneTier.hasOneTier = true;
+        add("slow-engine", 0.85).slowEngines = 3;
+        add("wrong-slots", 0.9).slotFactor = 4;
         add("engine-lost", 0.7).lostEngines = 2;
-        add("prefix-heavy", 1.0).commonPrefixPart = 0.8;
+        add("prefix-heavy", 0.75).commonPrefixPart = 0.8;
         add("cancel-heavy", 0.9).leavingPart = 0.3;
         add("long-and-short", 0.9).hasWideLengths = true;
         add("retry-storm", 1.8).comebacks = 3;
@@ -146,6 +155,8 @@
             kind.mostOutput = std::lround(output * 10);
         }
     }
+    for (auto& kind : kinds)
+        kind.tier = spec.hasOneTier ? 1 : kind.tier;
     return kinds;
 }
 
--- a/bench/Workload.h
+++ b/bench/Workload.h
@@ -33,6 +33,8 @@
     /** This many engines run at a quarter of their speed for a while. */
     int slowEngines { 0 };
     int lostEngines { 0 };
+    /** The settings give this many times the slots that the engines have. */
+    uint32_t slotFactor { 1 };
     /** Part of the requests with one of a few long common prefixes. */
     double commonPrefixPart { 0 };
     /** Part of the callers that leave early. */
@@ -42,6 +44,8 @@
     /** How often a refused caller comes back. */
     int comebacks { 0 };
     bool comesInBursts { false };
+    /** All kinds of work have the same tier, as if no caller lowered the tier of its contract. */
+    bool hasOneTier { false };
 };
 
 /** What a run leaves out, to compare with; arrivals of the rest stay the same. */
@@ -63,10 +67,17 @@
 
 inline constexpr uint32_t customerCount = 5;
 inline constexpr uint32_t largeCustomers = 2;
-inline constexpr double runSeconds = 60;
+/** Requests arrive until then. */
+inline constexpr double runSeconds = 130;
+/**
+ * Only arrivals in this interval count. Before it, queues fill up; the load goes on after it for the longest deadline,
+ * so that no policy serves the last requests with a fleet that is free of new ones.
+ */
+inline constexpr double countedFrom = 30;
+inline constexpr double countedUntil = 100;
 /** Faults begin and end at these times. */
-inline constexpr double faultStart = 15;
-inline constexpr double faultEnd = 40;
+inline constexpr double faultStart = 45;
+inline constexpr double faultEnd = 75;
 
 std::vector<std::string> caseNames();
 /** Empty name if there is no such case. */
--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -12,6 +12,8 @@
     // Starting values for an engine that nothing is known about; the window follows its latency from there.
     constexpr int64_t startingTokensBySlot = 2000;
     constexpr int64_t mostTokensBySlot = 16000;
+    // An engine computes prompt tokens together but output tokens one by one, so these cost it several times as much.
+    constexpr int64_t outputTokenWeight = 8;
     // Added to each request's tokens, because even a tiny one takes part in every step of the engine.
     constexpr int64_t requestOverheadTokens = 50;
     constexpr Duration firstTokenGoal = 800ms;
@@ -23,6 +25,12 @@
     constexpr double affinityBound = 0.3;
     constexpr int linesSweptByTick = 64;
     constexpr int refusalsByTick = 256;
+    // New work is admitted if it is predicted to start within this part of its time, because predictions are noisy.
+    constexpr double admittedPart = 0.8;
+    // Queued work is refused if the prediction is beyond its deadline by this factor; hysteresis against noise.
+    constexpr double hopelessFactor = 1.3;
+    // Mean deviations of the first-token time that are added to its mean, so that few prompts are computed in vain.
+    constexpr double addedDeviations = 2;
     constexpr Duration shortestRetry = 1s;
     constexpr Duration longestRetry = 60s;
     constexpr double retrySpread = 0.25;
@@ -71,7 +79,7 @@
     if (settings_.kind != PoolKind::Model)
         return 1;
     const Tokens output = parts_.lengths ? lengths_.estimate(request.customer, request.kind, request.maxOutputTokens) : request.maxOutputTokens;
-    return requestOverheadTokens + std::max<int64_t>(0, request.promptTokens.value()) + std::max<int64_t>(0, output.value());
+    return requestOverheadTokens + std::max<int64_t>(0, request.promptTokens.value()) + outputTokenWeight * std::max<int64_t>(0, output.value());
 }
 
 double BriarhitchScheduler::weightOf(CustomerId customer) const
@@ -93,7 +101,7 @@
 
 Duration BriarhitchScheduler::expectedFirstToken(const PoolRequest& request) const
 {
-    return latency_.expected(static_cast<double>(request.promptTokens.value()));
+    return latency_.expected(static_cast<double>(request.promptTokens.value())) + fromSeconds(addedDeviations * latency_.deviation());
 }
 
 Duration BriarhitchScheduler::waitFor(const PoolQueue::Place& place, double costAhead, Instant now) const
@@ -152,7 +160,7 @@
     const double weight = weightOf(asked.customer);
     const double ahead = queue_.costAheadOfNew(place, weight);
     const Duration wait = waitFor(place, ahead, now);
-    if (parts_.deadline && now + wait + firstToken > asked.deadline) {
+    if (parts_.deadline && toSeconds(wait + firstToken) > admittedPart * toSeconds(asked.deadline - now)) {
         refuse(asked.attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
         return;
     }
@@ -411,7 +419,7 @@
     record.target = target;
     const int64_t cost = record.place.item.cost;
     targets_.charge(target, cost, now);
-    predictor_.granted(record.place.tier, cost, now);
+    predictor_.granted(cost);
     if (parts_.prefix)
         prefixes_.insert(request.prefix, target);
     repeats_.remember(request.repeatKey, target, now);
@@ -446,7 +454,7 @@
         for (auto newest = queue.newestOf(line); newest && refusals < refusalsByTick; newest = queue.newestOf(line)) {
             const auto& record = *records_.at(newest->attempt);
             const Duration wait = waitFor(record.place, queue_.costAheadOfNewest(tier, *newest), now);
-            if (now + wait + expectedFirstToken(record.request) <= record.request.deadline)
+            if (toSeconds(wait + expectedFirstToken(record.request)) <= hopelessFactor * toSeconds(record.request.deadline - now))
                 break;
             ++refusals;
             removeQueued(record);
--- a/src/sched/LatencyModel.cpp
+++ b/src/sched/LatencyModel.cpp
@@ -1,6 +1,7 @@
 #include "sched/LatencyModel.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace briarhitch {
 
@@ -15,6 +16,8 @@
 void LatencyModel::learn(double size, Duration latency)
 {
     const double seconds = toSeconds(latency);
+    const double distance = weight_ > 0 ? std::abs(seconds - toSeconds(expected(size))) : 0;
+    deviation_ = deviation_ * keep + distance;
     weight_ = weight_ * keep + 1;
     size_ = size_ * keep + size;
     latency_ = latency_ * keep + seconds;
--- a/src/sched/LatencyModel.h
+++ b/src/sched/LatencyModel.h
@@ -10,7 +10,8 @@
     void learn(double size, Duration latency);
     /** Zero until there are samples. */
     [[nodiscard]] Duration expected(double size) const;
-    [[nodiscard]] bool hasSamples() const { return weight_ > 0; }
+    /** Mean distance of latencies from the line, in seconds. */
+    [[nodiscard]] double deviation() const { return weight_ > 0 ? deviation_ / weight_ : 0; }
 
 private:
     double weight_ { 0 };
@@ -18,6 +19,7 @@
     double latency_ { 0 };
     double sizeSquared_ { 0 };
     double product_ { 0 };
+    double deviation_ { 0 };
 };
 
 }
--- a/src/sched/WaitPredictor.cpp
+++ b/src/sched/WaitPredictor.cpp
@@ -9,7 +9,8 @@
 
     using namespace std::chrono_literals;
 
-    constexpr double drainTimeConstantSeconds = 5;
+    // Costs of single requests differ so much that a shorter time makes the less urgent tiers' rates jump.
+    constexpr double drainTimeConstantSeconds = 15;
     // Less than this is too short to tell the drain rate, because work is granted in lumps.
     constexpr double leastBackloggedSeconds = 0.5;
     constexpr Duration measurementLifetime = 20s;
@@ -25,7 +26,7 @@
     arrivals_[tier.value()].add(static_cast<double>(cost), now);
 }
 
-void WaitPredictor::granted(Tier, int64_t cost, Instant)
+void WaitPredictor::granted(int64_t cost)
 {
     grantedInInterval_ += static_cast<double>(cost);
 }
--- a/src/sched/WaitPredictor.h
+++ b/src/sched/WaitPredictor.h
@@ -15,7 +15,7 @@
 public:
     /** Accepted work, by tier. */
     void arrived(Tier tier, int64_t cost, Instant now);
-    void granted(Tier tier, int64_t cost, Instant now);
+    void granted(int64_t cost);
     void completed(int64_t cost, Duration duration);
     /** Closes a measuring interval. `backlogged`: the queue was not empty at any time during it. */
     void tick(bool backlogged, Instant now);
@@ -25,7 +25,7 @@
     [[nodiscard]] double drainRateFor(Tier tier, double drainRate, Instant now) const;
 
 private:
-    static constexpr Duration arrivalTime = std::chrono::seconds(4);
+    static constexpr Duration arrivalTime = std::chrono::seconds(10);
 
     std::array<DecayingRate, Tier::count> arrivals_ { DecayingRate(arrivalTime), DecayingRate(arrivalTime), DecayingRate(arrivalTime), DecayingRate(arrivalTime) };
     double grantedInInterval_ { 0 };
