--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -12,6 +12,8 @@
     // Starting values for an engine that nothing is known about; the window follows its latency from there.
     constexpr int64_t startingTokensBySlot = 2000;
     constexpr int64_t mostTokensBySlot = 16000;
+    // An engine computes prompt tokens together but output tokens one by one, so these cost it several times as much.
+    constexpr int64_t outputTokenWeight = 8;
     // Added to each request's tokens, because even a tiny one takes part in every step of the engine.
     constexpr int64_t requestOverheadTokens = 50;
     constexpr Duration firstTokenGoal = 800ms;
@@ -21,8 +23,14 @@
     constexpr double serviceGoalRatio = 3;
     // A target with the whole prompt in its cache may be filled by this much more than the least filled one.
     constexpr double affinityBound = 0.3;
-    constexpr int customersSweptByTick = 64;
+    constexpr int linesSweptByTick = 64;
     constexpr int refusalsByTick = 256;
+    // New work is admitted if it is predicted to start within this part of its time, because predictions are noisy.
+    constexpr double admittedPart = 0.8;
+    // Queued work is refused if the prediction is beyond its deadline by this factor; hysteresis against noise.
+    constexpr double hopelessFactor = 1.3;
+    // Mean deviations of the first-token time that are added to its mean, so that few prompts are computed in vain.
+    constexpr double addedDeviations = 2;
     constexpr Duration shortestRetry = 1s;
     constexpr Duration longestRetry = 60s;
     constexpr double retrySpread = 0.25;
@@ -71,7 +79,7 @@
     if (settings_.kind != PoolKind::Model)
         return 1;
     const Tokens output = parts_.lengths ? lengths_.estimate(request.customer, request.kind, request.maxOutputTokens) : request.maxOutputTokens;
-    return requestOverheadTokens + std::max<int64_t>(0, request.promptTokens.value()) + std::max<int64_t>(0, output.value());
+    return requestOverheadTokens + std::max<int64_t>(0, request.promptTokens.value()) + outputTokenWeight * std::max<int64_t>(0, output.value());
 }
 
 double BriarhitchScheduler::weightOf(CustomerId customer) const
@@ -93,7 +101,7 @@
 
 Duration BriarhitchScheduler::expectedFirstToken(const PoolRequest& request) const
 {
-    return latency_.expected(static_cast<double>(request.promptTokens.value()));
+    return latency_.expected(static_cast<double>(request.promptTokens.value())) + fromSeconds(addedDeviations * latency_.deviation());
 }
 
 Duration BriarhitchScheduler::waitFor(const PoolQueue::Place& place, double costAhead, Instant now) const
@@ -124,9 +132,10 @@
     auto record = std::make_unique<Record>();
     const int64_t cost = costOf(request);
     const Tier tier = parts_.tiers ? request.tier : Tier(0);
-    // Without fair sharing all work of a tier is one customer's.
+    // Without fair sharing all work of a tier is in one line.
     const CustomerId customer = parts_.fair ? request.customer : CustomerId(1);
-    record->place = { { request.attempt, customer, cost, ++lastSequence_ }, tier, request.kind, request.deadline };
+    const WorkKindId kind = parts_.fair ? request.kind : WorkKindId(1);
+    record->place = { { request.attempt, customer, kind, cost, ++lastSequence_ }, tier, request.kind, request.deadline };
     record->request = std::move(request);
     auto& slot = records_[record->request.attempt];
     slot = std::move(record);
@@ -149,9 +158,9 @@
         return;
     }
     const double weight = weightOf(asked.customer);
-    const double ahead = queue_.costAheadOfNew(place.tier, place.item.customer, place.item.cost, weight);
+    const double ahead = queue_.costAheadOfNew(place, weight);
     const Duration wait = waitFor(place, ahead, now);
-    if (parts_.deadline && now + wait + firstToken > asked.deadline) {
+    if (parts_.deadline && toSeconds(wait + firstToken) > admittedPart * toSeconds(asked.deadline - now)) {
         refuse(asked.attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
         return;
     }
@@ -410,7 +419,7 @@
     record.target = target;
     const int64_t cost = record.place.item.cost;
     targets_.charge(target, cost, now);
-    predictor_.granted(record.place.tier, cost, now);
+    predictor_.granted(cost);
     if (parts_.prefix)
         prefixes_.insert(request.prefix, target);
     repeats_.remember(request.repeatKey, target, now);
@@ -436,16 +445,16 @@
 
 void BriarhitchScheduler::refuseHopeless(Tier tier, Instant now)
 {
-    auto& customer = sweepAt_[tier.value()];
+    auto& line = sweepAt_[tier.value()];
     const auto& queue = queue_.tier(tier);
-    const auto customers = std::min<size_t>(customersSweptByTick, queue.backloggedCustomers());
+    const auto lines = std::min<size_t>(linesSweptByTick, queue.backloggedLines());
     int refusals = 0;
-    for (size_t i = 0; i < customers && !queue.empty(); ++i) {
-        customer = queue.nextBacklogged(customer);
-        for (auto newest = queue.newestOf(customer); newest && refusals < refusalsByTick; newest = queue.newestOf(customer)) {
+    for (size_t i = 0; i < lines && !queue.empty(); ++i) {
+        line = queue.nextBacklogged(line);
+        for (auto newest = queue.newestOf(line); newest && refusals < refusalsByTick; newest = queue.newestOf(line)) {
             const auto& record = *records_.at(newest->attempt);
             const Duration wait = waitFor(record.place, queue_.costAheadOfNewest(tier, *newest), now);
-            if (now + wait + expectedFirstToken(record.request) <= record.request.deadline)
+            if (toSeconds(wait + expectedFirstToken(record.request)) <= hopelessFactor * toSeconds(record.request.deadline - now))
                 break;
             ++refusals;
             removeQueued(record);
