Connect ceilings and the retry budget, and test the entry's failure rules

Requests were admitted without ceilings and retried without a budget, and the lease and epoch were checked before the connection to the target was opened, which can take a second. The check now runs again in the HTTP client's onSending hook, just before the first byte; a request that is stopped there is reported with ran = no and its grant given back.

Ceilings: CeilingHost gives portions as owner of ceiling:N, CeilingClient admits within them. A new owner waits for the lifetime of a portion (1 s), and for lease and drift as well if an earlier owner may still grant.

Further changes found while writing the tests: a request that only the retry budget keeps from being sent again is answered with retry_budget_spent; a queued request of a node that lost its lease is refused with no_quorum after owner_timeout_ms instead of waiting for its deadline; a drain does not wait for a handover when no other node could take the pools.

With few requests the budget refuses each retry, since it is a tenth of recent requests and starts at zero.

--- /dev/null
+++ b/include/briarhitch/entry/CeilingHost.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include "briarhitch/core/Error.h"
+#include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/sched/CeilingLedger.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+
+namespace briarhitch {
+
+/** Name of the pool that owns a customer's ceiling. */
+std::string ceilingPoolName(CustomerId customer);
+
+/** The ceilings that this node owns: gives entries their portions. */
+class CeilingHost {
+public:
+    CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now);
+
+    void onConfigChange(const ClusterConfig& config);
+    /** CeilingAsk to CeilingPortion; the portion is not valid if this node may not give any. */
+    Result<std::string> onCall(NodeId from, std::string_view body);
+    [[nodiscard]] size_t poolCount() const { return pools_.size(); }
+
+private:
+    struct Pool {
+        Epoch epoch;
+        CeilingLedger ledger;
+    };
+
+    void adopt(const PoolAssignment& assignment);
+    void setCeilings(const ClusterConfig& config);
+
+    NodeId self_;
+    Incarnation incarnation_;
+    std::function<bool()> hasLease_;
+    ClockHook now_;
+    std::map<std::string, Pool> pools_;
+    std::map<CustomerId, Ceiling> ceilings_;
+};
+
+}
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -5,6 +5,7 @@
 #include "briarhitch/entry/PoolGateway.h"
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,6 +21,8 @@
     std::string zone;
     /** Time without a reachable owner after which asks are refused. */
     Duration ownerTimeout { std::chrono::seconds(6) };
+    /** Without a lease of its own a node may send nothing, whatever it is granted. */
+    std::function<bool()> hasLease;
 };
 
 /** An entry's side of the pools: asks their owners and remembers what this entry has running in them. */
@@ -77,6 +80,7 @@
     bool isOwnerReachable(PoolState& state);
     bool isOwnerOverdue(PoolState& state);
     void refuseAll(PoolId pool);
+    [[nodiscard]] Error ownerMissing() const;
 
     Loop& loop_;
     PoolClientSettings settings_;
--- a/include/briarhitch/entry/RequestRunner.h
+++ b/include/briarhitch/entry/RequestRunner.h
@@ -25,11 +25,12 @@
     std::function<Result<void>(const FinishRun&, Duration timeout)> finishRun;
     /** Takes a request and its tokens out of the customer's ceiling. */
     std::function<Result<void>(const Contract&, Tokens estimate)> enterCeiling;
-    std::function<void(CustomerId, Tokens estimate, Tokens used)> leaveCeiling;
+    /** Must follow each enterCeiling() that succeeded; the tokens are those of the estimate that were not used. */
+    std::function<void(CustomerId, Tokens unused)> leaveCeiling;
     /** Counts a request, as the base of the retry budget. */
-    std::function<void()> noteRequest;
+    std::function<void(CustomerId)> noteRequest;
     /** Whether one more retry fits the budget; takes it if so. */
-    std::function<bool()> takeRetry;
+    std::function<bool(CustomerId)> takeRetry;
     ClockHook now;
     std::function<void(Duration)> sleep;
 };
@@ -66,6 +67,7 @@
     const RunnerHooks hooks;
 
 private:
+    void leave(CustomerId customer);
     void recordNow(const FinishRun& finish);
 
     bool isDraining_ { false };
--- /dev/null
+++ b/src/entry/CeilingHost.cpp
@@ -0,0 +1,83 @@
+#include "briarhitch/entry/CeilingHost.h"
+
+#include "wire/Codec.h"
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** A former owner that may not know yet of the assignment gives portions until its lease has ended. */
+    constexpr Duration leaseAndDrift = 3150ms;
+
+}
+
+std::string ceilingPoolName(CustomerId customer)
+{
+    return "ceiling:" + std::to_string(customer.value() % ceilingPoolCount);
+}
+
+CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now)
+    : self_(self)
+    , incarnation_(incarnation)
+    , hasLease_(std::move(hasLease))
+    , now_(std::move(now))
+{
+}
+
+void CeilingHost::onConfigChange(const ClusterConfig& config)
+{
+    for (const auto& [id, assignment] : config.pools) {
+        if (assignment.kind != PoolKind::Ceiling)
+            continue;
+        if (assignment.owner == self_ && assignment.ownerIncarnation == incarnation_)
+            adopt(assignment);
+        else
+            pools_.erase(assignment.name);
+    }
+    setCeilings(config);
+}
+
+void CeilingHost::adopt(const PoolAssignment& assignment)
+{
+    auto it = pools_.find(assignment.name);
+    if (it != pools_.end() && it->second.epoch >= assignment.epoch)
+        return;
+    Instant firstGrantAt = now_();
+    // With the first epoch nobody can hold a portion yet.
+    if (assignment.epoch > Epoch(1))
+        firstGrantAt += CeilingLedger::portionLifetime;
+    if (assignment.previousOwner.isValid() && assignment.previousOwner != self_)
+        firstGrantAt += leaseAndDrift;
+    auto& pool = pools_.insert_or_assign(assignment.name, Pool { assignment.epoch, CeilingLedger(firstGrantAt) }).first->second;
+    for (const auto& [customer, ceiling] : ceilings_) {
+        if (ceilingPoolName(customer) == assignment.name)
+            pool.ledger.setCeiling(customer, ceiling);
+    }
+}
+
+void CeilingHost::setCeilings(const ClusterConfig& config)
+{
+    for (const auto& [id, contract] : config.customers) {
+        auto [it, isNew] = ceilings_.try_emplace(id, contract.ceiling);
+        if (!isNew && it->second == contract.ceiling)
+            continue;
+        it->second = contract.ceiling;
+        if (auto pool = pools_.find(ceilingPoolName(id)); pool != pools_.end())
+            pool->second.ledger.setCeiling(id, contract.ceiling);
+    }
+}
+
+Result<std::string> CeilingHost::onCall(NodeId from, std::string_view body)
+{
+    auto ask = decode<CeilingAsk>(body);
+    if (!ask)
+        return tl::unexpected(ask.error());
+    auto pool = pools_.find(ceilingPoolName(ask->customer));
+    if (pool == pools_.end() || !hasLease_())
+        return encode(CeilingPortion {});
+    return encode(pool->second.ledger.ask(from, *ask, now_()));
+}
+
+}
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -2,6 +2,8 @@
 
 #include "briarhitch/core/Log.h"
 #include "briarhitch/core/Random.h"
+#include "briarhitch/entry/CeilingClient.h"
+#include "briarhitch/entry/CeilingHost.h"
 #include "briarhitch/entry/ControlClient.h"
 #include "briarhitch/entry/HttpFront.h"
 #include "briarhitch/entry/LoadPoller.h"
@@ -11,7 +13,9 @@
 #include "briarhitch/entry/RequestRunner.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Loop.h"
+#include "briarhitch/sched/RetryBudget.h"
 
+#include <algorithm>
 #include <set>
 
 namespace briarhitch {
@@ -84,6 +88,8 @@
         , control(loop, controlSettingsOf(settings, self), view, metrics)
         , http(loop)
         , targets([this](const HttpCallSettings& call) { return http.start(call); })
+        , ceilingHost(
+              self.id, self.incarnation, [this] { return control.hasLease(); }, &BootClock::now)
         , poller({ self.id, self.region }, pollerHooks())
         , front(frontSettings(), view, history, metrics, frontHooks())
     {
@@ -127,7 +133,11 @@
     {
         NodeLinksHooks hooks;
         hooks.onOwnerMessage = [this](NodeId from, LinkId link, MessageType type, std::string_view body) { host->onMessage(from, link, type, body); };
-        hooks.onOwnerCall = [](NodeId, MessageType, std::string_view) -> Result<std::string> { return fail(ErrorKind::NotFound, "no such call"); };
+        hooks.onOwnerCall = [this](NodeId from, MessageType type, std::string_view body) -> Result<std::string> {
+            if (type != MessageType::CeilingAsk)
+                return fail(ErrorKind::NotFound, "no such call");
+            return ceilingHost.onCall(from, body);
+        };
         hooks.onEntryMessage = [this](MessageType type, std::string_view body) { pools->onMessage(type, body); };
         hooks.onNodeOpen = [this](NodeId node) { pools->onNodeOpen(node); };
         hooks.onEntryOpen = [this](NodeId node) { host->onEntryOpen(node); };
@@ -142,10 +152,10 @@
         hooks.hasConfiguration = [this] { return control.hasConfiguration(); };
         hooks.claimRun = [this](const ClaimRun& claim, Duration timeout) { return control.claimRun(claim, timeout); };
         hooks.finishRun = [this](const FinishRun& finish, Duration timeout) { return control.finishRun(finish, timeout); };
-        hooks.enterCeiling = [](const Contract&, Tokens) -> Result<void> { return {}; };
-        hooks.leaveCeiling = [](CustomerId, Tokens, Tokens) {};
-        hooks.noteRequest = [] {};
-        hooks.takeRetry = [] { return true; };
+        hooks.enterCeiling = [this](const Contract& contract, Tokens estimate) { return ceilings->enter(contract, estimate); };
+        hooks.leaveCeiling = [this](CustomerId customer, Tokens unused) { ceilings->leave(customer, unused); };
+        hooks.noteRequest = [this](CustomerId customer) { retries.requestArrived(customer, BootClock::now()); };
+        hooks.takeRetry = [this](CustomerId customer) { return retries.tryRetry(customer, BootClock::now()); };
         hooks.now = &BootClock::now;
         hooks.sleep = [this](Duration time) { sleepFor(loop, time); };
         return hooks;
@@ -159,8 +169,9 @@
         links = std::move(*listening);
         host = std::make_unique<PoolHost>(
             hostSettingsOf(settings, self), *links, [this] { return control.hasLease(); }, metrics, &BootClock::now);
-        PoolClientSettings client { self.id, self.region, self.zone, settings.limits.ownerTimeout };
+        PoolClientSettings client { self.id, self.region, self.zone, settings.limits.ownerTimeout, [this] { return control.hasLease(); } };
         pools = std::make_unique<PoolClient>(loop, client, view, *links, &BootClock::now);
+        ceilings = std::make_unique<CeilingClient>(loop, view, *links, &BootClock::now);
         runner = std::make_unique<RequestRunner>(loop, self, settings.limits, view, *pools, targets, history, metrics, runnerHooks());
         auto serving = HttpServer::listen(loop, settings.http, [this](const HttpRequest& request, HttpExchange& exchange) { front.handle(request, exchange); });
         if (!serving)
@@ -178,6 +189,7 @@
         links->onConfigChange(config);
         // The local owner must know its new pools before the local entry syncs with them.
         host->onConfigChange(config);
+        ceilingHost.onConfigChange(config);
         pools->onConfigChange(config);
     }
 
@@ -232,17 +244,29 @@
     {
         runner->setDraining();
         control.setDraining();
-        entryLog().info("Drains: " + std::to_string(runner->inFlight()) + " requests are in flight, " + std::to_string(host->poolCount()) + " pools are owned.");
+        entryLog().info("Drains: " + std::to_string(runner->inFlight()) + " requests are in flight, " + std::to_string(poolCount()) + " pools are owned.");
         while (runner->inFlight() > 0)
             sleepFor(loop, drainStep);
-        waitUntil(settings.limits.handoverTimeout, [this] { return host->poolCount() == 0 && !host->isHandingOver(); });
-        if (host->poolCount() > 0)
-            entryLog().warning("Ends with " + std::to_string(host->poolCount()) + " pools that no other node took over.");
+        waitUntil(settings.limits.handoverTimeout, [this] { return (poolCount() == 0 && !host->isHandingOver()) || !hasSuccessor(); });
+        if (poolCount() > 0)
+            entryLog().warning("Ends with " + std::to_string(poolCount()) + " pools that no other node took over.");
         server->drain();
         waitUntil(lastBytesTime, [this] { return server->requestsRunning() == 0; });
         entryLog().info("Has drained.");
     }
 
+    /** Whether any other node could take over pools. */
+    bool hasSuccessor() const
+    {
+        const auto& nodes = view.config().nodes;
+        return std::any_of(nodes.begin(), nodes.end(), [this](const auto& entry) {
+            const auto& node = entry.second;
+            return node.id != self.id && !node.lost && !node.draining;
+        });
+    }
+
+    size_t poolCount() const { return host->poolCount() + ceilingHost.poolCount(); }
+
     void waitUntil(Duration limit, const std::function<bool()>& isDone) const
     {
         auto end = BootClock::now() + limit;
@@ -259,11 +283,14 @@
     ControlClient control;
     HttpClient http;
     TargetClient targets;
+    CeilingHost ceilingHost;
+    RetryBudget retries;
     LoadPoller poller;
     HttpFront front;
     std::unique_ptr<NodeLinks> links;
     std::unique_ptr<PoolHost> host;
     std::unique_ptr<PoolClient> pools;
+    std::unique_ptr<CeilingClient> ceilings;
     std::unique_ptr<RequestRunner> runner;
     std::unique_ptr<HttpServer> server;
     std::set<TargetId> polling;
--- a/src/entry/ModelStream.cpp
+++ b/src/entry/ModelStream.cpp
@@ -45,8 +45,8 @@
         return fail(ErrorKind::CallerLeft, "the caller left");
     }
     if (!opened) {
-        // Only a request that may have arrived can have a stream to resume.
-        if (opened.error().ran == Ran::No)
+        // Only a request that may have arrived can have a stream to resume; a cancelled one is not wanted.
+        if (opened.error().ran == Ran::No || opened.error().kind == ErrorKind::CallerLeft)
             return tl::unexpected(opened.error());
         return nullptr;
     }
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -82,7 +82,7 @@
 {
     auto& state = pools_[ask.pool];
     if (isOwnerOverdue(state))
-        return fail(ErrorKind::NoOwner, "the pool has no reachable owner");
+        return tl::unexpected(ownerMissing());
     auto pending = std::make_shared<Pending>(loop_, ask, deadline);
     pending_[ask.attempt] = pending;
     sendAsk(*pending);
@@ -216,7 +216,7 @@
     state.epoch = std::max(state.epoch, assignment.epoch);
     state.owner = assignment.owner;
     state.unreachableSince.reset();
-    if (isOwnerReachable(state))
+    if (state.owner.isValid() && transport_.isReachable(state.owner))
         sync(assignment.id);
 }
 
@@ -273,7 +273,7 @@
 
 bool PoolClient::isOwnerReachable(PoolState& state)
 {
-    return state.owner.isValid() && transport_.isReachable(state.owner);
+    return state.owner.isValid() && transport_.isReachable(state.owner) && settings_.hasLease();
 }
 
 bool PoolClient::isOwnerOverdue(PoolState& state)
@@ -295,11 +295,18 @@
     }
 }
 
+Error PoolClient::ownerMissing() const
+{
+    if (!settings_.hasLease())
+        return makeError(ErrorKind::NoQuorum, "this node has no lease");
+    return makeError(ErrorKind::NoOwner, "the pool has no reachable owner");
+}
+
 void PoolClient::refuseAll(PoolId pool)
 {
     for (const auto& [attempt, pending] : pending_) {
         if (pending->ask.pool == pool)
-            pending->decide(fail(ErrorKind::NoOwner, "the pool has no reachable owner"));
+            pending->decide(tl::unexpected(ownerMissing()));
     }
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -43,10 +43,15 @@
 RequestRun::~RequestRun()
 {
     watch_->onGone = nullptr;
+    // Only an exception leaves these open: the target's place must not stay taken, nor the record claimed.
+    if (isGrantHeld_)
+        finishAttempt(AttemptOutcome::Failed);
+    if (isClaimed_)
+        settle(sends_ == 0 ? RunState::NotRun : RunState::Unknown);
     if (!isInCeiling_)
         return;
     auto used = sends_ == 0 ? Tokens() : request_.promptTokens + Tokens(outputTokens_);
-    runner_.hooks.leaveCeiling(request_.customer, request_.promptTokens + request_.maxOutputTokens, used);
+    runner_.hooks.leaveCeiling(request_.customer, request_.promptTokens + request_.maxOutputTokens - used);
 }
 
 void RequestRun::run()
@@ -86,7 +91,7 @@
         return node;
     if (contract_.state != CustomerState::Active)
         return fail(ErrorKind::CustomerClosing, "the contract accepts no new work");
-    runner_.hooks.noteRequest();
+    runner_.hooks.noteRequest(request_.customer);
     auto pool = runner_.pools.findPool(request_.poolKind, request_.serves);
     if (!pool)
         return tl::unexpected(pool.error());
@@ -179,7 +184,7 @@
     }
 }
 
-bool RequestRun::mayRetry(const AttemptFailure& failure)
+bool RequestRun::mayRetry(AttemptFailure& failure)
 {
     if (watch_->isGone || now() >= deadline_)
         return false;
@@ -187,9 +192,11 @@
         return ++unsentGrants_ < maxUnsentGrants;
     if (!failure.isRetryUseful || !request_.isRepeatable || isStreamBegun_ || sends_ >= runner_.limits.maxAttempts)
         return false;
-    if (!runner_.hooks.takeRetry()) {
+    if (!runner_.hooks.takeRetry(request_.customer)) {
         count("entry_retry_refusals_total", "reason", failure.reason);
-        note("not retried", "the retry budget is spent");
+        auto spent = makeError(ErrorKind::RetryBudgetSpent, failure.error.message + "; the retry budget is spent");
+        spent.ran = failure.error.ran;
+        failure.error = spent;
         return false;
     }
     count("entry_retries_total", "reason", failure.reason);
@@ -230,29 +237,33 @@
         grant.error().ran = Ran::No;
         return AttemptFailure { grant.error(), "refused" };
     }
-    if (watch_->isGone) {
-        runner_.pools.release(*grant);
-        auto left = makeError(ErrorKind::CallerLeft, "the caller left");
-        left.ran = Ran::No;
-        return AttemptFailure { left, "caller_left" };
-    }
     grant_ = *grant;
-    if (auto problem = checkGrant(*grant)) {
+    auto problem = sendingProblem();
+    if (!problem)
+        problem = checkTarget(*grant);
+    if (problem) {
         runner_.pools.release(*grant);
         return problem;
     }
     return dispatch(*grant, runner_.view.config().targets.at(grant->target));
 }
 
-std::optional<AttemptFailure> RequestRun::checkGrant(const Grant& grant)
+std::optional<AttemptFailure> RequestRun::sendingProblem() const
 {
-    // From here to the sending nothing blocks, so what is checked still holds when the first byte goes out.
+    if (watch_->isGone) {
+        auto left = makeError(ErrorKind::CallerLeft, "the caller left");
+        left.ran = Ran::No;
+        return AttemptFailure { left, "caller_left" };
+    }
     if (!runner_.hooks.hasLease())
         return AttemptFailure { makeError(ErrorKind::NoLease, "the lease ended while the request was queued"), "no_lease" };
-    if (!runner_.pools.isCurrent(grant)) {
-        note("stale grant", absl::StrCat("epoch ", grant.epoch.value()));
+    if (!runner_.pools.isCurrent(grant_))
         return AttemptFailure { makeError(ErrorKind::NoOwner, "the pool's owner changed"), "stale_grant", false, true };
-    }
+    return std::nullopt;
+}
+
+std::optional<AttemptFailure> RequestRun::checkTarget(const Grant& grant)
+{
     auto it = runner_.view.config().targets.find(grant.target);
     bool isUsable = it != runner_.view.config().targets.end() && it->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
@@ -264,6 +275,24 @@
     return std::nullopt;
 }
 
+void RequestRun::guardSending(HttpCall& call)
+{
+    // Opening the connection may have taken longer than the lease or the epoch lasted.
+    blocked_ = sendingProblem();
+    if (blocked_)
+        call.cancel();
+}
+
+AttemptFailure RequestRun::notSent()
+{
+    note("not sent", blocked_->error.message);
+    runner_.pools.release(grant_);
+    isGrantHeld_ = false;
+    --sends_;
+    excluded_.pop_back();
+    return *std::exchange(blocked_, std::nullopt);
+}
+
 TargetCall RequestRun::makeCall(const Grant& grant, const Target& target) const
 {
     TargetCall call;
@@ -284,8 +313,10 @@
     note("granted", target.name);
     excluded_.push_back(target.id);
     ++sends_;
+    isGrantHeld_ = true;
     sentAt_ = now();
     outputTokens_ = 0;
+    blocked_.reset();
     hasFirstToken_ = false;
     auto call = makeCall(grant, target);
     bool isStream = request_.poolKind == PoolKind::Model && request_.isStream;
@@ -296,6 +327,7 @@
 
 void RequestRun::finishAttempt(AttemptOutcome outcome)
 {
+    isGrantHeld_ = false;
     Finished finished;
     finished.pool = grant_.pool;
     finished.attempt = attempt_;
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -46,9 +46,14 @@
     // Attempts.
     void runAttempts();
     std::optional<AttemptFailure> attempt();
-    bool mayRetry(const AttemptFailure& failure);
+    /** If only the budget forbids it, the failure becomes RetryBudgetSpent. */
+    bool mayRetry(AttemptFailure& failure);
     Ask makeAsk(PoolId pool) const;
-    std::optional<AttemptFailure> checkGrant(const Grant& grant);
+    /** Why a byte must not go out under this grant now. */
+    std::optional<AttemptFailure> sendingProblem() const;
+    std::optional<AttemptFailure> checkTarget(const Grant& grant);
+    void guardSending(HttpCall& call);
+    AttemptFailure notSent();
     std::optional<AttemptFailure> dispatch(const Grant& grant, const Target& target);
     TargetCall makeCall(const Grant& grant, const Target& target) const;
 
@@ -66,6 +71,7 @@
     std::optional<AttemptFailure> breakStream(const TargetCall& call, const Error& error);
 
     // Ends.
+    std::optional<AttemptFailure> sendFailed(const TargetCall& call, const Error& error);
     AttemptFailure failedAttempt(const TargetCall& call, const Error& error);
     std::optional<AttemptFailure> callerLeft(const TargetCall& call);
     void cancelAtTarget(const TargetCall& call);
@@ -103,6 +109,9 @@
     bool isInCeiling_ { false };
     bool isClaimed_ { false };
     // Of the present attempt.
+    bool isGrantHeld_ { false };
+    /** Set if the sending was stopped before its first byte. */
+    std::optional<AttemptFailure> blocked_;
     Instant sentAt_;
     bool isStreamBegun_ { false };
     bool hasFirstToken_ { false };
--- a/src/entry/RequestRunRelay.cpp
+++ b/src/entry/RequestRunRelay.cpp
@@ -71,7 +71,10 @@
 {
     auto call = prepared;
     auto open = std::make_shared<std::shared_ptr<HttpCall>>();
-    call.onSending = [open](const std::shared_ptr<HttpCall>& sending) { *open = sending; };
+    call.onSending = [this, open](const std::shared_ptr<HttpCall>& sending) {
+        *open = sending;
+        guardSending(*sending);
+    };
     // A call that must not be repeated is seen through and recorded, whether its caller waits or not.
     if (request_.isRepeatable || request_.poolKind == PoolKind::Model) {
         watch_->onGone = [open] {
@@ -80,11 +83,8 @@
         };
     }
     auto answer = runner_.targets.send(call);
-    if (!answer) {
-        if (answer.error().kind == ErrorKind::CallerLeft)
-            return callerLeft(call);
-        return failedAttempt(call, answer.error());
-    }
+    if (!answer)
+        return sendFailed(call, answer.error());
     if (isRefusal(**answer)) {
         (*answer)->cancel();
         return refusedByTarget(**answer);
@@ -129,7 +129,10 @@
     std::weak_ptr<ModelStream> weak;
     auto call = prepared;
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
-    call.onSending = [sending](const std::shared_ptr<HttpCall>& opened) { *sending = opened; };
+    call.onSending = [this, sending](const std::shared_ptr<HttpCall>& opened) {
+        *sending = opened;
+        guardSending(*opened);
+    };
     ModelStreamSettings settings { runner_.limits.tokenTimeout };
     auto stream = std::make_shared<ModelStream>(runner_.targets, call, settings, deadline_, runner_.hooks.now, runner_.hooks.sleep);
     weak = stream;
@@ -140,11 +143,8 @@
             opened->cancel();
     };
     auto other = stream->open();
-    if (!other) {
-        if (other.error().kind == ErrorKind::CallerLeft)
-            return callerLeft(call);
-        return failedAttempt(call, other.error());
-    }
+    if (!other)
+        return sendFailed(call, other.error());
     if (!*other)
         return relayEvents(call, *stream);
     if (isRefusal(**other)) {
@@ -209,13 +209,25 @@
     return failedAttempt(call, broken);
 }
 
+std::optional<AttemptFailure> RequestRun::sendFailed(const TargetCall& call, const Error& error)
+{
+    if (blocked_)
+        return notSent();
+    if (error.kind == ErrorKind::CallerLeft)
+        return callerLeft(call);
+    return failedAttempt(call, error);
+}
+
 AttemptFailure RequestRun::failedAttempt(const TargetCall& call, const Error& error)
 {
     note("attempt failed", error.message);
     bool mayRun = error.ran != Ran::No;
     if (mayRun) {
-        if (request_.poolKind == PoolKind::Model)
+        if (request_.poolKind == PoolKind::Model) {
             unended_ = call;
+            // The cancellation may outlive this request.
+            unended_->onSending = nullptr;
+        }
         countWaste(reasonOf(error.kind));
     }
     finishAttempt(AttemptOutcome::Failed);
--- a/src/entry/RequestRunner.cpp
+++ b/src/entry/RequestRunner.cpp
@@ -4,7 +4,7 @@
 #include "briarhitch/runtime/Loop.h"
 #include "entry/RequestRun.h"
 
-#include <algorithm>
+#include <exception>
 
 namespace briarhitch {
 
@@ -43,9 +43,19 @@
 {
     ++inFlight_;
     ++inFlightByCustomer_[request.customer];
-    RequestRun(*this, request, contract, exchange).run();
-    if (--inFlightByCustomer_[request.customer] == 0)
-        inFlightByCustomer_.erase(request.customer);
+    try {
+        RequestRun(*this, request, contract, exchange).run();
+    } catch (const std::exception&) {
+        leave(request.customer);
+        throw;
+    }
+    leave(request.customer);
+}
+
+void RequestRunner::leave(CustomerId customer)
+{
+    if (--inFlightByCustomer_[customer] == 0)
+        inFlightByCustomer_.erase(customer);
     --inFlight_;
 }
 
--- /dev/null
+++ b/tests/PoolClientTest.cpp
@@ -0,0 +1,175 @@
+#include "briarhitch/entry/PoolClient.h"
+
+#include "support/EntryFakes.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** A client whose only pool, 10, is owned by node 2 with epoch 5. */
+    struct Entry {
+        explicit Entry(Loop& loopToUse)
+            : loop(loopToUse)
+        {
+            config.version = Version(1);
+            for (uint32_t id = 1; id <= 3; ++id)
+                config.nodes[NodeId(id)] = nodeRecord(id);
+            assign(modelPool(10, Epoch(5), 2));
+        }
+
+        void assign(const PoolAssignment& assignment)
+        {
+            config.pools[assignment.id] = assignment;
+            config.version = Version(config.version.value() + 1);
+            HeartbeatReply reply;
+            reply.snapshot = config;
+            view.apply(reply);
+            client.onConfigChange(view.config());
+        }
+
+        /** Asks in a fiber of its own. */
+        std::shared_ptr<std::optional<Result<Grant>>> ask(uint64_t request)
+        {
+            auto result = std::make_shared<std::optional<Result<Grant>>>();
+            Ask ask;
+            ask.pool = PoolId(10);
+            ask.attempt = { RequestId(request), 1 };
+            loop.spawn([this, ask, result] { *result = client.acquire(ask, clock.now + 1h); });
+            sleepFor(loop, 0ms);
+            return result;
+        }
+
+        void grant(uint64_t request, Epoch epoch)
+        {
+            client.onMessage(MessageType::Grant, encode(Grant { PoolId(10), { RequestId(request), 1 }, epoch, TargetId(7) }));
+            sleepFor(loop, 0ms);
+        }
+
+        size_t asksTo(uint32_t node) const { return transport.posted<Ask>(MessageType::Ask, NodeId(node)).size(); }
+        size_t cancelsTo(uint32_t node) const { return transport.posted<Cancel>(MessageType::Cancel, NodeId(node)).size(); }
+
+        Loop& loop;
+        ManualClock clock;
+        FakeTransport transport;
+        ClusterConfig config;
+        ClusterView view;
+        bool hasLease { true };
+        PoolClient client { loop, { NodeId(1), "lakes", "duluth", 6s, [this] { return hasLease; } }, view, transport, clock.hook() };
+    };
+
+    // Guards against dispatch under a grant of an owner that has lost the pool.
+    TEST(PoolClientTest, GrantOfAnOldEpochIsIgnored)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto result = entry.ask(100);
+            entry.grant(100, Epoch(4));
+            EXPECT_FALSE(result->has_value());
+            entry.grant(100, Epoch(5));
+            ASSERT_TRUE(result->has_value());
+            ASSERT_TRUE(**result);
+            EXPECT_TRUE(entry.client.isCurrent(***result));
+            entry.assign(modelPool(10, Epoch(6), 3));
+            EXPECT_FALSE(entry.client.isCurrent(***result));
+        });
+    }
+
+    // Guards against asks that hang, and running work that the new owner does not know of, after a takeover.
+    TEST(PoolClientTest, NewOwnerGetsASyncAndTheAsks)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto running = entry.ask(100);
+            entry.grant(100, Epoch(5));
+            auto waiting = entry.ask(101);
+            entry.transport.posts.clear();
+            entry.assign(modelPool(10, Epoch(6), 3));
+            ASSERT_EQ(entry.transport.posts.size(), 2u);
+            EXPECT_EQ(entry.transport.posts[0].type, MessageType::PoolSync);
+            auto sync = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(3));
+            ASSERT_EQ(sync.size(), 1u);
+            EXPECT_EQ(sync[0].epoch, Epoch(6));
+            ASSERT_EQ(sync[0].running.size(), 1u);
+            EXPECT_EQ(sync[0].running[0].target, TargetId(7));
+            EXPECT_EQ(entry.asksTo(3), 1u);
+            entry.grant(101, Epoch(6));
+            EXPECT_TRUE(waiting->has_value());
+        });
+    }
+
+    // Guards against asks that are lost with a link.
+    TEST(PoolClientTest, ReopenedLinkGetsASyncAndTheAsksAgain)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto waiting = entry.ask(101);
+            entry.client.onNodeOpen(NodeId(2));
+            EXPECT_EQ(entry.asksTo(2), 2u);
+            entry.client.onNodeOpen(NodeId(3));
+            EXPECT_EQ(entry.asksTo(2), 2u);
+            entry.grant(101, Epoch(5));
+            EXPECT_TRUE(waiting->has_value());
+        });
+    }
+
+    // Guards against requests that wait for an owner that does not come, and against refusing during a usual takeover.
+    TEST(PoolClientTest, PoolWithoutAnOwnerRefusesAfterTheBound)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            entry.transport.unreachable.insert(NodeId(2));
+            auto waiting = entry.ask(100);
+            entry.clock.now += 5999ms;
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            EXPECT_FALSE(waiting->has_value());
+            entry.clock.now += 1ms;
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(waiting->has_value());
+            EXPECT_EQ((*waiting)->error().kind, ErrorKind::NoOwner);
+            EXPECT_EQ((*waiting)->error().ran, Ran::No);
+            auto later = entry.ask(101);
+            ASSERT_TRUE(later->has_value());
+            EXPECT_EQ((*later)->error().kind, ErrorKind::NoOwner);
+        });
+    }
+
+    // Guards against requests that are held in the queue of a node that may send nothing.
+    TEST(PoolClientTest, NodeWithoutALeaseRefusesAfterTheBound)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto waiting = entry.ask(100);
+            entry.hasLease = false;
+            entry.client.checkOwners();
+            entry.clock.now += 6s;
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(waiting->has_value());
+            EXPECT_EQ((*waiting)->error().kind, ErrorKind::NoQuorum);
+        });
+    }
+
+    // Guards against targets that stay taken by grants nobody waits for.
+    TEST(PoolClientTest, AbandonedAskIsCancelledAndALateGrantGivenBack)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto waiting = entry.ask(100);
+            entry.client.abandon({ RequestId(100), 1 });
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(waiting->has_value());
+            EXPECT_EQ((*waiting)->error().kind, ErrorKind::CallerLeft);
+            EXPECT_EQ(entry.cancelsTo(2), 1u);
+            entry.grant(100, Epoch(5));
+            EXPECT_EQ(entry.cancelsTo(2), 2u);
+            EXPECT_EQ(entry.client.runningCount(), 0u);
+        });
+    }
+
+}
+}
--- /dev/null
+++ b/tests/support/EntryFakes.h
@@ -0,0 +1,332 @@
+#pragma once
+
+#include "briarhitch/entry/NodeTransport.h"
+#include "briarhitch/entry/PoolGateway.h"
+#include "briarhitch/entry/TargetClient.h"
+#include "briarhitch/http/HttpServer.h"
+#include "briarhitch/runtime/Loop.h"
+#include "wire/Codec.h"
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace briarhitch {
+
+/** Lets all other fibers end; called from the only one that stays. */
+inline void waitForOtherFibers(Loop& loop)
+{
+    while (loop.fiberCount() > 1)
+        sleepFor(loop, Duration(0));
+}
+
+/** Runs the body in a fiber of a new loop. */
+inline void runInFiber(const std::function<void(Loop&)>& body)
+{
+    Loop loop;
+    loop.spawn([&] {
+        body(loop);
+        waitForOtherFibers(loop);
+        loop.stop();
+    });
+    loop.run();
+}
+
+/** Time that moves only when a test or a fake moves it. */
+struct ManualClock {
+    Instant now { std::chrono::hours(1) };
+    ClockHook hook()
+    {
+        return [this] { return now; };
+    }
+};
+
+/** What a scripted target does with one request. */
+struct ScriptedAnswer {
+    /** Instead of an answer. */
+    std::optional<Error> error;
+    int status { 200 };
+    HttpHeaders headers;
+    /** Parts of the body; an orderly end follows, unless the last one is an error. */
+    std::vector<Result<std::string>> parts;
+};
+
+inline ScriptedAnswer answerWith(int status, const std::string& body, HttpHeaders headers = {})
+{
+    return { std::nullopt, status, std::move(headers), { body } };
+}
+
+inline ScriptedAnswer failWith(ErrorKind kind, Ran ran)
+{
+    auto error = makeError(kind, "scripted");
+    error.ran = ran;
+    return { error, 0, {}, {} };
+}
+
+class ScriptedCall : public HttpCall {
+public:
+    ScriptedCall(ScriptedAnswer answer, ManualClock& clock)
+        : answer_(std::move(answer))
+        , clock_(clock)
+    {
+    }
+
+    [[nodiscard]] int status() const override { return answer_.status; }
+    [[nodiscard]] const HttpHeaders& headers() const override { return answer_.headers; }
+
+    Result<std::optional<std::string>> read(Duration timeout) override
+    {
+        if (isCancelled_)
+            return fail(ErrorKind::CallerLeft, "cancelled");
+        if (next_ >= answer_.parts.size())
+            return std::optional<std::string>();
+        auto& part = answer_.parts[next_++];
+        if (part)
+            return std::optional(*part);
+        // Silence lasts as long as the reader is willing to wait.
+        if (part.error().kind == ErrorKind::TargetTimeout)
+            clock_.now += timeout;
+        return tl::unexpected(part.error());
+    }
+
+    Result<std::string> readAll(Duration timeout) override
+    {
+        std::string body;
+        for (;;) {
+            auto part = read(timeout);
+            if (!part)
+                return tl::unexpected(part.error());
+            if (!*part)
+                return body;
+            body += **part;
+        }
+    }
+
+    void cancel() override { isCancelled_ = true; }
+    [[nodiscard]] bool isCancelled() const { return isCancelled_; }
+
+private:
+    ScriptedAnswer answer_;
+    ManualClock& clock_;
+    size_t next_ { 0 };
+    bool isCancelled_ { false };
+};
+
+/** All targets of a test: answers requests from a script, and notes what was sent. */
+class ScriptedTargets {
+public:
+    explicit ScriptedTargets(ManualClock& clock)
+        : clock_(clock)
+    {
+    }
+
+    TargetClient::StartHook hook()
+    {
+        return [this](const HttpCallSettings& settings) { return start(settings); };
+    }
+
+    /** Requests other than resumptions and cancellations. */
+    [[nodiscard]] size_t sends() const { return sent("POST").size() + sent("GET /status").size(); }
+    [[nodiscard]] std::vector<HttpCallSettings> sent(const std::string& prefix) const
+    {
+        std::vector<HttpCallSettings> result;
+        for (const auto& settings : log) {
+            if ((settings.method + " " + settings.target).starts_with(prefix))
+                result.push_back(settings);
+        }
+        return result;
+    }
+
+    std::deque<ScriptedAnswer> script;
+    std::vector<HttpCallSettings> log;
+    /** Called before a request is answered. */
+    std::function<void()> onRequest;
+    /** Called before the first byte is sent. */
+    std::function<void()> onConnected;
+
+private:
+    static tl::unexpected<Error> failCancelled()
+    {
+        auto error = makeError(ErrorKind::CallerLeft, "cancelled");
+        error.ran = Ran::Unknown;
+        return tl::unexpected(error);
+    }
+
+    Result<std::shared_ptr<HttpCall>> start(const HttpCallSettings& settings)
+    {
+        log.push_back(settings);
+        if (settings.method == "DELETE")
+            return std::shared_ptr<HttpCall>(std::make_shared<ScriptedCall>(answerWith(200, "{}"), clock_));
+        auto answer = script.empty() ? failWith(ErrorKind::TargetFailed, Ran::No) : script.front();
+        if (!script.empty())
+            script.pop_front();
+        auto call = std::make_shared<ScriptedCall>(answer, clock_);
+        if (onConnected)
+            onConnected();
+        if (settings.onSending)
+            settings.onSending(call);
+        if (call->isCancelled()) {
+            // No byte goes out, but the HTTP client does not tell that from a cancellation later on.
+            log.pop_back();
+            return failCancelled();
+        }
+        if (onRequest)
+            onRequest();
+        if (!answer.error)
+            return std::shared_ptr<HttpCall>(call);
+        if (answer.error->kind == ErrorKind::TargetTimeout)
+            clock_.now += settings.headerTimeout;
+        return tl::unexpected(*answer.error);
+    }
+
+    ManualClock& clock_;
+};
+
+/** The caller's side of one request. */
+class FakeExchange : public HttpExchange {
+public:
+    bool send(int newStatus, const HttpHeaders& newHeaders, std::string_view newBody) override
+    {
+        ++answers;
+        status = newStatus;
+        headers = newHeaders;
+        body = newBody;
+        return !isGone;
+    }
+    bool beginStream(int newStatus, const HttpHeaders& newHeaders) override { return send(newStatus, newHeaders, ""); }
+    bool write(std::string_view part) override
+    {
+        if (isGone)
+            return false;
+        body += part;
+        ++writes;
+        if (writes == leaveAfterWrites)
+            leave();
+        return true;
+    }
+    bool endStream() override
+    {
+        isEnded = true;
+        return !isGone;
+    }
+    void abort() override { isAborted = true; }
+    [[nodiscard]] bool isCallerGone() const override { return isGone; }
+    void onCallerGone(std::function<void()> newHook) override { hook = std::move(newHook); }
+
+    void leave()
+    {
+        isGone = true;
+        if (hook)
+            hook();
+    }
+
+    int answers { 0 };
+    int status { 0 };
+    HttpHeaders headers;
+    std::string body;
+    int writes { 0 };
+    int leaveAfterWrites { -1 };
+    bool isEnded { false };
+    bool isAborted { false };
+    bool isGone { false };
+    std::function<void()> hook;
+};
+
+/** Grants the targets of a list in turn. */
+class FakePools : public PoolGateway {
+public:
+    Result<PoolId> findPool(PoolKind, const std::string&) const override { return PoolId(1); }
+    Result<Grant> acquire(const Ask& ask, Instant) override
+    {
+        asks.push_back(ask);
+        if (onAcquire)
+            onAcquire();
+        if (grants.empty())
+            return fail(ErrorKind::NoTarget, "no target is left");
+        auto target = grants.front();
+        grants.pop_front();
+        return Grant { ask.pool, ask.attempt, Epoch(5), target };
+    }
+    void abandon(AttemptId) override { ++abandoned; }
+    bool isCurrent(const Grant&) const override
+    {
+        bool isStale = staleGrants > 0;
+        staleGrants -= isStale ? 1 : 0;
+        return !isStale;
+    }
+    void release(const Grant&) override { ++released; }
+    void started(const Started&) override { ++startedCount; }
+    void finished(const Finished& message) override { outcomes.push_back(message.outcome); }
+
+    std::deque<TargetId> grants;
+    mutable int staleGrants { 0 };
+    std::function<void()> onAcquire;
+    std::vector<Ask> asks;
+    std::vector<AttemptOutcome> outcomes;
+    int abandoned { 0 };
+    int released { 0 };
+    int startedCount { 0 };
+};
+
+/** Notes what a node sends to others. */
+class FakeTransport : public NodeTransport {
+public:
+    struct Sent {
+        NodeId node;
+        MessageType type;
+        std::string body;
+    };
+
+    bool isReachable(NodeId node) override { return !unreachable.contains(node); }
+    bool post(NodeId node, MessageType type, std::string body) override
+    {
+        if (!isReachable(node))
+            return false;
+        posts.push_back({ node, type, std::move(body) });
+        return true;
+    }
+    void answer(NodeId node, MessageType type, std::string body) override { answers.push_back({ node, type, std::move(body) }); }
+    Result<std::string> call(NodeId, MessageType, std::string, Duration) override { return fail(ErrorKind::Unavailable, "no calls in this test"); }
+
+    template <class T>
+    std::vector<T> posted(MessageType type, NodeId node) const
+    {
+        return decodeAll<T>(posts, type, node);
+    }
+    template <class T>
+    std::vector<T> answered(MessageType type, NodeId node) const
+    {
+        return decodeAll<T>(answers, type, node);
+    }
+
+    std::set<NodeId> unreachable;
+    std::vector<Sent> posts;
+    std::vector<Sent> answers;
+
+private:
+    template <class T>
+    static std::vector<T> decodeAll(const std::vector<Sent>& messages, MessageType type, NodeId node)
+    {
+        std::vector<T> result;
+        for (const auto& message : messages) {
+            if (message.type == type && message.node == node)
+                result.push_back(*decode<T>(message.body));
+        }
+        return result;
+    }
+};
+
+inline NodeRecord nodeRecord(uint32_t id)
+{
+    return { NodeId(id), Incarnation(1), "lakes", "duluth", "127.0.0.1", 1, false, false };
+}
+
+inline PoolAssignment modelPool(uint32_t id, Epoch epoch, uint32_t owner, uint32_t previousOwner = 0)
+{
+    return { PoolId(id), "model:m7@lakes", PoolKind::Model, "lakes", epoch, NodeId(owner), Incarnation(1), NodeId(previousOwner) };
+}
+
+}
