--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -29,6 +29,7 @@
     constexpr Duration ownerCheckInterval = 100ms;
     constexpr Duration gaugeInterval = 1s;
     constexpr Duration drainStep = 20ms;
+    constexpr Duration drainHeartbeatInterval = 100ms;
     /** Callers whose answer is complete may still be taking its last bytes. */
     constexpr Duration lastBytesTime = 5s;
 
@@ -245,6 +246,8 @@
         runner->setDraining();
         control.setDraining();
         entryLog().info("Drains: " + std::to_string(runner->inFlight()) + " requests are in flight, " + std::to_string(poolCount()) + " pools are owned.");
+        // The new owners wait for this node's release, and it learns of them with its heartbeats.
+        repeat(drainHeartbeatInterval, [this] { control.heartbeatNow(); });
         while (runner->inFlight() > 0)
             sleepFor(loop, drainStep);
         waitUntil(settings.limits.handoverTimeout, [this] { return (poolCount() == 0 && !host->isHandingOver()) || !hasSuccessor(); });
