--- a/bench/Simulation.cpp
+++ b/bench/Simulation.cpp
@@ -282,6 +282,7 @@
             ids.push_back(id);
     }
     std::sort(ids.begin(), ids.end());
+    computed.reserve(ids.size());
     for (uint64_t id : ids)
         computed.push_back(engines_[engine].prefilled({ RequestId(id), requests_.at(id).attempt }));
     engines_[engine].loseAll();
--- a/bench/Workload.cpp
+++ b/bench/Workload.cpp
@@ -51,7 +51,7 @@
         oneTier.largeFactor = 10;
         oneTier.hasOneTier = true;
         add("slow-engine", 0.85).slowEngines = 3;
-        add("wrong-slots", 0.9).slotFactor = 4;
+        add("wrong-slots", 1.5).slotFactor = 4;
         add("engine-lost", 0.7).lostEngines = 2;
         add("prefix-heavy", 0.75).commonPrefixPart = 0.8;
         add("cancel-heavy", 0.9).leavingPart = 0.3;
--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -10,7 +10,7 @@
     using namespace std::chrono_literals;
 
     // Starting values for an engine that nothing is known about; the window follows its latency from there.
-    constexpr int64_t startingTokensBySlot = 2000;
+    constexpr int64_t startingTokensBySlot = 4000;
     constexpr int64_t mostTokensBySlot = 16000;
     // An engine computes prompt tokens together but output tokens one by one, so these cost it several times as much.
     constexpr int64_t outputTokenWeight = 8;
@@ -23,6 +23,7 @@
     constexpr double serviceGoalRatio = 3;
     // A target with the whole prompt in its cache may be filled by this much more than the least filled one.
     constexpr double affinityBound = 0.3;
+    constexpr size_t mostSlowPassedOver = 8;
     constexpr int linesSweptByTick = 64;
     constexpr int refusalsByTick = 256;
     // New work is admitted if it is predicted to start within this part of its time, because predictions are noisy.
@@ -99,9 +100,9 @@
     return std::any_of(active.begin(), active.end(), [&](TargetId target) { return mayUse(request, target); });
 }
 
-Duration BriarhitchScheduler::expectedFirstToken(const PoolRequest& request) const
+Duration BriarhitchScheduler::expectedFirstToken(const PoolRequest& request, Instant now) const
 {
-    return latency_.expected(static_cast<double>(request.promptTokens.value())) + fromSeconds(addedDeviations * latency_.deviation());
+    return latency_.expected(static_cast<double>(request.promptTokens.value()), now) + fromSeconds(addedDeviations * latency_.deviation(now));
 }
 
 Duration BriarhitchScheduler::waitFor(const PoolQueue::Place& place, double costAhead, Instant now) const
@@ -150,7 +151,7 @@
     const auto& asked = record.request;
     const auto& place = record.place;
     const auto chance = targets_.nextChance(now);
-    const Duration firstToken = expectedFirstToken(asked);
+    const Duration firstToken = expectedFirstToken(asked, now);
     if (!chance || !hasUsableTarget(asked) || *chance + firstToken > asked.deadline) {
         const bool hasWaited = chance && *chance == now && hasUsableTarget(asked);
         const Duration wait = chance ? *chance - now : Duration(0);
@@ -233,13 +234,15 @@
 {
     const auto size = static_cast<double>(record.request.promptTokens.value());
     const bool isModel = settings_.kind == PoolKind::Model;
-    const Duration usual = latency_.expected(size);
+    const Duration usual = latency_.expected(size, now);
     if (usual > Duration(0))
-        targets_.observeSlowness(record.target, toSeconds(latency) / toSeconds(usual));
+        targets_.observeSlowness(record.target, toSeconds(latency) / toSeconds(usual), now);
     const Duration goal = isModel ? firstTokenGoal + fromSeconds(size / goalTokensPerSecond) : std::max<Duration>(10ms, fromSeconds(serviceGoalRatio * toSeconds(usual)));
     if (isModel || usual > Duration(0))
         targets_.observe(record.target, latency, goal, now);
-    latency_.learn(size, latency);
+    // What is beyond the goal is time in the target's queue, which the window takes away; a prediction that included it
+    // would refuse work for a cause that is already being dealt with.
+    latency_.learn(size, usual > Duration(0) ? std::min(latency, goal) : latency, now);
     targets_.succeeded(record.target, now);
 }
 
@@ -337,10 +340,16 @@
     dispatch(now);
 }
 
-std::optional<TargetId> BriarhitchScheduler::chooseTarget(const PoolRequest& request) const
+std::optional<TargetId> BriarhitchScheduler::chooseTarget(const PoolRequest& request, Instant now) const
 {
-    auto accepts = [&](TargetId target) { return mayUse(request, target); };
-    auto best = targets_.leastFilled(accepts);
+    const double firstToken = toSeconds(expectedFirstToken(request, now));
+    const double timeLeft = toSeconds(request.deadline - now);
+    auto isFastEnough = [&](TargetId target) { return !parts_.deadline || firstToken * targets_.slowness(target, now) <= timeLeft; };
+    auto accepts = [&](TargetId target) { return mayUse(request, target) && isFastEnough(target); };
+    auto best = targets_.leastFilled(accepts, mostSlowPassedOver);
+    // Slowness is an estimate; work is not held back for it when no faster target is open.
+    if (!best)
+        best = targets_.leastFilled([&](TargetId target) { return mayUse(request, target); });
     if (!best || !parts_.prefix || request.prefix.empty())
         return best;
     double bestScore = targets_.filledPart(*best);
@@ -371,7 +380,7 @@
     if (!due)
         return false;
     auto& record = *records_.at(*due);
-    const auto target = chooseTarget(record.request);
+    const auto target = chooseTarget(record.request, now);
     if (!target)
         return false;
     grant(record, *target, now);
@@ -385,7 +394,7 @@
         std::optional<AttemptId> stranded;
         auto item = queue_.tier(Tier(i)).findFirst([&](const FairQueue::Item& candidate) {
             const auto& request = records_.at(candidate.attempt)->request;
-            target = chooseTarget(request);
+            target = chooseTarget(request, now);
             if (!target && !hasUsableTarget(request))
                 stranded = candidate.attempt;
             return target || stranded;
@@ -406,7 +415,7 @@
 void BriarhitchScheduler::grant(Record& record, TargetId target, Instant now)
 {
     const auto& request = record.request;
-    const Duration firstToken = fromSeconds(toSeconds(expectedFirstToken(request)) * targets_.slowness(target));
+    const Duration firstToken = expectedFirstToken(request, now);
     if (parts_.deadline && now + firstToken > request.deadline) {
         removeQueued(record);
         refuse(request.attempt, ErrorKind::DeadlineUnreachable, firstToken, "too late for a first token in time");
@@ -434,7 +443,7 @@
 {
     for (auto next = queue_.nextDeadline(); next; next = queue_.nextDeadline()) {
         const auto& record = *records_.at(next->second);
-        const Duration least = parts_.deadline ? expectedFirstToken(record.request) : Duration(0);
+        const Duration least = parts_.deadline ? expectedFirstToken(record.request, now) : Duration(0);
         if (now + least <= next->first)
             return;
         const Duration wait = waitFor(record.place, queue_.costAheadOfNewest(record.place.tier, record.place.item), now);
@@ -454,7 +463,7 @@
         for (auto newest = queue.newestOf(line); newest && refusals < refusalsByTick; newest = queue.newestOf(line)) {
             const auto& record = *records_.at(newest->attempt);
             const Duration wait = waitFor(record.place, queue_.costAheadOfNewest(tier, *newest), now);
-            if (toSeconds(wait + expectedFirstToken(record.request)) <= hopelessFactor * toSeconds(record.request.deadline - now))
+            if (toSeconds(wait + expectedFirstToken(record.request, now)) <= hopelessFactor * toSeconds(record.request.deadline - now))
                 break;
             ++refusals;
             removeQueued(record);
--- a/src/sched/BriarhitchScheduler.h
+++ b/src/sched/BriarhitchScheduler.h
@@ -54,7 +54,7 @@
     [[nodiscard]] double weightOf(CustomerId customer) const;
     [[nodiscard]] bool mayUse(const PoolRequest& request, TargetId target) const;
     [[nodiscard]] bool hasUsableTarget(const PoolRequest& request) const;
-    [[nodiscard]] Duration expectedFirstToken(const PoolRequest& request) const;
+    [[nodiscard]] Duration expectedFirstToken(const PoolRequest& request, Instant now) const;
     /** How long a queue of this cost takes, for a request of this tier and kind. */
     [[nodiscard]] Duration waitFor(const PoolQueue::Place& place, double costAhead, Instant now) const;
     [[nodiscard]] Duration retryAfter(AttemptId attempt, Duration wait) const;
@@ -68,7 +68,7 @@
     void learnFrom(const Record& record, AttemptOutcome outcome, Tokens outputTokens, Duration duration, Instant now);
     void learnLatency(const Record& record, Duration latency, Instant now);
 
-    std::optional<TargetId> chooseTarget(const PoolRequest& request) const;
+    std::optional<TargetId> chooseTarget(const PoolRequest& request, Instant now) const;
     void dispatch(Instant now);
     /** Grants or refuses one queued request; false if no target can take any. */
     bool dispatchOne(Instant now);
--- a/src/sched/LatencyModel.cpp
+++ b/src/sched/LatencyModel.cpp
@@ -10,13 +10,26 @@
     // About the last hundred samples count.
     constexpr double keep = 0.99;
     constexpr double fewSamples = 10;
+    // A model that refuses all work would never learn that the targets have recovered.
+    constexpr Duration lifetime = std::chrono::seconds(5);
 
 }
 
-void LatencyModel::learn(double size, Duration latency)
+bool LatencyModel::hasRecentSamples(Instant now) const
+{
+    return weight_ > 0 && now - lastSample_ <= lifetime;
+}
+
+double LatencyModel::deviation(Instant now) const
+{
+    return hasRecentSamples(now) ? deviation_ / weight_ : 0;
+}
+
+void LatencyModel::learn(double size, Duration latency, Instant now)
 {
     const double seconds = toSeconds(latency);
-    const double distance = weight_ > 0 ? std::abs(seconds - toSeconds(expected(size))) : 0;
+    const double distance = hasRecentSamples(now) ? std::abs(seconds - toSeconds(expected(size, now))) : 0;
+    lastSample_ = now;
     deviation_ = deviation_ * keep + distance;
     weight_ = weight_ * keep + 1;
     size_ = size_ * keep + size;
@@ -25,9 +38,9 @@
     product_ = product_ * keep + size * seconds;
 }
 
-Duration LatencyModel::expected(double size) const
+Duration LatencyModel::expected(double size, Instant now) const
 {
-    if (weight_ == 0)
+    if (!hasRecentSamples(now))
         return Duration(0);
     const double meanSize = size_ / weight_;
     const double meanLatency = latency_ / weight_;
--- a/src/sched/LatencyModel.h
+++ b/src/sched/LatencyModel.h
@@ -7,13 +7,16 @@
 /** Learns latency as a line over size: a fixed part and a part for each unit, from recent samples. */
 class LatencyModel {
 public:
-    void learn(double size, Duration latency);
-    /** Zero until there are samples. */
-    [[nodiscard]] Duration expected(double size) const;
+    void learn(double size, Duration latency, Instant now);
+    /** Zero if there were no samples lately, so that work is let through to get some. */
+    [[nodiscard]] Duration expected(double size, Instant now) const;
     /** Mean distance of latencies from the line, in seconds. */
-    [[nodiscard]] double deviation() const { return weight_ > 0 ? deviation_ / weight_ : 0; }
+    [[nodiscard]] double deviation(Instant now) const;
 
 private:
+    [[nodiscard]] bool hasRecentSamples(Instant now) const;
+
+    Instant lastSample_ {};
     double weight_ { 0 };
     double size_ { 0 };
     double latency_ { 0 };
--- a/src/sched/TargetTable.cpp
+++ b/src/sched/TargetTable.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <map>
 
 namespace briarhitch {
@@ -9,6 +10,8 @@
 namespace {
 
     constexpr double slownessGain = 0.1;
+    constexpr double mostSlowness = 10;
+    constexpr double slownessSeconds = 20;
 
 }
 
@@ -123,9 +126,11 @@
     return slot && slot->openAt;
 }
 
-std::optional<TargetId> TargetTable::leastFilled(const std::function<bool(TargetId)>& accepts) const
+std::optional<TargetId> TargetTable::leastFilled(const std::function<bool(TargetId)>& accepts, size_t mostLooked) const
 {
     for (const auto& [filled, target] : open_) {
+        if (mostLooked-- == 0)
+            break;
         if (accepts(target))
             return target;
     }
@@ -220,16 +225,23 @@
     }
 }
 
-double TargetTable::slowness(TargetId target) const
+double TargetTable::slowness(TargetId target, Instant now) const
 {
     const auto* slot = find(target);
-    return slot ? slot->slowness : 1;
+    if (!slot)
+        return 1;
+    // A target that is avoided because it was slow gives no new observations, so the old ones lose their weight.
+    return 1 + (slot->slowness - 1) * std::exp(-toSeconds(now - slot->slownessAt) / slownessSeconds);
 }
 
-void TargetTable::observeSlowness(TargetId target, double ratio)
+void TargetTable::observeSlowness(TargetId target, double ratio, Instant now)
 {
-    if (auto* slot = find(target))
-        slot->slowness += slownessGain * (ratio - slot->slowness);
+    auto* slot = find(target);
+    if (!slot)
+        return;
+    slot->slowness = slowness(target, now);
+    slot->slowness += slownessGain * (std::min(ratio, mostSlowness) - slot->slowness);
+    slot->slownessAt = now;
 }
 
 }
--- a/src/sched/TargetTable.h
+++ b/src/sched/TargetTable.h
@@ -41,8 +41,8 @@
     [[nodiscard]] bool isOpen(TargetId target) const;
     [[nodiscard]] bool hasOpen() const { return !open_.empty(); }
     [[nodiscard]] const std::vector<TargetId>& active() const { return active_; }
-    /** The open target with the least filled part that the hook accepts. */
-    [[nodiscard]] std::optional<TargetId> leastFilled(const std::function<bool(TargetId)>& accepts) const;
+    /** The open target with the least filled part that the hook accepts; looks at no more than `mostLooked`. */
+    [[nodiscard]] std::optional<TargetId> leastFilled(const std::function<bool(TargetId)>& accepts, size_t mostLooked = SIZE_MAX) const;
     /** Filled part of the target's window, 0 to about 1. */
     [[nodiscard]] double filledPart(TargetId target) const;
 
@@ -64,9 +64,9 @@
     /** Slots of all active targets. */
     [[nodiscard]] int64_t slots() const { return slots_; }
     [[nodiscard]] int64_t used() const { return used_; }
-    /** Observed latency of the target relative to the pool's, about 1. */
-    [[nodiscard]] double slowness(TargetId target) const;
-    void observeSlowness(TargetId target, double ratio);
+    /** Observed latency of the target relative to the pool's; goes back to 1 without new observations. */
+    [[nodiscard]] double slowness(TargetId target, Instant now) const;
+    void observeSlowness(TargetId target, double ratio, Instant now);
 
 private:
     struct Slot {
@@ -81,6 +81,7 @@
         int64_t used { 0 };
         uint32_t running { 0 };
         double slowness { 1 };
+        Instant slownessAt {};
         bool reachable { true };
         bool listed { false };
         /** Position in open_, if it is there. */
--- a/src/sched/TargetWindow.cpp
+++ b/src/sched/TargetWindow.cpp
@@ -10,7 +10,8 @@
     using namespace std::chrono_literals;
 
     constexpr double decrease = 0.85;
-    // Part of the initial size by which one good latency lets the window grow.
+    // Parts of its size by which one good latency lets the window grow, before and after it first was too large.
+    constexpr double firstIncrease = 0.04;
     constexpr double increase = 0.02;
     constexpr double smallestPart = 0.02;
     // Answers to work sent before a decrease still show the old load, so they do not shrink the window again.
@@ -32,7 +33,7 @@
     if (latency > goal)
         shrink(now);
     else if (static_cast<double>(used) >= usedPartToGrow * size_)
-        size_ = std::min(most_, size_ + increase * most_);
+        size_ = std::min(most_, size_ * (1 + (shrunkAt_ == Instant {} ? firstIncrease : increase)));
 }
 
 void TargetWindow::shrink(Instant now)
--- a/src/sched/TargetWindow.h
+++ b/src/sched/TargetWindow.h
@@ -6,7 +6,7 @@
 
 namespace briarhitch {
 
-/** The cost that one target may hold at a time, learned from latency: additive increase, multiplicative decrease. */
+/** The cost that one target may hold at a time, learned from latency: small steps up, large steps down. */
 class TargetWindow {
 public:
     /** `initial` and `most` in units of cost, both greater than zero. */
