--- a/bench/BenchMain.cpp
+++ b/bench/BenchMain.cpp
@@ -1,5 +1,6 @@
 #include "Measurement.h"
 #include "ScaleCase.h"
+#include "Summary.h"
 
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
@@ -17,6 +18,9 @@
 ABSL_FLAG(std::string, disable, "", "parts of the policy to switch off, separated by commas");
 ABSL_FLAG(std::string, floors, "", "floors by kind of work, for example plan:0.2,tag:0.05");
 ABSL_FLAG(uint64_t, max_queued, 20000, "most requests in the pool's queue");
+ABSL_FLAG(std::string, table, "", "file of measurements, one in each line; prints them as a Markdown table");
+ABSL_FLAG(std::string, bars, "", "file of measurements; prints the acceptance bars as a Markdown table");
+ABSL_FLAG(std::string, plot, "", "file of measurements; prints an SVG");
 ABSL_FLAG(bool, json, false, "print one line of JSON instead of an indented object");
 
 namespace briarhitch::bench {
@@ -45,8 +49,25 @@
         return true;
     }
 
+    /** Whether a summary of a file was asked for; prints it. */
+    bool printSummary()
+    {
+        const std::string table = absl::GetFlag(FLAGS_table);
+        const std::string bars = absl::GetFlag(FLAGS_bars);
+        const std::string plot = absl::GetFlag(FLAGS_plot);
+        if (!table.empty())
+            std::cout << tableOf(readMeasurements(table));
+        if (!bars.empty())
+            std::cout << barsOf(readMeasurements(bars));
+        if (!plot.empty())
+            std::cout << plotOf(readMeasurements(plot));
+        return !table.empty() || !bars.empty() || !plot.empty();
+    }
+
     int runBench()
     {
+        if (printSummary())
+            return 0;
         MeasurementSettings settings;
         settings.caseName = absl::GetFlag(FLAGS_case);
         settings.policy = absl::GetFlag(FLAGS_policy);
--- a/bench/Measurement.cpp
+++ b/bench/Measurement.cpp
@@ -218,6 +218,8 @@
         json["arrivals"] = spec_.comesInBursts ? "bursts" : "poisson";
         json["seed"] = settings_.seed;
         json["disabled"] = settings_.disabledParts;
+        json["floors"] = settings_.floors;
+        json["max_queued"] = settings_.maxQueued;
         json["offered"] = count(main, [](const Arrival&) { return true; }).offered;
         json["capacity_per_s"] = rounded(capacity_);
         json["top_tier_load"] = rounded(topTierLoad());
--- a/tests/BriarhitchSchedulerTest.cpp
+++ b/tests/BriarhitchSchedulerTest.cpp
@@ -170,5 +170,137 @@
         EXPECT_EQ(takeActions(), "g6:1");
     }
 
+    // Guards against a pool that refuses everything for ever after its targets were slow for a while.
+    TEST_F(BriarhitchSchedulerTest, AdmitsAgainAfterSlowAnswers)
+    {
+        makePool(1, 4);
+        for (uint64_t id = 1; id <= 40; ++id) {
+            pool_->submit(request(id), now_);
+            now_ += 10s;
+            pool_->started({ RequestId(id), 1 }, 10s, now_);
+            finish(id);
+        }
+        takeActions();
+        now_ += 6s;
+        auto hurried = request(41);
+        hurried.deadline = now_ + 4s;
+        pool_->submit(hurried, now_);
+        EXPECT_EQ(takeActions(), "g41:1");
+    }
+
+    // Guards against a target that is overloaded without end because its settings give too many slots.
+    TEST_F(BriarhitchSchedulerTest, WindowOfSlowTargetShrinks)
+    {
+        makePool(1, 1000);
+        uint64_t id = 0;
+        for (int i = 0; i < 60; ++i) {
+            pool_->submit(request(++id), now_);
+            now_ += 1s;
+            pool_->started({ RequestId(id), 1 }, 5s, now_);
+            finish(id);
+        }
+        takeActions();
+        for (int i = 0; i < 1000; ++i) {
+            auto patient = request(++id);
+            patient.deadline = now_ + 1h;
+            pool_->submit(patient, now_);
+        }
+        const auto stats = pool_->stats();
+        EXPECT_GT(stats.queued[0], 500U);
+        EXPECT_GT(stats.running[0], 0U);
+    }
+
+    // Guards against a kind of work that gets nothing at all while more urgent work fills the pool.
+    TEST_F(BriarhitchSchedulerTest, FloorGivesAKindItsPart)
+    {
+        PoolSettings settings;
+        settings.floors[WorkKindId(2)] = 0.25;
+        makePool(1, 1, settings);
+        uint64_t id = 0;
+        for (int i = 0; i < 100; ++i) {
+            pool_->submit(request(++id, 0), now_);
+            auto floored = request(++id, 3);
+            floored.kind = WorkKindId(2);
+            pool_->submit(floored, now_);
+        }
+        int served = 0;
+        for (int i = 0; i < 80; ++i) {
+            now_ += 100ms;
+            const auto actions = pool_->takeActions();
+            ASSERT_FALSE(actions.empty());
+            const auto attempt = std::get<PoolGrant>(actions.back()).attempt;
+            served += attempt.request.value() % 2 == 0;
+            pool_->finished(attempt, AttemptOutcome::Completed, Tokens(100), Tokens(100), 100ms, now_);
+        }
+        EXPECT_NEAR(served, 20, 4);
+    }
+
+    // Guards against prompts that are computed again although a target has most of them in its cache.
+    TEST_F(BriarhitchSchedulerTest, PrefixAffinityIsBoundedByLoad)
+    {
+        makePool(3, 4);
+        auto withPrefix = [&](uint64_t id) {
+            auto made = request(id);
+            made.prefix = { 5, 6, 7 };
+            made.promptTokens = Tokens(2000);
+            return made;
+        };
+        pool_->submit(withPrefix(1), now_);
+        pool_->submit(withPrefix(2), now_);
+        EXPECT_EQ(takeActions(), "g1:1 g2:1");
+        for (uint64_t id = 3; id <= 8; ++id)
+            pool_->submit(withPrefix(id), now_);
+        const auto text = takeActions();
+        EXPECT_NE(text.find(":2"), std::string::npos) << text;
+    }
+
+    // Guards against more calls side by side than a service has slots.
+    TEST_F(BriarhitchSchedulerTest, ServicePoolCountsSlots)
+    {
+        PoolSettings settings;
+        settings.kind = PoolKind::Service;
+        makePool(2, 2, settings);
+        for (uint64_t id = 1; id <= 5; ++id)
+            pool_->submit(request(id), now_);
+        EXPECT_EQ(takeActions(), "g1:1 g2:2 g3:1 g4:2");
+        EXPECT_EQ(pool_->stats().queued[0], 1U);
+        finish(1);
+        EXPECT_EQ(takeActions(), "g5:1");
+    }
+
+    // Guards against an owner that forgets what its predecessor granted.
+    TEST_F(BriarhitchSchedulerTest, RestoredAttemptsHoldTheirTargets)
+    {
+        makePool(2, 1);
+        auto earlier = request(1);
+        earlier.repeatKey = 9;
+        pool_->restore(earlier, TargetId(1), true, now_);
+        pool_->restoreRepeat(9, TargetId(2), now_);
+        auto again = request(2);
+        again.repeatKey = 9;
+        pool_->submit(again, now_);
+        pool_->submit(request(3), now_);
+        pool_->submit(request(4), now_);
+        EXPECT_EQ(takeActions(), "r2:no_target g3:2");
+        finish(1);
+        EXPECT_EQ(takeActions(), "g4:1");
+    }
+
+    // Guards against callers that wait although no target can be reached.
+    TEST_F(BriarhitchSchedulerTest, UnreachableTargetsRefuseAtOnce)
+    {
+        makePool(1, 1);
+        LoadReport report;
+        report.target = TargetId(1);
+        report.reachable = false;
+        pool_->reportLoad(report, now_);
+        pool_->submit(request(1), now_);
+        EXPECT_EQ(takeActions(), "r1:no_target");
+        report.reachable = true;
+        pool_->reportLoad(report, now_);
+        pool_->submit(request(2), now_);
+        EXPECT_EQ(takeActions(), "g2:1");
+    }
+
 }
 }
