--- a/tools/capacity/CapacityMain.cpp
+++ b/tools/capacity/CapacityMain.cpp
@@ -15,7 +15,7 @@
 ABSL_FLAG(std::string, folder, "/tmp/briarhitch-capacity", "folder for settings, logs and data; removed at the end");
 ABSL_FLAG(std::string, fill_page, "", "page whose table is filled in from --data, in place of a measurement");
 ABSL_FLAG(std::string, data, "docs/data/capacity.json", "JSON line of an earlier run, for --fill_page");
-ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, records; all if empty");
+ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, decisions, records; all if empty");
 
 namespace briarhitch {
 namespace {
@@ -52,7 +52,7 @@
             addStatic(result);
         using Measure = FleetSlopes (*)(const std::string&, const std::string&);
         const std::vector<std::pair<const char*, Measure>> parts { { "nodes", measureNodes }, { "configuration", measureConfiguration },
-            { "requests", measureRequests }, { "records", measureRunRecords } };
+            { "requests", measureRequests }, { "decisions", measureDecisions }, { "records", measureRunRecords } };
         for (const auto& [name, measure] : parts) {
             if (isWanted(name))
                 addFleet(result, measure(programs, folder));
--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
+#include <stdexcept>
 
 namespace briarhitch {
 
@@ -201,6 +203,24 @@
     return { table.fit(), {} };
 }
 
+FleetSlopes measureDecisions(const std::string& programs, const std::string& folder)
+{
+    progress("decisions");
+    std::filesystem::create_directories(folder);
+    auto log = folder + "/bench.log";
+    ChildProcess bench(programs + "/briarhitch-bench", { "--case=scale", "--policy=briarhitch", "--seed=1", "--json" }, log);
+    if (bench.waitExit(std::chrono::seconds(120)) != 0)
+        throw std::runtime_error("briarhitch-bench failed: " + bench.log());
+    auto measured = nlohmann::json::parse(bench.log());
+    nlohmann::ordered_json figures;
+    for (const auto& point : measured.at("points")) {
+        auto name = "decision_ns_" + std::to_string(point.at("targets").get<int>()) + "_targets_" + std::to_string(point.at("customers").get<int>()) + "_customers";
+        figures[name] = point.at("ns_per_decision");
+    }
+    std::filesystem::remove_all(folder);
+    return { {}, figures };
+}
+
 FleetSlopes measureRunRecords(const std::string& programs, const std::string& folder)
 {
     CapacityFleet fleet(programs, folder);
--- a/tools/capacity/FleetSlopes.h
+++ b/tools/capacity/FleetSlopes.h
@@ -20,6 +20,8 @@
 FleetSlopes measureConfiguration(const std::string& programs, const std::string& folder);
 /** Cost of requests and of relayed tokens. */
 FleetSlopes measureRequests(const std::string& programs, const std::string& folder);
+/** Time of a decision against targets and customers, as briarhitch-bench measures it. */
+FleetSlopes measureDecisions(const std::string& programs, const std::string& folder);
 /** Cost of run records. */
 FleetSlopes measureRunRecords(const std::string& programs, const std::string& folder);
 
