Refuse operators' bodies that are nested too deeply

The message about a wrong field quotes it with a recursive printer, and a body of 4 MiB of brackets would exhaust a fiber's 256 KiB stack and end the voter. Bodies need three levels; more than 16 are refused before they are parsed, as entries do with callers' bodies.

--- a/src/control/AdminJson.cpp
+++ b/src/control/AdminJson.cpp
@@ -19,6 +19,7 @@
     constexpr int64_t maxInFlight = 10'000'000;
     constexpr int64_t maxSlots = 65536;
     constexpr int64_t maxPort = 65535;
+    constexpr size_t maxBodyDepth = 16;
     constexpr auto nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
 
     bool isSha256(const std::string& text)
@@ -96,9 +97,32 @@
         target.checksFencing = reader.boolean("checks_fencing", false);
     }
 
+    /** Whether brackets nest deeper than any body needs; a parser's or printer's recursion could exhaust the stack. */
+    bool isTooDeep(const std::string& body)
+    {
+        size_t depth = 0;
+        bool inString = false;
+        for (size_t i = 0; i < body.size(); ++i) {
+            char c = body[i];
+            if (inString && c == '\\')
+                ++i;
+            else if (c == '"')
+                inString = !inString;
+            else if (!inString && (c == '{' || c == '['))
+                ++depth;
+            else if (!inString && (c == '}' || c == ']') && depth > 0)
+                --depth;
+            if (depth > maxBodyDepth)
+                return true;
+        }
+        return false;
+    }
+
     template <class Command>
     Result<Command> parseBody(const std::string& body, Command command, const std::function<void(SettingsReader&, Command&)>& read)
     {
+        if (isTooDeep(body))
+            return fail(ErrorKind::BadRequest, "body: nested deeper than " + std::to_string(maxBodyDepth) + " levels");
         auto reader = SettingsReader::fromText(body, "body");
         if (!reader)
             return tl::unexpected(reader.error());
--- a/tests/ControlServerTest.cpp
+++ b/tests/ControlServerTest.cpp
@@ -133,6 +133,11 @@
         }
 
         std::pair<int, json> send(const std::string& method, const std::string& target, const json& body = {}, const std::string& key = operatorKey)
+        {
+            return sendText(method, target, body.is_null() ? "" : body.dump(), key);
+        }
+
+        std::pair<int, json> sendText(const std::string& method, const std::string& target, const std::string& body, const std::string& key = operatorKey)
         {
             HttpCallSettings call;
             call.host = "127.0.0.1";
@@ -140,7 +145,7 @@
             call.method = method;
             call.target = target;
             call.headers = { { "Authorization", "Bearer " + key } };
-            call.body = body.is_null() ? "" : body.dump();
+            call.body = body;
             auto answer = fetch(client, call);
             EXPECT_TRUE(answer);
             if (!answer)
@@ -242,6 +247,7 @@
             EXPECT_NE(bad["error"]["message"].get<std::string>().find("contract.shares"), std::string::npos);
             EXPECT_EQ(admin.send("PUT", "/v1/customers/pin%20cel", change).first, 400);
             EXPECT_EQ(admin.send("PUT", "/v1/customers/pincel?wait=1", change).first, 400);
+            EXPECT_EQ(admin.sendText("PUT", "/v1/customers/pincel", "{\"contract\":" + std::string(100000, '[')).first, 400);
             EXPECT_TRUE(leader.state.config().customers.empty());
 
             auto [status, accepted] = admin.send("PUT", "/v1/customers/pincel", change);
