--- a/tests/RaftScheduleTest.cpp
+++ b/tests/RaftScheduleTest.cpp
@@ -10,39 +10,30 @@
     using Reached = RaftSimulation::Reached;
 
     /** Runs schedules with seeds from `first` on and expects that none violates anything. */
-    Reached expectSafe(Options options, uint64_t first, uint64_t count)
+    Reached expectSafe(Options options, uint64_t first, uint64_t schedules)
     {
         Reached totals;
-        for (uint64_t seed = first; seed < first + count; ++seed) {
+        for (uint64_t seed = first; seed < first + schedules; ++seed) {
             options.seed = seed;
             RaftSimulation simulation(options);
             auto violation = simulation.run();
             EXPECT_EQ(violation, "");
             if (!violation.empty())
                 break;
-            const auto& reached = simulation.reached();
-            totals.commits += reached.commits;
-            totals.elections += reached.elections;
-            totals.membershipChanges += reached.membershipChanges;
-            totals.installedSnapshots += reached.installedSnapshots;
-            totals.crashes += reached.crashes;
-            totals.lostDisks += reached.lostDisks;
-            totals.lostProposals += reached.lostProposals;
-            totals.leaseChecks += reached.leaseChecks;
+            for (const auto& [situation, count] : simulation.reached())
+                totals[situation] += count;
         }
         return totals;
     }
 
-    /** The first violation found within some schedules; empty if there is none. */
-    std::string findViolation(Options options, uint64_t count)
+    /** True if this check finds something within so many schedules. */
+    bool isFound(Options options, const std::string& check, uint64_t schedules)
     {
-        for (uint64_t seed = 1; seed <= count; ++seed) {
-            options.seed = seed;
-            auto violation = RaftSimulation(options).run();
-            if (!violation.empty())
-                return violation;
+        for (options.seed = 1; options.seed <= schedules; ++options.seed) {
+            if (RaftSimulation(options).run().find(check) != std::string::npos)
+                return true;
         }
-        return {};
+        return false;
     }
 
     /** Many elections in which votes arrive late and voters restart at once. */
@@ -94,13 +85,13 @@
         constexpr uint64_t schedules = 2500;
         auto reached = expectSafe({}, GetParam() * schedules, schedules);
         // Schedules that do not reach these situations would not guard against anything.
-        EXPECT_GT(reached.commits, 20 * schedules);
-        EXPECT_GT(reached.elections, 2 * schedules);
-        EXPECT_GT(reached.installedSnapshots, schedules / 2);
-        EXPECT_GT(reached.membershipChanges, schedules / 2);
-        EXPECT_GT(reached.lostDisks, schedules / 10);
-        EXPECT_GT(reached.lostProposals, schedules / 10);
-        EXPECT_GT(reached.leaseChecks, 100 * schedules);
+        EXPECT_GT(reached["commits"], 20 * schedules);
+        EXPECT_GT(reached["elections"], 2 * schedules);
+        EXPECT_GT(reached["installed snapshots"], schedules / 2);
+        EXPECT_GT(reached["membership changes"], schedules / 2);
+        EXPECT_GT(reached["lost disks"], schedules / 10);
+        EXPECT_GT(reached["lost proposals"], schedules / 10);
+        EXPECT_GT(reached["leases"], 100 * schedules);
     }
     INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, MixedFaults, testing::Range<uint64_t>(1, 5));
 
@@ -135,49 +126,39 @@
         expectSafe(restartOptions(), 500000, 1500);
     }
 
-    // The cases below show that the checks find the faults they are made for.
-
-    TEST(RaftScheduleTest, ForgottenVoteIsFound)
-    {
-        Options options = electionOptions();
-        options.faults.forgetVote = true;
-        EXPECT_NE(findViolation(options, 5000).find("election safety"), std::string::npos);
-    }
-
-    TEST(RaftScheduleTest, VoteInSpiteOfALeaderIsFound)
-    {
+    struct Variant {
+        const char* name;
         Options options;
-        options.faults.voteDespiteLeader = true;
-        EXPECT_NE(findViolation(options, 2000).find("lease"), std::string::npos);
-    }
+        /** The fault that is put in. */
+        std::function<void(Options&)> breakIt;
+        /** The check that must find it, within so many schedules. */
+        const char* check;
+        uint64_t schedules;
 
-    TEST(RaftScheduleTest, ForgottenPromiseIsFound)
-    {
-        Options options = restartOptions();
-        options.faults.forgetPromise = true;
-        EXPECT_NE(findViolation(options, 3000).find("lease"), std::string::npos);
-    }
+        friend void PrintTo(const Variant& variant, std::ostream* out) { *out << variant.name; } // NOLINT(readability-identifier-naming)
+    };
 
-    TEST(RaftScheduleTest, ClocksBeyondTheDriftBoundAreFound)
-    {
-        Options options;
-        options.clockSpread = 0.4;
-        EXPECT_NE(findViolation(options, 5000).find("lease"), std::string::npos);
-    }
+    // Each case shows that a check finds the fault it is made for.
+    class BrokenVariant : public testing::TestWithParam<Variant> {
+    };
 
-    TEST(RaftScheduleTest, AcknowledgedButUnsyncedEntryIsFound)
+    TEST_P(BrokenVariant, IsFound)
     {
-        Options options;
-        options.faults.acknowledgeUnsynced = true;
-        EXPECT_NE(findViolation(options, 1000), "");
+        Options options = GetParam().options;
+        GetParam().breakIt(options);
+        EXPECT_TRUE(isFound(options, GetParam().check, GetParam().schedules));
     }
 
-    TEST(RaftScheduleTest, VoteOfALostDiskIsFound)
-    {
-        Options options;
-        options.faults.ignoreIncarnations = true;
-        EXPECT_NE(findViolation(options, 2000).find("leader completeness"), std::string::npos);
-    }
+    const std::vector<Variant> variants {
+        { "UnstoredVote", electionOptions(), [](Options& options) { options.faults.forgetVote = true; }, "election safety", 5000 },
+        { "VoteDespiteLeader", {}, [](Options& options) { options.faults.voteDespiteLeader = true; }, "lease", 2000 },
+        { "VoteRightAfterRestart", restartOptions(), [](Options& options) { options.faults.forgetPromise = true; }, "lease", 3000 },
+        { "ClocksBeyondTheBound", {}, [](Options& options) { options.clockSpread = 0.4; }, "lease", 5000 },
+        { "UnsyncedAcknowledgement", {}, [](Options& options) { options.faults.acknowledgeUnsynced = true; }, "leader completeness", 2000 },
+        { "VoteOfALostDisk", {}, [](Options& options) { options.faults.ignoreIncarnations = true; }, "leader completeness", 2000 },
+    };
+    INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, BrokenVariant, testing::ValuesIn(variants),
+        [](const auto& info) { return std::string(info.param.name); });
 
 }
 }
--- a/tests/support/MemoryFileSystem.h
+++ b/tests/support/MemoryFileSystem.h
@@ -37,20 +37,20 @@
 
     Result<void> append(const std::string& path, std::string_view bytes) override
     {
-        bool works = spendOperation();
+        auto works = spendOperation(path);
         auto& file = current_[path];
         if (!file) {
             file = std::make_shared<File>();
             unsyncedNames_.push_back(current_);
         }
         file->content += works ? bytes : bytes.substr(0, bytes.size() / 2);
-        return works ? Result<void> {} : fail(ErrorKind::Internal, "no space left for " + path);
+        return works;
     }
 
     Result<void> truncate(const std::string& path, uint64_t size) override
     {
-        if (!spendOperation())
-            return fail(ErrorKind::Internal, "cannot truncate " + path);
+        if (auto spent = spendOperation(path); !spent)
+            return spent;
         auto& file = *current_.at(path);
         if (size < file.syncedBytes) {
             file.beforeTruncate = file.content.substr(0, file.syncedBytes);
@@ -62,8 +62,8 @@
 
     Result<void> sync(const std::string& path) override
     {
-        if (!spendOperation())
-            return fail(ErrorKind::Internal, "cannot sync " + path);
+        if (auto spent = spendOperation(path); !spent)
+            return spent;
         auto& file = *current_.at(path);
         file.syncedBytes = file.content.size();
         file.beforeTruncate.reset();
@@ -72,8 +72,8 @@
 
     Result<void> syncFolder(const std::string& folder) override
     {
-        if (!spendOperation())
-            return fail(ErrorKind::Internal, "cannot sync " + folder);
+        if (auto spent = spendOperation(folder); !spent)
+            return spent;
         durable_ = current_;
         unsyncedNames_.clear();
         return {};
@@ -81,8 +81,8 @@
 
     Result<void> rename(const std::string& from, const std::string& to) override
     {
-        if (!spendOperation())
-            return fail(ErrorKind::Internal, "cannot rename " + from);
+        if (auto spent = spendOperation(from); !spent)
+            return spent;
         current_[to] = current_.at(from);
         current_.erase(from);
         unsyncedNames_.push_back(current_);
@@ -91,8 +91,8 @@
 
     Result<void> remove(const std::string& path) override
     {
-        if (!spendOperation())
-            return fail(ErrorKind::Internal, "cannot remove " + path);
+        if (auto spent = spendOperation(path); !spent)
+            return spent;
         current_.erase(path);
         unsyncedNames_.push_back(current_);
         return {};
@@ -123,12 +123,12 @@
     };
     using Names = std::map<std::string, std::shared_ptr<File>>;
 
-    bool spendOperation()
+    Result<void> spendOperation(const std::string& path)
     {
         if (operationsLeft == 0)
-            return false;
+            return fail(ErrorKind::Internal, "injected failure at " + path);
         --operationsLeft;
-        return true;
+        return {};
     }
 
     static void loseUnsynced(File& file, Random& random)
--- a/tests/support/RaftSimulation.h
+++ b/tests/support/RaftSimulation.h
@@ -75,17 +75,8 @@
         return violation_;
     }
 
-    /** What the schedule reached; a test that reaches nothing proves nothing. */
-    struct Reached {
-        uint64_t commits { 0 };
-        uint64_t elections { 0 };
-        uint64_t membershipChanges { 0 };
-        uint64_t installedSnapshots { 0 };
-        uint64_t crashes { 0 };
-        uint64_t lostDisks { 0 };
-        uint64_t lostProposals { 0 };
-        uint64_t leaseChecks { 0 };
-    };
+    /** How often the schedule reached a situation; a test that reaches nothing proves nothing. */
+    using Reached = std::map<std::string, uint64_t>;
     const Reached& reached() const { return reached_; }
 
 private:
@@ -244,7 +235,7 @@
         hooks.state.takeSnapshot = [&node] { return std::to_string(node.state) + std::string(40, ' '); };
         hooks.state.loadSnapshot = [this, &node](uint64_t index, std::string_view bytes) { onLoaded(node, index, bytes); };
         hooks.send = [this, &node](NodeId to, const RaftMessage& message) { transmit(node.id, to.value(), message); };
-        hooks.onInstalled = [this](uint64_t) { ++reached_.installedSnapshots; };
+        hooks.onInstalled = [this](uint64_t) { ++reached_["installed snapshots"]; };
         hooks.onApplied = [this, &node](const LogEntry& entry, const std::string&) { onApplied(node, entry); };
         auto opened = RaftReplica::open(*node.files, settingsOf(node), std::move(hooks), localTime(node));
         if (!opened && opened.error().kind == ErrorKind::Internal)
@@ -258,7 +249,6 @@
 
     void crash(Node& node)
     {
-        ++reached_.crashes;
         node.replica.reset();
         node.proposals.clear();
         node.files->crash(random_);
@@ -285,12 +275,7 @@
         }
     }
 
-    Node& randomNode()
-    {
-        auto it = nodes_.begin();
-        std::advance(it, random_.below(nodes_.size()));
-        return it->second;
-    }
+    Node& randomNode() { return nodes_[1 + static_cast<uint32_t>(random_.below(nodes_.size()))]; }
 
     void propose()
     {
@@ -388,7 +373,7 @@
             return;
         if (!isWhole(leader->replica->core().log().membership()))
             return;
-        ++reached_.lostDisks;
+        ++reached_["lost disks"];
         wipe(node);
     }
 
@@ -451,7 +436,7 @@
         Proposal proposal = it->second;
         node.proposals.erase(it);
         if (proposal.term != entry.term) {
-            ++reached_.lostProposals;
+            ++reached_["lost proposals"];
             return;
         }
         if (entry.data != "op " + std::to_string(proposal.operation))
@@ -472,8 +457,8 @@
             const auto& entry = core.log().entry(committed_.size() + 1);
             if (entry.kind == EntryKind::Command && !committedOperations_.insert(entry.data).second)
                 violate("an operation is committed twice");
-            ++reached_.commits;
-            reached_.membershipChanges += entry.kind == EntryKind::Membership ? 1 : 0;
+            ++reached_["commits"];
+            reached_["membership changes"] += entry.kind == EntryKind::Membership ? 1 : 0;
             committed_.push_back({ entry, core.term(), std::nullopt });
         }
     }
@@ -496,7 +481,7 @@
         const auto& core = node.replica->core();
         node.checkedLeaderTerm = core.term();
         auto [it, isNew] = leaders_.insert({ core.term(), node.id });
-        ++reached_.elections;
+        ++reached_["elections"];
         if (!isNew && it->second != node.id)
             return violate("election safety: two leaders in term " + std::to_string(core.term()));
         for (uint64_t index = core.log().baseIndex() + 1; index <= committed_.size(); ++index) {
@@ -558,7 +543,7 @@
             greatestTerm = std::max(greatestTerm, core.term());
             if (!core.hasLeaderLease(localTime(node)))
                 continue;
-            ++reached_.leaseChecks;
+            ++reached_["leases"];
             if (holder)
                 return violate("lease: two leaders hold one");
             holder = &core;
@@ -582,28 +567,7 @@
         while (violation_.empty() && now_ < end && !(maxAcked_ > before + 3 && settledLeader()))
             runUntil(now_ + std::chrono::milliseconds(500));
         if (violation_.empty() && maxAcked_ <= before + 3)
-            violate("no progress after all faults ended:" + describe());
-    }
-
-    std::string describe() const
-    {
-        std::string text;
-        for (const auto& [id, node] : nodes_) {
-            text += " node " + std::to_string(id);
-            if (!node.replica) {
-                text += " is down;";
-                continue;
-            }
-            const auto& core = node.replica->core();
-            text += " life " + std::to_string(core.hardState().incarnation.value()) + " role " + std::to_string(static_cast<int>(core.role()))
-                + " term " + std::to_string(core.term()) + " commit " + std::to_string(core.commitIndex()) + " last "
-                + std::to_string(core.log().lastIndex()) + "/" + std::to_string(core.log().lastTerm()) + " members of "
-                + std::to_string(core.log().membershipIndex());
-            for (const auto& member : core.log().membership().members)
-                text += " " + std::to_string(member.node.value()) + "." + std::to_string(member.incarnation.value()) + "VLJ"[static_cast<int>(member.role)];
-            text += ";";
-        }
-        return text;
+            violate("no progress after all faults ended");
     }
 
     RaftSimulationOptions options_;
