--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -12,6 +12,7 @@
 namespace {
 
     constexpr double microseconds = 1e6;
+    constexpr double milliseconds = 1e3;
     constexpr double idleWindowSeconds = 8;
     constexpr double configurationWindowSeconds = 6;
     constexpr double loadSeconds = 6;
@@ -188,6 +189,11 @@
     };
     nlohmann::json streamed { { "stream", 1 } };
     (void)costOf(fleet, with({ "--rate=20", "--max_tokens=5" }), streamed);
+    auto quiet = fleet.load(with({ "--rate=50", "--max_tokens=5" }), streamed);
+    nlohmann::ordered_json figures;
+    const auto& firstToken = quiet.at("latency").at("first_token");
+    figures["first_token_ms_p50"] = firstToken.at("p50_s").get<double>() * milliseconds;
+    figures["first_token_ms_p95"] = firstToken.at("p95_s").get<double>() * milliseconds;
     for (size_t rate : requestRates) {
         progress(std::to_string(rate) + " requests/s");
         auto cost = costOf(fleet, with({ "--rate=" + std::to_string(rate), "--max_tokens=1" }), streamed);
@@ -200,7 +206,7 @@
         auto cost = costOf(fleet, with({ "--rate=50", "--max_tokens=" + std::to_string(tokens) }), streamed);
         table.add("entry_cpu_s_by_token", "s/token", cost.answered * static_cast<double>(tokens), cost.entryCpu);
     }
-    return { table.fit(), {} };
+    return { table.fit(), figures };
 }
 
 FleetSlopes measureDecisions(const std::string& programs, const std::string& folder)
--- a/tools/capacity/StaticSlopes.cpp
+++ b/tools/capacity/StaticSlopes.cpp
@@ -23,6 +23,8 @@
     const std::vector<uint32_t> targetCounts { 15, 300, 900, 1500, 2100 };
     const std::vector<uint32_t> callCounts { 1000, 2000, 4000, 8000 };
     const std::vector<uint32_t> recordCounts { 20000, 50000, 100000, 200000 };
+    /** Blocks of 256 bytes in a prompt of 1,200 tokens of four bytes. */
+    constexpr uint32_t promptBlocks = 19;
     /** Body of a linked call, about that of an ask with a prefix. */
     constexpr size_t callBodyBytes = 54;
     /** Body of a recorded answer of a charge. */
@@ -168,7 +170,8 @@
     ask.kind = WorkKindId(0x12345678);
     ask.promptTokens = Tokens(1200);
     ask.maxOutputTokens = Tokens(500);
-    ask.prefix = { 0x12345678, 0x22345678, 0x32345678, 0x42345678 };
+    for (uint32_t block = 0; block < promptBlocks; ++block)
+        ask.prefix.push_back(0x12345678 + (block << 24));
     ask.deadlineMs = 30000;
 
     Heartbeat heartbeat { nodeNumber(300), Version(100000), {} };
