Test a suspended leader and a voter that lost its disk with real processes

Both were only tried by hand. A leader stopped with SIGSTOP is replaced, and when it goes on it takes over what it missed; a voter whose folder was emptied becomes a voter again, and a change is accepted after the loss of another one right after that.

The first version of the second test killed the other voter before the leader had noticed that the first came back empty, and then rightly found no quorum: two of three copies of the log were gone. It now waits until the rebuilt voter has applied the state.

--- /dev/null
+++ b/tests/process/ControlFailureTest.cpp
@@ -0,0 +1,121 @@
+#include "process/ProcessFixture.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+
+namespace briarhitch {
+namespace {
+
+    /** Three voters and no nodes. */
+    class ControlFailureTest : public ProcessFixture {
+    protected:
+        ControlFailureTest()
+        {
+            startControls(3);
+            putCustomer(defaultContract());
+        }
+
+        Daemon& voter(int number) { return daemon("control-" + std::to_string(number)); }
+        int leader() { return status()["leader"].get<int>() - 100; }
+        int otherThan(int first, int second = 0)
+        {
+            for (int number : { 1, 2, 3 }) {
+                if (number != first && number != second)
+                    return number;
+            }
+            return 0;
+        }
+
+        /** The leader's answer, asked for at these voters only: a suspended one never answers. */
+        Json ask(const std::vector<int>& voters, PlainRequest request)
+        {
+            request.headers["Authorization"] = std::string("Bearer ") + operatorKey;
+            Json json;
+            waitUntil("a leader answers", [&] {
+                for (int number : voters) {
+                    auto answer = callPlain(voter(number).port, request);
+                    json = Json::parse(answer.body, nullptr, false);
+                    if (answer.status == 200 && json.value("is_leader", true))
+                        return true;
+                }
+                return false;
+            });
+            return json;
+        }
+
+        void putShare(const std::vector<int>& voters, double share, uint64_t expectedVersion)
+        {
+            auto contract = defaultContract();
+            contract["share"] = share;
+            Json body { { "change_id", "share-" + std::to_string(expectedVersion) }, { "expected_version", expectedVersion }, { "contract", contract } };
+            ask(voters, { "PUT", path(), {}, body.dump() });
+        }
+
+        Json present(const std::vector<int>& voters) { return ask(voters, { "GET", path(), {}, "" }); }
+        Json statusAt(const std::vector<int>& voters) { return ask(voters, { "GET", "/v1/status", {}, "" }); }
+        static std::string path() { return std::string("/v1/customers/") + customer; }
+
+        /** Configuration version that a voter has applied. */
+        uint64_t appliedBy(int number)
+        {
+            const std::string name = "\ncontrol_config_version ";
+            auto metrics = callPlain(voter(number).port, { "GET", "/metrics", {}, "" }).body;
+            auto start = metrics.find(name);
+            return start == std::string::npos ? 0 : std::stoull(metrics.substr(start + name.size()));
+        }
+
+        static std::string dataFolderOf(const Daemon& control)
+        {
+            for (const auto& argument : control.arguments) {
+                auto path = argument.substr(argument.find('=') + 1);
+                std::ifstream stream(path);
+                auto settings = Json::parse(stream, nullptr, false);
+                if (settings.is_object() && settings.contains("data_folder"))
+                    return settings["data_folder"];
+            }
+            return {};
+        }
+    };
+
+    // Guards against a leader that was cut off and, when it is back, undoes what was accepted meanwhile.
+    TEST_F(ControlFailureTest, SuspendedLeaderIsReplacedAndTakesNothingBack)
+    {
+        int old = leader();
+        std::vector<int> others { otherThan(old), otherThan(old, otherThan(old)) };
+        voter(old).process->signal(SIGSTOP);
+        putShare(others, 5, 1);
+        voter(old).process->signal(SIGCONT);
+        auto version = statusAt(others)["config_version"].get<uint64_t>();
+        waitUntil("the old leader catches up", [&] { return appliedBy(old) == version; });
+        putShare({ 1, 2, 3 }, 6, 2);
+        EXPECT_NE(statusAt({ 1, 2, 3 })["leader"], old + 100);
+        EXPECT_EQ(present({ 1, 2, 3 })["contract"]["share"], 6);
+        EXPECT_EQ(present({ 1, 2, 3 })["version"], 3);
+    }
+
+    // Guards against a change that is lost with a second voter right after the first was rebuilt.
+    TEST_F(ControlFailureTest, VoterThatLostItsDiskCountsAgainAfterItsRepair)
+    {
+        putShare({ 1, 2, 3 }, 5, 1);
+        int lost = otherThan(leader());
+        auto folder = dataFolderOf(voter(lost));
+        ASSERT_FALSE(folder.empty());
+        voter(lost).process->kill();
+        std::filesystem::remove_all(folder);
+        std::filesystem::create_directory(folder);
+        restart(voter(lost));
+        auto version = status()["config_version"].get<uint64_t>();
+        // Until it has the state, the leader still counts its former incarnation among the voters.
+        waitUntil("the rebuilt voter has the state", [&] { return appliedBy(lost) == version; });
+        waitUntil("the rebuilt voter votes", [&] { return status()["log"]["voters"].size() == 3 && status()["log"]["learners"].empty(); });
+        int second = otherThan(lost);
+        voter(second).process->kill();
+        std::vector<int> left { lost, otherThan(lost, second) };
+        putShare(left, 6, 2);
+        EXPECT_EQ(present(left)["contract"]["share"], 6);
+        EXPECT_EQ(present(left)["version"], 3);
+    }
+
+}
+}
