--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-    // Bounds the size of one append, which must fit into a frame of a link together with a whole batch.
-    constexpr size_t maxCommandBytes = 4 * 1024 * 1024;
+    // An append is a batch (256 KiB) and at most one command more; all that are in flight must fit into a link's queue.
+    constexpr size_t maxCommandBytes = 1024 * 1024;
     constexpr int ticksPerHeartbeat = 5;
 
     const Log& raftLog()
@@ -80,6 +80,8 @@
     /** Proposals that are waited for, by index. */
     std::map<uint64_t, std::shared_ptr<Waiter>> waiters;
     bool processScheduled { false };
+    /** The node is gone and its hooks must not be called; fibers that wait may still hold this. */
+    bool closed { false };
 };
 
 RaftReplicaSettings RaftNode::Impl::replicaSettings() const
@@ -122,7 +124,7 @@
 {
     loop.after(settings.heartbeatInterval / ticksPerHeartbeat, [weak = weak_from_this()] {
         auto self = weak.lock();
-        if (!self)
+        if (!self || self->closed)
             return;
         self->replica->tick(self->settings.clock());
         self->process();
@@ -145,6 +147,8 @@
 void RaftNode::Impl::process()
 {
     processScheduled = false;
+    if (closed)
+        return;
     replica->process(settings.clock());
 }
 
@@ -194,6 +198,7 @@
 
 RaftNode::~RaftNode()
 {
+    impl_->closed = true;
     while (!impl_->waiters.empty())
         impl_->finish(impl_->waiters.begin()->first, fail(ErrorKind::NoQuorum, "the voter stops"));
 }
@@ -213,6 +218,29 @@
     return std::unique_ptr<RaftNode>(new RaftNode(std::move(impl)));
 }
 
+Result<void> RaftNode::rebuildAsSoleVoter(const std::string& dataFolder, NodeId self)
+{
+    PosixFileSystem files;
+    StoredState found;
+    LogStoreSettings settings;
+    settings.folder = dataFolder;
+    auto store = LogStore::open(files, settings, found);
+    if (!store)
+        return tl::unexpected(store.error());
+    HardState state = found.hardState;
+    if (!state.incarnation.isValid())
+        return fail(ErrorKind::NotFound, "folder " + dataFolder + " has no log");
+    auto log = RaftLog::make(state.initial, found.snapshot, std::move(found.entries));
+    if (!log)
+        return tl::unexpected(log.error());
+    // A new term, so that the entry cannot be taken for one of the former leader.
+    ++state.term;
+    state.votedFor = {};
+    auto sole = Membership().with({ self, state.incarnation, MemberRole::Voter });
+    LogEntry entry { log->lastIndex() + 1, state.term, EntryKind::Membership, encode(sole) };
+    return (*store)->saveHardState(state).and_then([&] { return (*store)->append(entry); }).and_then([&] { return (*store)->sync(); });
+}
+
 void RaftNode::receive(NodeId from, std::string_view bytes)
 {
     auto message = decode<RaftMessage>(bytes);
@@ -225,7 +253,7 @@
 Result<std::string> RaftNode::propose(std::string command, Duration timeout)
 {
     if (command.size() > maxCommandBytes)
-        return fail(ErrorKind::BodyTooLarge, "a change in the log is limited to 4 MiB");
+        return fail(ErrorKind::BodyTooLarge, "a change in the log is limited to 1 MiB");
     // The node may be destroyed while this fiber waits.
     auto impl = impl_;
     auto index = impl->replica->propose(impl->settings.clock(), std::move(command));
@@ -278,6 +306,7 @@
     status.commitIndex = core.commitIndex();
     status.appliedIndex = impl_->replica->appliedIndex();
     status.lastIndex = core.log().lastIndex();
+    status.lastTerm = core.log().lastTerm();
     status.syncCount = impl_->replica->store().syncCount();
     status.incarnation = core.hardState().incarnation;
     for (const auto& member : core.log().membership().members)
