Take a whole record with a bad checksum for damage

A bad last record was cut unless a later record showed that it had been synced. That also cut a confirmed record in which a bit had flipped, and a voter that forgets what it confirmed can lose committed entries. Only a record that the end of the file cuts short is a torn tail now; anything else stops the voter, which is then rebuilt under a new incarnation.

--- a/src/consensus/LogRecord.cpp
+++ b/src/consensus/LogRecord.cpp
@@ -62,6 +62,13 @@
         return record;
     }
 
+    /** True if the file ends before the record that starts here does, going by its length field. */
+    bool isIncomplete(std::string_view bytes, size_t offset)
+    {
+        size_t left = bytes.size() - offset;
+        return left < headerBytes || getInteger(bytes, offset, lengthBytes) > left - headerBytes;
+    }
+
     /** True if some record after a bad one was written when the bad one had been synced already. */
     bool wasSynced(std::string_view bytes, uint64_t badOffset, uint64_t badIndex)
     {
@@ -106,7 +113,9 @@
     while (offset < bytes.size()) {
         auto record = readRecord(bytes, offset, index);
         if (!record || record->entry.index != index) {
-            if (wasSynced(bytes, offset, index))
+            // A write that a crash cut short ends the file. A whole record with a bad checksum was damaged later, and so
+            // was a length that seems to exceed the file although synced records follow.
+            if (!isIncomplete(bytes, offset) || wasSynced(bytes, offset, index))
                 content.damagedAt = offset;
             break;
         }
--- a/src/consensus/LogRecord.h
+++ b/src/consensus/LogRecord.h
@@ -22,7 +22,7 @@
     std::vector<uint64_t> offsets;
     /** Bytes before the torn tail; the whole size if there is none. */
     uint64_t goodBytes { 0 };
-    /** Where a record is bad although a later write shows that it had been synced. */
+    /** Where a record is bad that is not just a last one cut short. */
     std::optional<uint64_t> damagedAt;
 };
 
