--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -2,6 +2,7 @@
 
 #include "consensus/LogRecord.h"
 #include "support/MemoryFileSystem.h"
+#include "support/Mutation.h"
 #include "wire/Codec.h"
 
 #include <gtest/gtest.h>
@@ -272,28 +273,6 @@
         EXPECT_TRUE(result.template is<rc::detail::SuccessResult>()) << text.str();
     }
 
-    /** Changes, inserts and removes a few bytes. */
-    std::string mutate(std::string bytes, Random& random)
-    {
-        for (uint64_t i = 0; i <= random.below(4) && !bytes.empty(); ++i) {
-            size_t place = random.below(bytes.size());
-            switch (random.below(4)) {
-            case 0:
-                bytes[place] = static_cast<char>(random.below(256));
-                break;
-            case 1:
-                bytes.insert(place, 1, static_cast<char>(random.below(256)));
-                break;
-            case 2:
-                bytes.erase(place, 1 + random.below(3));
-                break;
-            default:
-                bytes.resize(place);
-            }
-        }
-        return bytes;
-    }
-
     RaftMessage sampleMessage()
     {
         RaftMessage message;
