Ask the voter that answered last first in briarhitch-ctl

With the leader suspended by SIGSTOP a change waited for it twice, once for the present version and once for the change itself: 5.06 s when the suspended voter came first in the list.

--- a/tools/ctl/CtlClient.cpp
+++ b/tools/ctl/CtlClient.cpp
@@ -77,6 +77,8 @@
 {
     for (int redirects = 0;; ++redirects) {
         auto answer = sendTo(address, method, target, body);
+        if (answer && !isWorthRetrying(*answer))
+            lastAnswered_ = address;
         if (!answer || answer->status != temporaryRedirect || redirects == maxRedirects)
             return answer;
         address = addressOf(findHeader(answer->headers, "Location"));
@@ -89,8 +91,12 @@
 {
     Instant deadline = BootClock::now() + fromSeconds(options_.timeoutSeconds);
     Result<HttpAnswer> last = fail(ErrorKind::Unavailable, "no server address is given");
-    while (!options_.servers.empty()) {
-        for (const auto& server : options_.servers) {
+    auto servers = options_.servers;
+    // A change follows a question for the present version; a voter that is suspended need not be waited for twice.
+    if (!lastAnswered_.empty())
+        servers.insert(servers.begin(), lastAnswered_);
+    while (!servers.empty()) {
+        for (const auto& server : servers) {
             auto answer = followLeader(server, method, target, body);
             if (answer && !isWorthRetrying(*answer))
                 return answer;
--- a/tools/ctl/CtlClient.h
+++ b/tools/ctl/CtlClient.h
@@ -28,6 +28,8 @@
     Loop& loop_;
     const CtlOptions& options_;
     HttpClient client_;
+    /** Voter that answered last; it is asked first. */
+    std::string lastAnswered_;
 };
 
 }
