Ask for the configuration when another node is ahead

A PoolSync or PoolRelease with an epoch that this node does not know yet now makes it send a heartbeat at once.

Also corrects what clang-tidy found in the module.

--- a/include/briarhitch/entry/NodeLinks.h
+++ b/include/briarhitch/entry/NodeLinks.h
@@ -31,7 +31,7 @@
 class NodeLinks : public NodeTransport {
 public:
     /** Unavailable if the address cannot be bound. */
-    static Result<std::unique_ptr<NodeLinks>> listen(Loop& loop, const HostPort& address, LinkSettings settings, const ClusterView& view, NodeLinksHooks hooks);
+    static Result<std::unique_ptr<NodeLinks>> listen(Loop& loop, const HostPort& address, const LinkSettings& settings, const ClusterView& view, NodeLinksHooks hooks);
     ~NodeLinks() override;
 
     bool isReachable(NodeId node) override;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -29,10 +29,17 @@
     Duration leaseAndDrift { std::chrono::milliseconds(3150) };
 };
 
+struct PoolHostHooks {
+    std::function<bool()> hasLease;
+    /** Another node knows of a newer assignment: the configuration should be asked for now. */
+    std::function<void()> onConfigBehind;
+    ClockHook now;
+};
+
 /** The pools that this node owns: takeover, grants, handover. Runs no fibers; time comes from the clock hook. */
 class PoolHost {
 public:
-    PoolHost(PoolHostSettings settings, NodeTransport& transport, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now);
+    PoolHost(PoolHostSettings settings, NodeTransport& transport, MetricRegistry& metrics, PoolHostHooks hooks);
     ~PoolHost();
 
     void onConfigChange(const ClusterConfig& config);
@@ -120,9 +127,8 @@
 
     PoolHostSettings settings_;
     NodeTransport& transport_;
-    std::function<bool()> hasLease_;
     MetricRegistry& metrics_;
-    ClockHook now_;
+    PoolHostHooks hooks_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -146,6 +146,15 @@
         return hooks;
     }
 
+    PoolHostHooks hostHooks()
+    {
+        PoolHostHooks hooks;
+        hooks.hasLease = [this] { return control.hasLease(); };
+        hooks.onConfigBehind = [this] { control.heartbeatNow(); };
+        hooks.now = &BootClock::now;
+        return hooks;
+    }
+
     RunnerHooks runnerHooks()
     {
         RunnerHooks hooks;
@@ -168,8 +177,7 @@
         if (!listening)
             return tl::unexpected(listening.error());
         links = std::move(*listening);
-        host = std::make_unique<PoolHost>(
-            hostSettingsOf(settings, self), *links, [this] { return control.hasLease(); }, metrics, &BootClock::now);
+        host = std::make_unique<PoolHost>(hostSettingsOf(settings, self), *links, metrics, hostHooks());
         PoolClientSettings client { self.id, self.region, self.zone, settings.limits.ownerTimeout, [this] { return control.hasLease(); } };
         pools = std::make_unique<PoolClient>(loop, client, view, *links, &BootClock::now);
         ceilings = std::make_unique<CeilingClient>(loop, view, *links, &BootClock::now);
--- a/src/entry/LoadPoller.cpp
+++ b/src/entry/LoadPoller.cpp
@@ -79,10 +79,11 @@
             nodes.push_back(id);
     }
     std::vector<Target> chosen;
-    for (const auto& [id, target] : config.targets) {
+    for (const auto& entry : config.targets) {
+        const auto& target = entry.second;
         if (target.state == TargetState::Retired || target.region != settings_.region)
             continue;
-        auto best = std::max_element(nodes.begin(), nodes.end(), [&](NodeId left, NodeId right) { return rankOf(left, id) < rankOf(right, id); });
+        auto best = std::max_element(nodes.begin(), nodes.end(), [&](NodeId left, NodeId right) { return rankOf(left, target.id) < rankOf(right, target.id); });
         if (best != nodes.end() && *best == settings_.self)
             chosen.push_back(target);
     }
--- a/src/entry/NodeLinks.cpp
+++ b/src/entry/NodeLinks.cpp
@@ -14,7 +14,7 @@
 
 NodeLinks::~NodeLinks() = default;
 
-Result<std::unique_ptr<NodeLinks>> NodeLinks::listen(Loop& loop, const HostPort& address, LinkSettings settings, const ClusterView& view, NodeLinksHooks hooks)
+Result<std::unique_ptr<NodeLinks>> NodeLinks::listen(Loop& loop, const HostPort& address, const LinkSettings& settings, const ClusterView& view, NodeLinksHooks hooks)
 {
     std::unique_ptr<NodeLinks> links(new NodeLinks(loop, settings, view, std::move(hooks)));
     auto server = LinkServer::listen(loop, address.host, address.port, settings, links->serverHooks());
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -53,12 +53,11 @@
 
 }
 
-PoolHost::PoolHost(PoolHostSettings settings, NodeTransport& transport, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now)
+PoolHost::PoolHost(PoolHostSettings settings, NodeTransport& transport, MetricRegistry& metrics, PoolHostHooks hooks)
     : settings_(std::move(settings))
     , transport_(transport)
-    , hasLease_(std::move(hasLease))
     , metrics_(metrics)
-    , now_(std::move(now))
+    , hooks_(std::move(hooks))
 {
 }
 
@@ -73,7 +72,7 @@
 bool PoolHost::isActive(PoolId pool) const
 {
     auto it = pools_.find(pool);
-    return it != pools_.end() && it->second.scheduler && hasLease_();
+    return it != pools_.end() && it->second.scheduler && hooks_.hasLease();
 }
 
 void PoolHost::onConfigChange(const ClusterConfig& config)
@@ -133,7 +132,7 @@
         }
         poolLog().info("Pool " + it->second.assignment.name + " has another owner now.");
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
-            releases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, now_() });
+            releases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
     }
 }
@@ -143,7 +142,7 @@
     for (const auto& [id, node] : config.nodes) {
         if (!node.lost)
             continue;
-        closedSince_.try_emplace(id, now_());
+        closedSince_.try_emplace(id, hooks_.now());
         for (auto& [poolId, pool] : pools_)
             pool.awaited.erase(id);
     }
@@ -153,7 +152,7 @@
 {
     auto& pool = pools_[assignment.id];
     pool.assignment = assignment;
-    pool.assignedAt = now_();
+    pool.assignedAt = hooks_.now();
     // This node's own earlier life ended before this one began.
     pool.isReleased = !assignment.previousOwner.isValid() || assignment.previousOwner == settings_.self;
     pool.scheduler.reset();
@@ -169,7 +168,7 @@
 {
     std::vector<Target> own;
     std::copy_if(targets_.begin(), targets_.end(), std::back_inserter(own), [&](const Target& target) { return target.pool == pool.assignment.id; });
-    pool.scheduler->setTargets(own, now_());
+    pool.scheduler->setTargets(own, hooks_.now());
 }
 
 void PoolHost::setContracts(Pool& pool)
@@ -180,9 +179,9 @@
 
 void PoolHost::activateIfReady(Pool& pool)
 {
-    if (pool.scheduler || !hasLease_())
+    if (pool.scheduler || !hooks_.hasLease())
         return;
-    auto waited = now_() - pool.assignedAt;
+    auto waited = hooks_.now() - pool.assignedAt;
     bool isFree = pool.isReleased || waited >= settings_.leaseAndDrift;
     bool isCollected = pool.awaited.empty() || waited >= settings_.collectTime;
     if (isFree && isCollected)
@@ -199,7 +198,7 @@
     pool.scheduler = std::move(*made);
     setTargets(pool);
     setContracts(pool);
-    auto now = now_();
+    auto now = hooks_.now();
     for (const auto& repeat : pool.recent)
         pool.scheduler->restoreRepeat(repeat.repeatKey, repeat.target, now);
     pool.recent.clear();
@@ -226,9 +225,13 @@
     auto isKnown = [&](PoolId id, Epoch epoch) {
         auto* pool = find(id);
         bool known = pool && epoch <= pool->assignment.epoch;
-        if (!known)
-            keepEarly(from, link, type, body);
-        return known;
+        if (known)
+            return true;
+        keepEarly(from, link, type, body);
+        // Asks name no epoch and also come from entries that are behind; syncs and releases come from those ahead.
+        if (epoch.isValid())
+            hooks_.onConfigBehind();
+        return false;
     };
     switch (type) {
     case MessageType::Ask:
@@ -268,17 +271,17 @@
 
 void PoolHost::keepEarly(NodeId from, LinkId link, MessageType type, std::string_view body)
 {
-    auto oldest = now_() - earlyMessageTime;
+    auto oldest = hooks_.now() - earlyMessageTime;
     while (!early_.empty() && (early_.front().at < oldest || early_.size() >= maxEarlyMessages))
         early_.pop_front();
-    early_.push_back({ now_(), from, link, type, std::string(body) });
+    early_.push_back({ hooks_.now(), from, link, type, std::string(body) });
 }
 
 void PoolHost::replayEarly()
 {
     auto early = std::move(early_);
     early_.clear();
-    auto oldest = now_() - earlyMessageTime;
+    auto oldest = hooks_.now() - earlyMessageTime;
     for (const auto& message : early) {
         if (message.at >= oldest)
             handle(message.from, message.link, message.type, message.body);
@@ -293,16 +296,16 @@
     hosted.link = link;
     if (!isNew) {
         // The entry asks again because the grant was lost with a link or had an older epoch.
-        if (hosted.target.isValid() && hasLease_() && pool.scheduler)
+        if (hosted.target.isValid() && hooks_.hasLease() && pool.scheduler)
             sendGrant(pool, hosted);
         return;
     }
     hosted.ask = ask;
     hosted.entry = from;
-    hosted.deadline = now_() + std::chrono::milliseconds(ask.deadlineMs);
+    hosted.deadline = hooks_.now() + std::chrono::milliseconds(ask.deadlineMs);
     if (!pool.scheduler)
         return;
-    pool.scheduler->submit(toPoolRequest(ask, hosted.deadline), now_());
+    pool.scheduler->submit(toPoolRequest(ask, hosted.deadline), hooks_.now());
     flush(pool);
 }
 
@@ -317,7 +320,7 @@
         restore(pool, from, link, running);
     for (const auto& repeat : sync.recent) {
         if (pool.scheduler)
-            pool.scheduler->restoreRepeat(repeat.repeatKey, repeat.target, now_());
+            pool.scheduler->restoreRepeat(repeat.repeatKey, repeat.target, hooks_.now());
         else
             pool.recent.push_back(repeat);
     }
@@ -349,14 +352,14 @@
     if (!isNew && hosted.target == running.target)
         return;
     if (!isNew && pool.scheduler)
-        pool.scheduler->cancel(running.ask.attempt, now_());
+        pool.scheduler->cancel(running.ask.attempt, hooks_.now());
     hosted.ask = running.ask;
     hosted.entry = from;
-    hosted.deadline = now_() + std::chrono::milliseconds(running.ask.deadlineMs);
+    hosted.deadline = hooks_.now() + std::chrono::milliseconds(running.ask.deadlineMs);
     hosted.target = running.target;
     hosted.isStarted = running.started;
     if (pool.scheduler)
-        pool.scheduler->restore(toPoolRequest(hosted.ask, hosted.deadline), hosted.target, hosted.isStarted, now_());
+        pool.scheduler->restore(toPoolRequest(hosted.ask, hosted.deadline), hosted.target, hosted.isStarted, hooks_.now());
 }
 
 void PoolHost::onCancel(const Cancel& cancel)
@@ -371,7 +374,7 @@
 void PoolHost::remove(Pool& pool, AttemptId attempt)
 {
     if (pool.hosted.erase(attempt) > 0 && pool.scheduler)
-        pool.scheduler->cancel(attempt, now_());
+        pool.scheduler->cancel(attempt, hooks_.now());
 }
 
 void PoolHost::onStarted(const Started& started)
@@ -384,7 +387,7 @@
         return;
     it->second.isStarted = true;
     if (pool->scheduler)
-        pool->scheduler->started(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
+        pool->scheduler->started(started.attempt, std::chrono::milliseconds(started.firstTokenMs), hooks_.now());
     flush(*pool);
 }
 
@@ -395,7 +398,7 @@
         return;
     if (pool->scheduler) {
         pool->scheduler->finished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
-            std::chrono::milliseconds(finished.durationMs), now_());
+            std::chrono::milliseconds(finished.durationMs), hooks_.now());
     }
     flush(*pool);
 }
@@ -405,7 +408,7 @@
     auto* pool = find(report.pool);
     if (!pool || !pool->scheduler)
         return;
-    pool->scheduler->reportLoad(report, now_());
+    pool->scheduler->reportLoad(report, hooks_.now());
     flush(*pool);
 }
 
@@ -423,7 +426,7 @@
     // A local entry may answer a grant at once and so come back here.
     if (!pool.scheduler || pool.isFlushing)
         return;
-    if (!hasLease_()) {
+    if (!hooks_.hasLease()) {
         pool.scheduler.reset();
         return;
     }
@@ -469,14 +472,14 @@
 
 void PoolHost::onEntryClosed(NodeId node)
 {
-    closedSince_.try_emplace(node, now_());
+    closedSince_.try_emplace(node, hooks_.now());
 }
 
 void PoolHost::freeLostEntries()
 {
     for (auto it = closedSince_.begin(); it != closedSince_.end();) {
         // The entry may only have lost its link; until its lease has ended its attempts count.
-        if (now_() - it->second < settings_.leaseAndDrift) {
+        if (hooks_.now() - it->second < settings_.leaseAndDrift) {
             ++it;
             continue;
         }
@@ -497,7 +500,7 @@
 {
     for (auto it = releases_.begin(); it != releases_.end();) {
         bool isDone = transport_.isReachable(it->node) && transport_.post(it->node, MessageType::PoolRelease, encode(it->message));
-        isDone = isDone || now_() - it->since >= releaseTime;
+        isDone = isDone || hooks_.now() - it->since >= releaseTime;
         it = isDone ? releases_.erase(it) : std::next(it);
     }
 }
@@ -506,9 +509,9 @@
 {
     sendReleases();
     freeLostEntries();
-    auto now = now_();
+    auto now = hooks_.now();
     for (auto& [id, pool] : pools_) {
-        if (!hasLease_()) {
+        if (!hooks_.hasLease()) {
             // Without a lease another node may own the pool soon; it is built anew from `hosted` if not.
             pool.scheduler.reset();
             continue;
@@ -536,9 +539,9 @@
 
 void PoolHost::publishStats()
 {
-    if (now_() - statsPublishedAt_ < statsInterval)
+    if (hooks_.now() - statsPublishedAt_ < statsInterval)
         return;
-    statsPublishedAt_ = now_();
+    statsPublishedAt_ = hooks_.now();
     for (const auto& [id, pool] : pools_) {
         if (!pool.scheduler)
             continue;
--- a/src/entry/RequestRunRelay.cpp
+++ b/src/entry/RequestRunRelay.cpp
@@ -16,7 +16,6 @@
     using namespace std::chrono_literals;
 
     constexpr int okStatus = 200;
-    constexpr int firstRedirectStatus = 300;
     constexpr int conflictStatus = 409;
     constexpr int tooManyStatus = 429;
     constexpr int firstServerErrorStatus = 500;
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -70,7 +70,7 @@
             auto parsed = parseModelRequest(chat(body), dock(), RequestId(9), {});
             ASSERT_FALSE(parsed) << body.substr(0, 60);
             EXPECT_EQ(parsed.error().kind, ErrorKind::BadRequest);
-            EXPECT_EQ(parsed.error().message.find("\xff"), std::string::npos);
+            EXPECT_EQ(parsed.error().message.find('\xff'), std::string::npos);
         }
         for (const auto& header : { std::pair("X-Tier", "4"), std::pair("X-Tier", "-1"), std::pair("X-Deadline-Ms", "0"), std::pair("X-Deadline-Ms", "1e3") })
             EXPECT_FALSE(parseModelRequest(chat(goodBody, { header }), dock(), RequestId(9), {}));
--- a/tests/PoolHostTest.cpp
+++ b/tests/PoolHostTest.cpp
@@ -78,8 +78,7 @@
             settings.incarnation = Incarnation(1);
             settings.region = "lakes";
             settings.pool.policy = "test-one-slot";
-            host_ = std::make_unique<PoolHost>(
-                settings, transport_, [this] { return hasLease_; }, metrics_, clock_.hook());
+            host_ = std::make_unique<PoolHost>(settings, transport_, metrics_, PoolHostHooks { [this] { return hasLease_; }, [this] { ++configAsks_; }, clock_.hook() });
         }
 
         void assign(const PoolAssignment& assignment)
@@ -137,6 +136,7 @@
         MetricRegistry metrics_;
         ClusterConfig config_;
         bool hasLease_ { true };
+        int configAsks_ { 0 };
         std::unique_ptr<PoolHost> host_;
     };
 
@@ -196,7 +196,9 @@
     TEST_F(PoolHostTest, ReleaseEndsTheWaitForTheEarlierOwner)
     {
         ask(3, 100);
+        EXPECT_EQ(configAsks_, 0);
         send(2, MessageType::PoolRelease, PoolRelease { PoolId(10), Epoch(2) });
+        EXPECT_EQ(configAsks_, 1);
         assign(modelPool(10, Epoch(2), 1, 2));
         for (uint32_t node = 1; node <= 3; ++node)
             sync(node, {});
