--- a/tests/process/ProcessFixture.cpp
+++ b/tests/process/ProcessFixture.cpp
@@ -126,7 +126,7 @@
     Json voters = Json::array();
     for (const auto& voter : voters_)
         voters.push_back({ { "host", voter["host"] }, { "port", voter["port"] } });
-    Json settings = { { "node_id", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
+    Json settings = { { "node", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
         { "http", { { "host", "127.0.0.1" }, { "port", port } } }, { "link", { { "host", "127.0.0.1" }, { "port", linkPort } } },
         { "control_voters", voters }, { "limits", { { "token_timeout_ms", 1000 } } } };
     return start({ name, "briarhitch-entry", { "--config=" + writeSettings(name, settings) }, port, linkPort, nullptr });
@@ -155,6 +155,7 @@
     flags.push_back("--port_file=" + path);
     auto& started = start({ name, "briarhitch-fake-service", std::move(flags), 0, 0, nullptr });
     waitPortFile(started, path);
+    services_.push_back(name);
     return started;
 }
 
@@ -162,12 +163,15 @@
 {
     auto& fast = startEngine("engine-1", { "--step_time=5ms", "--check_fencing" });
     auto& slow = startEngine("engine-2", { "--step_time=15ms" });
-    auto& booking = startService("booking-1");
+    // With a second one, a charge that is wrongly repeated has somewhere to run.
+    startService("booking-1");
+    startService("booking-2");
     startControls(1);
     putCustomer(defaultContract());
     putTarget(fast, "engine");
     putTarget(slow, "engine");
-    putTarget(booking, "service");
+    for (const auto& name : services_)
+        putTarget(daemon(name), "service");
     waitReady(startEntry(1));
     waitReady(startEntry(2));
     for (uint32_t node : { 1, 2 }) {
@@ -188,7 +192,11 @@
 
 void ProcessFixture::waitReady(const Daemon& daemon)
 {
-    waitUntil(daemon.name + " is ready", [&] { return callPlain(daemon.port, { "GET", "/readyz", {}, "" }, 2s).status == 200; });
+    waitUntil(daemon.name + " is ready", [&] {
+        if (!daemon.process->isRunning())
+            throw std::runtime_error(daemon.name + " ended at its start");
+        return callPlain(daemon.port, { "GET", "/readyz", {}, "" }, 2s).status == 200;
+    });
 }
 
 PlainAnswer ProcessFixture::callOperators(const std::string& method, const std::string& path, const Json& body)
@@ -225,7 +233,8 @@
 
 uint32_t ProcessFixture::ownerOf(const std::string& pool)
 {
-    for (const auto& record : status()["pools"]) {
+    auto json = status();
+    for (const auto& record : json["pools"]) {
         if (record["name"] == pool && record["owner"].is_number())
             return record["owner"];
     }
@@ -234,7 +243,8 @@
 
 uint64_t ProcessFixture::epochOf(const std::string& pool)
 {
-    for (const auto& record : status()["pools"]) {
+    auto json = status();
+    for (const auto& record : json["pools"]) {
         if (record["name"] == pool)
             return record["epoch"];
     }
@@ -271,9 +281,18 @@
     EXPECT_EQ(callPlain(standIn.port, { "POST", "/admin/faults", {}, faults.dump() }).status, 200);
 }
 
+void ProcessFixture::orderServiceFaults(const Json& faults)
+{
+    for (const auto& name : services_)
+        orderFaults(daemon(name), faults);
+}
+
 uint64_t ProcessFixture::timesCharged(const std::string& chargeId)
 {
-    return ledger(daemon("booking-1"))["charges"].value(chargeId, uint64_t { 0 });
+    uint64_t count = 0;
+    for (const auto& name : services_)
+        count += ledger(daemon(name))["charges"].value(chargeId, uint64_t { 0 });
+    return count;
 }
 
 size_t ProcessFixture::timesRun(const std::string& prompt)
@@ -281,7 +300,8 @@
     auto name = checksumOf("user: " + prompt + "\n");
     size_t count = 0;
     for (const auto& engine : engines_) {
-        for (const auto& request : ledger(daemon(engine))["requests"])
+        auto json = ledger(daemon(engine));
+        for (const auto& request : json["requests"])
             count += request["prompt"] == name && request["state"] != "refused" && request["state"] != "fenced" ? 1 : 0;
     }
     return count;
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -43,13 +43,15 @@
     Daemon& startEntry(uint32_t node, const std::string& fleetKey = "fleet key of the tests");
     Daemon& startEngine(const std::string& name, std::vector<std::string> flags = {});
     Daemon& startService(const std::string& name, std::vector<std::string> flags = {});
-    /** One control, entries 1 and 2, a fast and a slow engine, a service, a customer; returns when requests are answered. */
+    /** One control, entries 1 and 2, a fast and a slow engine, two services, a customer; returns when requests are answered. */
     void startWholePath();
     /** Starts a daemon that ended again, on the same ports and data. */
     void restart(Daemon& daemon);
     Daemon& daemon(const std::string& name);
     Daemon& entry(uint32_t node) { return daemon("entry-" + std::to_string(node)); }
 
+    [[nodiscard]] std::string logPath(const std::string& name) const { return folder_ + "/" + name + ".log"; }
+
     /** Throws, and so fails the test, if the condition doesn't come true in time. */
     static void waitUntil(const std::string& what, const std::function<bool()>& condition, std::chrono::seconds bound = std::chrono::seconds(30));
     void waitReady(const Daemon& daemon);
@@ -68,7 +70,9 @@
 
     Json ledger(const Daemon& standIn);
     void orderFaults(const Daemon& standIn, const Json& faults);
-    /** How often the service booked the charge. */
+    /** The same order for every service. */
+    void orderServiceFaults(const Json& faults);
+    /** How often the services together booked the charge. */
     uint64_t timesCharged(const std::string& chargeId);
     /** Requests with this prompt that any engine ran. */
     size_t timesRun(const std::string& prompt);
@@ -86,7 +90,8 @@
     std::string folder_;
     std::vector<std::unique_ptr<Daemon>> daemons_;
     std::vector<std::string> engines_;
-    Json voters_ { Json::array() };
+    std::vector<std::string> services_;
+    Json voters_ = Json::array();
     uint16_t nextPort_ { 0 };
     int changes_ { 0 };
 };
--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -4,13 +4,17 @@
 
 #include <algorithm>
 #include <cstdio>
+#include <filesystem>
+#include <stdexcept>
 
 namespace briarhitch {
 
 namespace {
 
     constexpr double microseconds = 1e6;
+    constexpr double milliseconds = 1e3;
     constexpr double idleWindowSeconds = 8;
+    constexpr double configurationWindowSeconds = 6;
     constexpr double loadSeconds = 6;
     const std::vector<size_t> nodeCounts { 4, 16, 64, 160 };
     const std::vector<size_t> customerCounts { 5, 500, 1500, 3000, 4500 };
@@ -137,10 +141,11 @@
     fleet.growTo(4);
     Table table;
     auto sample = [&](const std::string& of, double x) {
-        auto usage = fleet.measure(2);
+        auto usage = fleet.measure(configurationWindowSeconds);
         table.add("entry_memory_by_" + of, "bytes/" + of, x, meanOfEntries(usage).residentBytes);
         table.add("control_memory_by_" + of, "bytes/" + of, x, usage[0].residentBytes);
         table.add("entry_cpu_us_per_s_by_" + of, "us/s/" + of, x, meanOfEntries(usage).cpu * microseconds);
+        table.add("entry_link_bytes_sent_by_" + of, "bytes/s/" + of, x, meanOfEntries(usage).linkBytesSent);
     };
     auto begin = fleet.totals();
     size_t customers = 1;
@@ -184,6 +189,11 @@
     };
     nlohmann::json streamed { { "stream", 1 } };
     (void)costOf(fleet, with({ "--rate=20", "--max_tokens=5" }), streamed);
+    auto quiet = fleet.load(with({ "--rate=50", "--max_tokens=5" }), streamed);
+    nlohmann::ordered_json figures;
+    const auto& firstToken = quiet.at("latency").at("first_token");
+    figures["first_token_ms_p50"] = firstToken.at("p50_s").get<double>() * milliseconds;
+    figures["first_token_ms_p95"] = firstToken.at("p95_s").get<double>() * milliseconds;
     for (size_t rate : requestRates) {
         progress(std::to_string(rate) + " requests/s");
         auto cost = costOf(fleet, with({ "--rate=" + std::to_string(rate), "--max_tokens=1" }), streamed);
@@ -196,7 +206,25 @@
         auto cost = costOf(fleet, with({ "--rate=50", "--max_tokens=" + std::to_string(tokens) }), streamed);
         table.add("entry_cpu_s_by_token", "s/token", cost.answered * static_cast<double>(tokens), cost.entryCpu);
     }
-    return { table.fit(), {} };
+    return { table.fit(), figures };
+}
+
+FleetSlopes measureDecisions(const std::string& programs, const std::string& folder)
+{
+    progress("decisions");
+    std::filesystem::create_directories(folder);
+    auto log = folder + "/bench.log";
+    ChildProcess bench(programs + "/briarhitch-bench", { "--case=scale", "--policy=briarhitch", "--seed=1", "--json" }, log);
+    if (bench.waitExit(std::chrono::seconds(120)) != 0)
+        throw std::runtime_error("briarhitch-bench failed: " + bench.log());
+    auto measured = nlohmann::json::parse(bench.log());
+    nlohmann::ordered_json figures;
+    for (const auto& point : measured.at("points")) {
+        auto name = "decision_ns_" + std::to_string(point.at("targets").get<int>()) + "_targets_" + std::to_string(point.at("customers").get<int>()) + "_customers";
+        figures[name] = point.at("ns_per_decision");
+    }
+    std::filesystem::remove_all(folder);
+    return { {}, figures };
 }
 
 FleetSlopes measureRunRecords(const std::string& programs, const std::string& folder)
