Test silent cuts to the voter and to the service

An entry whose path to the voter is cut in one or both directions must lose its pool, refuse new work and finish its stream; a charge whose answer is lost must end as unknown. The first form of the cut test asked the other entry too early: until the old owner's lease has ended it rightly grants, so the test now waits for the assignment to change.

--- a/tests/process/NodeFailureTest.cpp
+++ b/tests/process/NodeFailureTest.cpp
@@ -1,4 +1,5 @@
 #include "process/ProcessFixture.h"
+#include "process/TcpCutter.h"
 
 #include <set>
 
@@ -90,6 +91,40 @@
             EXPECT_NE(request["state"], "fenced");
     }
 
+    class SilentControlTest : public NodeFailureTest, public testing::WithParamInterface<std::pair<bool, bool>> { };
+
+    // Guards against an entry that goes on to grant or send without a lease when its path to the voter is silently lost.
+    TEST_P(SilentControlTest, CutOffOwnerStopsNewWorkAndComesBack)
+    {
+        auto& engine = startEngine("engine-1", { "--step_time=5ms", "--check_fencing" });
+        startEngine("engine-2");
+        startControls(1);
+        putCustomer(defaultContract());
+        putTarget(engine, "engine");
+        TcpCutter cutter(daemon("control-1").linkPort);
+        waitReady(startEntry(1, "fleet key of the tests", cutter.port()));
+        askUntilAnswered(entry(1).port, "warm up");
+        waitReady(startEntry(2));
+        ASSERT_EQ(ownerOf(modelPool), 1);
+        PlainCall stream(entry(1).port, chat("a stream of the cut-off entry", 900, true));
+        ASSERT_TRUE(stream.readAtLeast(1));
+        auto [towardsControl, towardsEntry] = GetParam();
+        cutter.cutAll(towardsControl, towardsEntry);
+        // Until its lease has ended, the old owner rightly serves both entries.
+        waitUntil("the pool has a new owner", [&] { return ownerOf(modelPool) == 2; });
+        askUntilAnswered(entry(2).port, "through the new owner");
+        auto refused = callPlain(entry(1).port, chat("sent to the cut-off entry", 2, false));
+        EXPECT_EQ(errorField(refused, "ran"), "no") << refused.body;
+        EXPECT_EQ(timesRun("sent to the cut-off entry"), 0);
+        EXPECT_EQ(textOfStream(stream.finish().body), expectedChat("a stream of the cut-off entry", 900));
+        cutter.heal();
+        waitReady(entry(1));
+        askUntilAnswered(entry(1).port, "after the repair");
+        expectNoRequestTwiceAtOneTarget();
+    }
+
+    INSTANTIATE_TEST_SUITE_P(Directions, SilentControlTest, testing::Values(std::pair(true, false), std::pair(false, true), std::pair(true, true)));
+
     class VoterFailureTest : public NodeFailureTest {
     protected:
         void startThreeVoters()
--- a/tests/process/ProcessFixture.cpp
+++ b/tests/process/ProcessFixture.cpp
@@ -118,17 +118,17 @@
     }
 }
 
-Daemon& ProcessFixture::startEntry(uint32_t node, const std::string& fleetKey)
+Daemon& ProcessFixture::startEntry(uint32_t node, const std::string& fleetKey, uint16_t controlPort)
 {
     auto name = "entry-" + std::to_string(node);
     auto port = freePort();
     auto linkPort = freePort();
     Json voters = Json::array();
     for (const auto& voter : voters_)
-        voters.push_back({ { "host", voter["host"] }, { "port", voter["port"] } });
+        voters.push_back({ { "host", voter["host"] }, { "port", controlPort == 0 ? voter["port"].get<int>() : controlPort } });
     Json settings = { { "node", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
         { "http", { { "host", "127.0.0.1" }, { "port", port } } }, { "link", { { "host", "127.0.0.1" }, { "port", linkPort } } },
-        { "control_voters", voters }, { "limits", { { "token_timeout_ms", 1000 } } } };
+        { "control_voters", voters }, { "limits", { { "token_timeout_ms", 1000 }, { "charge_timeout_ms", 1000 } } } };
     return start({ name, "briarhitch-entry", { "--config=" + writeSettings(name, settings) }, port, linkPort, nullptr });
 }
 
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -40,7 +40,8 @@
 
     /** Starts all voters at once; they need each other's addresses. */
     void startControls(size_t count);
-    Daemon& startEntry(uint32_t node, const std::string& fleetKey = "fleet key of the tests");
+    /** With a control port, the entry reaches the only voter through a forwarder there. */
+    Daemon& startEntry(uint32_t node, const std::string& fleetKey = "fleet key of the tests", uint16_t controlPort = 0);
     Daemon& startEngine(const std::string& name, std::vector<std::string> flags = {});
     Daemon& startService(const std::string& name, std::vector<std::string> flags = {});
     /** One control, entries 1 and 2, a fast and a slow engine, two services, a customer; returns when requests are answered. */
--- a/tests/process/TargetFailureTest.cpp
+++ b/tests/process/TargetFailureTest.cpp
@@ -89,6 +89,30 @@
         }
     }
 
+    // Guards against a charge that is repeated, or waited for without end, when its answer is lost on a silent connection.
+    TEST_F(TargetFailureTest, ChargeWhoseAnswerIsLostIsUnknownAndNeverRunsAgain)
+    {
+        auto& booking = startService("booking-1");
+        TcpCutter cutter(booking.port);
+        startControls(1);
+        putCustomer(defaultContract());
+        putTarget(booking, "service", cutter.port());
+        waitReady(startEntry(1));
+        waitReady(startEntry(2));
+        waitUntil("the entry answers", [&] { return callPlain(entry(1).port, lookup("warm-up")).status == 200; });
+        orderServiceFaults({ { "mode", "late" }, { "late_ms", 300 }, { "count", 1 } });
+        auto request = charge("fee-3", "fee-3");
+        request.headers["X-Deadline-Ms"] = "900";
+        PlainCall call(entry(1).port, request);
+        waitUntil("the charge is at the service", [&] { return timesCharged("fee-3") == 1; });
+        cutter.cutOpenConnections(false, true);
+        auto answer = call.finish();
+        EXPECT_EQ(errorField(answer, "ran"), "unknown") << answer.body;
+        auto again = resendUntilSettled(entry(2).port, "fee-3");
+        EXPECT_EQ(errorField(again, "kind"), "outcome_unknown") << again.body;
+        EXPECT_EQ(timesCharged("fee-3"), 1);
+    }
+
     class SilentConnectionTest : public TargetFailureTest, public testing::WithParamInterface<std::pair<bool, bool>> { };
 
     // Guards against lost, doubled or endless streams when an open connection goes silent while new ones work.
@@ -123,6 +147,7 @@
         constexpr int requests = 12;
         startWholePath();
         std::vector<PlainCall> calls;
+        calls.reserve(requests);
         for (int number = 0; number < requests; ++number)
             calls.emplace_back(entry(1 + number % 2).port, chat("query " + std::to_string(number), 100, false));
         waitUntil("the engine runs some", [&] { return ledger(daemon("engine-1"))["requests"].size() > 3; });
--- a/tests/process/TcpCutter.cpp
+++ b/tests/process/TcpCutter.cpp
@@ -1,7 +1,6 @@
 #include "process/TcpCutter.h"
 
 #include <array>
-#include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
@@ -65,7 +64,8 @@
         connection->target.connect({ asio::ip::address_v4::loopback(), targetPort }, error);
         if (error)
             return;
-        connection->towardsTarget.isCut = connection->towardsCaller.isCut = cutsNew;
+        connection->towardsTarget.isCut = cutsTowardsTarget;
+        connection->towardsCaller.isCut = cutsTowardsCaller;
         connections.push_back(connection);
         forward(connection, connection->caller, connection->target, connection->towardsTarget);
         forward(connection, connection->target, connection->caller, connection->towardsCaller);
@@ -85,8 +85,6 @@
                 to.shutdown(Tcp::socket::shutdown_send, ignored);
                 return;
             }
-            if (&direction == &connection->towardsTarget)
-                forwarded += size;
             asio::async_write(to, asio::buffer(direction.buffer, size), [=, this, &from, &to, &direction](ErrorCode writeError, size_t) {
                 ErrorCode closed;
                 if (writeError)
@@ -111,9 +109,9 @@
     asio::io_context io;
     Tcp::acceptor acceptor { io, { asio::ip::address_v4::loopback(), 0 } };
     uint16_t targetPort;
-    bool cutsNew { false };
+    bool cutsTowardsTarget { false };
+    bool cutsTowardsCaller { false };
     std::list<std::shared_ptr<Connection>> connections;
-    std::atomic<uint64_t> forwarded { 0 };
     std::thread thread;
 };
 
@@ -143,20 +141,18 @@
     });
 }
 
-void TcpCutter::cutAll()
+void TcpCutter::cutAll(bool towardsTarget, bool towardsCaller)
 {
-    impl_->apply([this] { impl_->cutsNew = true; });
-    cutOpenConnections(true, true);
+    impl_->apply([=, this] {
+        impl_->cutsTowardsTarget = towardsTarget;
+        impl_->cutsTowardsCaller = towardsCaller;
+    });
+    cutOpenConnections(towardsTarget, towardsCaller);
 }
 
 void TcpCutter::heal()
 {
-    impl_->apply([this] { impl_->cutsNew = false; });
-}
-
-uint64_t TcpCutter::bytesToTarget() const
-{
-    return impl_->forwarded;
+    impl_->apply([this] { impl_->cutsTowardsTarget = impl_->cutsTowardsCaller = false; });
 }
 
 }
--- a/tests/process/TcpCutter.h
+++ b/tests/process/TcpCutter.h
@@ -19,11 +19,9 @@
     [[nodiscard]] uint16_t port() const;
     /** Cuts the directions of all open connections for good; later connections are forwarded. */
     void cutOpenConnections(bool towardsTarget, bool towardsCaller);
-    /** Also cuts all later connections, until heal(). */
-    void cutAll();
+    /** Also cuts the directions of all later connections, until heal(). */
+    void cutAll(bool towardsTarget, bool towardsCaller);
     void heal();
-    /** Bytes that reached the target so far. */
-    [[nodiscard]] uint64_t bytesToTarget() const;
 
 private:
     struct Impl;
--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -94,6 +94,7 @@
         startWholePath();
         auto port = entry(1).port;
         std::vector<PlainCall> calls;
+        calls.reserve(streams);
         for (int number = 0; number < streams; ++number)
             calls.emplace_back(port, chat("in flight " + std::to_string(number), 150, true));
         for (auto& call : calls)
