Test restarts after hundreds of contract changes

A voter and an entry that are killed and started again must know the last of 301 changes of a contract.

--- a/tests/process/WholePathTest.cpp
+++ b/tests/process/WholePathTest.cpp
@@ -87,6 +87,28 @@
         EXPECT_EQ(now["contract"]["share"], isFirst ? 2 : 3);
     }
 
+    // Guards against changes that are lost, or applied in part, when processes restart after hundreds of them.
+    TEST_F(WholePathTest, RestartsAfterHundredsOfChangesKeepTheLatest)
+    {
+        constexpr uint64_t changes = 300;
+        startControls(1);
+        putTarget(startEngine("engine-1", { "--step_time=5ms" }), "engine");
+        auto contract = defaultContract();
+        for (uint64_t version = 0; version < changes; ++version) {
+            contract["key_hashes"] = Json::array({ sha256Hex("key " + std::to_string(version + 1)) });
+            putCustomer(contract, version);
+        }
+        restart(daemon("control-1"));
+        EXPECT_EQ(Json::parse(callOperators("GET", std::string("/v1/customers/") + customer).body)["version"], changes);
+        waitReady(startEntry(1));
+        contract["key_hashes"] = Json::array({ sha256Hex("the last key") });
+        putCustomer(contract, changes);
+        restart(entry(1));
+        waitReady(entry(1));
+        EXPECT_EQ(callPlain(entry(1).port, chat("an old key", 2, false, "key " + std::to_string(changes))).status, 401);
+        waitUntil("the last key is answered", [&] { return callPlain(entry(1).port, chat("the last key", 2, false, "the last key")).status == 200; });
+    }
+
     // Guards against work that is cut off by a planned restart (invariant 7).
     TEST_F(WholePathTest, GracefulShutdownCutsNothingOff)
     {
