--- a/examples/load.sh
+++ b/examples/load.sh
@@ -4,7 +4,7 @@
 # usage: examples/load.sh DEPLOYMENT_FOLDER [CTL FLAGS]   flags default to --profile DEPLOYMENT_FOLDER/profile.json
 # example: examples/load.sh examples/lockstone --servers 127.0.0.1:7101 --key KEY
 set -euo pipefail
-[ $# -ge 1 ] && [ -d "$1" ] || { sed -n '4,5s/^# //p' "$0" >&2; exit 2; }
+[ -d "${1:-}" ] || { sed -n '4,5s/^# //p' "$0" >&2; exit 2; }
 folder=$1
 shift
 flags=("$@")
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -7,7 +7,7 @@
 operator_key="operator key of a loopback trial"
 # Below the range from which the kernel takes the ports of outgoing connections.
 fleet_next_port=$((10000 + $$ % 1000 * 20))
-fleet_change=0
+fleet_changes=0
 declare -A fleet_pid=() fleet_port=() fleet_command=()
 
 hash_of() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
@@ -147,9 +147,9 @@
 
 # fleet_change METHOD PATH EXPECTED_VERSION FIELDS: sends one change until a leader has answered it.
 fleet_change() {
-    fleet_change=$((fleet_change + 1))
-    local body="{\"change_id\": \"loopback-$fleet_change\", \"expected_version\": $3${4:+, $4}}"
-    fleet_wait "change of $2" fleet_admin "$1" "$2?wait_s=10" "$body"
+    fleet_changes=$((fleet_changes + 1))
+    local change="{\"change_id\": \"loopback-$fleet_changes\", \"expected_version\": $3${4:+, $4}}"
+    fleet_wait "change of $2" fleet_admin "$1" "$2?wait_s=10" "$change"
 }
 
 # fleet_put_target NAME KIND SERVES ZONE
