--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -23,7 +23,7 @@
     constexpr double serviceGoalRatio = 3;
     // A target with the whole prompt in its cache may be filled by this much more than the least filled one.
     constexpr double affinityBound = 0.3;
-    constexpr size_t mostSlowPassedOver = 8;
+    constexpr size_t mostSlowPassedOver = 32;
     constexpr int linesSweptByTick = 64;
     constexpr int refusalsByTick = 256;
     // New work is admitted if it is predicted to start within this part of its time, because predictions are noisy.
@@ -151,7 +151,7 @@
     const auto& asked = record.request;
     const auto& place = record.place;
     const auto chance = targets_.nextChance(now);
-    const Duration firstToken = expectedFirstToken(asked, now);
+    const Duration firstToken = parts_.deadline ? expectedFirstToken(asked, now) : Duration(0);
     if (!chance || !hasUsableTarget(asked) || *chance + firstToken > asked.deadline) {
         const bool hasWaited = chance && *chance == now && hasUsableTarget(asked);
         const Duration wait = chance ? *chance - now : Duration(0);
@@ -235,14 +235,15 @@
     const auto size = static_cast<double>(record.request.promptTokens.value());
     const bool isModel = settings_.kind == PoolKind::Model;
     const Duration usual = latency_.expected(size, now);
-    if (usual > Duration(0))
-        targets_.observeSlowness(record.target, toSeconds(latency) / toSeconds(usual), now);
     const Duration goal = isModel ? firstTokenGoal + fromSeconds(size / goalTokensPerSecond) : std::max<Duration>(10ms, fromSeconds(serviceGoalRatio * toSeconds(usual)));
     if (isModel || usual > Duration(0))
         targets_.observe(record.target, latency, goal, now);
     // What is beyond the goal is time in the target's queue, which the window takes away; a prediction that included it
     // would refuse work for a cause that is already being dealt with.
-    latency_.learn(size, usual > Duration(0) ? std::min(latency, goal) : latency, now);
+    const Duration judged = usual > Duration(0) ? std::min(latency, goal) : latency;
+    if (usual > Duration(0))
+        targets_.observeSlowness(record.target, toSeconds(judged) / toSeconds(usual), now);
+    latency_.learn(size, judged, now);
     targets_.succeeded(record.target, now);
 }
 
@@ -347,8 +348,8 @@
     auto isFastEnough = [&](TargetId target) { return !parts_.deadline || firstToken * targets_.slowness(target, now) <= timeLeft; };
     auto accepts = [&](TargetId target) { return mayUse(request, target) && isFastEnough(target); };
     auto best = targets_.leastFilled(accepts, mostSlowPassedOver);
-    // Slowness is an estimate; work is not held back for it when no faster target is open.
-    if (!best)
+    // If all were too slow, the request waits for another one. Among very many targets the rest may be fast enough.
+    if (!best && targets_.openCount() > mostSlowPassedOver)
         best = targets_.leastFilled([&](TargetId target) { return mayUse(request, target); });
     if (!best || !parts_.prefix || request.prefix.empty())
         return best;
--- a/src/sched/TargetTable.h
+++ b/src/sched/TargetTable.h
@@ -40,6 +40,7 @@
     [[nodiscard]] bool isActive(TargetId target) const;
     [[nodiscard]] bool isOpen(TargetId target) const;
     [[nodiscard]] bool hasOpen() const { return !open_.empty(); }
+    [[nodiscard]] size_t openCount() const { return open_.size(); }
     [[nodiscard]] const std::vector<TargetId>& active() const { return active_; }
     /** The open target with the least filled part that the hook accepts; looks at no more than `mostLooked`. */
     [[nodiscard]] std::optional<TargetId> leastFilled(const std::function<bool(TargetId)>& accepts, size_t mostLooked = SIZE_MAX) const;
