--- a/bench/Summary.cpp
+++ b/bench/Summary.cpp
@@ -139,7 +139,7 @@
             off += (off.empty() ? "" : ", ") + part.get<std::string>();
         out << "| " << m["deployment"].get<std::string>() << " | " << m["case"].get<std::string>() << " | " << m["policy"].get<std::string>() << " | " << off;
         for (const auto& [kind, part] : m["floors"].items())
-            out << (off.empty() ? "" : " ") << "floor " << kind << " " << number(part, 2);
+            out << " floor " << kind << " " << number(part, 2);
         for (const char* field : { "0", "1", "2", "3", "all", "all_by_work" })
             out << " | " << number(goodput[field]);
         out << " | " << percent(m["wasted_prefill"]) << " | " << number(m["other_kept"]) << " | " << number(m["small_vs_large"]["small_kept"])
--- a/src/sched/FairQueue.h
+++ b/src/sched/FairQueue.h
@@ -48,7 +48,6 @@
     /** The backlogged line that follows the given one in a fixed cyclic order. */
     [[nodiscard]] Line nextBacklogged(const Line& line) const;
 
-    [[nodiscard]] bool isBacklogged(const Line& line) const { return backlogged_.contains(line); }
     [[nodiscard]] bool empty() const { return bySequence_.empty(); }
     [[nodiscard]] size_t size() const { return bySequence_.size(); }
     [[nodiscard]] int64_t cost() const { return cost_; }
--- a/src/sched/PoolQueue.cpp
+++ b/src/sched/PoolQueue.cpp
@@ -72,12 +72,4 @@
     return *byDeadline_.begin();
 }
 
-int64_t PoolQueue::cost() const
-{
-    int64_t sum = 0;
-    for (const auto& queue : tiers_)
-        sum += queue.cost();
-    return sum;
-}
-
 }
--- a/src/sched/PoolQueue.h
+++ b/src/sched/PoolQueue.h
@@ -42,7 +42,6 @@
     [[nodiscard]] const FloorTracker& floors() const { return floors_; }
     [[nodiscard]] size_t size() const { return byDeadline_.size(); }
     [[nodiscard]] bool empty() const { return byDeadline_.empty(); }
-    [[nodiscard]] int64_t cost() const;
 
 private:
     [[nodiscard]] double costAbove(Tier tier) const;
