Measure recovery times of pool owner and control leader

Cause: docs/PERFORMANCE.md needs the time without an owner and without a leader after a kill and after a freeze, and what callers met meanwhile.

Change: a part of briarhitch-capacity with three voters and three entries under load, three tries for each failure.

--- a/tools/capacity/CapacityFleet.cpp
+++ b/tools/capacity/CapacityFleet.cpp
@@ -22,6 +22,11 @@
     constexpr auto operatorKey = "operator key of the capacity run";
     constexpr auto callerKey = "key-1";
     constexpr auto region = "north";
+    constexpr size_t firstEntryNode = 1000;
+    constexpr int okStatus = 200;
+    /** Longer than the longest wait_s that is asked for here. */
+    constexpr auto operatorTimeout = 35s;
+    constexpr auto acceptTimeout = 2s;
     constexpr int pollMs = 20;
     constexpr auto longestWait = 60s;
 
@@ -66,7 +71,7 @@
 {
     entries_.clear();
     standIns_.clear();
-    control_.reset();
+    controls_.clear();
     std::error_code ignored;
     std::filesystem::remove_all(folder_, ignored);
 }
@@ -90,29 +95,39 @@
     return std::make_unique<ChildProcess>(programFolder_ + "/" + program, arguments, folder_ + "/" + name + ".log");
 }
 
-void CapacityFleet::startControl()
+void CapacityFleet::startControl(size_t voters)
 {
-    controlLink_ = freePort();
-    controlAdmin_ = freePort();
-    Json voter { { "node", 1 }, { "host", "127.0.0.1" }, { "port", controlLink_ }, { "admin_port", controlAdmin_ } };
-    Json settings { { "node", 1 }, { "fleet_key", fleetKey }, { "data_folder", folder_ + "/data" },
-        { "link", { { "host", "127.0.0.1" }, { "port", controlLink_ } } },
-        { "admin", { { "host", "127.0.0.1" }, { "port", controlAdmin_ } } },
-        { "operator_key_hashes", { sha256Hex(operatorKey) } }, { "voters", { voter } }, { "log_level", "warning" } };
-    control_ = start("briarhitch-control", { "--config=" + writeFile("control", settings) }, "control");
-    waitUntil("control is ready", [&] { return callPlain(controlAdmin_, { "GET", "/readyz", {}, "" }).status == 200; });
+    Json list = Json::array();
+    for (size_t i = 0; i < voters; ++i) {
+        controls_.push_back({ nullptr, freePort(), freePort() });
+        list.push_back({ { "node", i + 1 }, { "host", "127.0.0.1" }, { "port", controls_[i].link }, { "admin_port", controls_[i].admin } });
+    }
+    for (size_t i = 0; i < voters; ++i) {
+        auto name = "control-" + std::to_string(i + 1);
+        Json settings { { "node", i + 1 }, { "fleet_key", fleetKey }, { "data_folder", folder_ + "/data/" + name },
+            { "link", { { "host", "127.0.0.1" }, { "port", controls_[i].link } } },
+            { "admin", { { "host", "127.0.0.1" }, { "port", controls_[i].admin } } },
+            { "operator_key_hashes", { sha256Hex(operatorKey) } }, { "voters", list }, { "log_level", "warning" } };
+        std::filesystem::create_directories(folder_ + "/data");
+        controls_[i].process = start("briarhitch-control", { "--config=" + writeFile(name, settings) }, name);
+    }
+    for (const auto& control : controls_)
+        waitUntil("control is ready", [&] { return callPlain(control.admin, { "GET", "/readyz", {}, "" }).status == 200; });
 }
 
 void CapacityFleet::growTo(size_t entries)
 {
+    Json voters = Json::array();
+    for (const auto& control : controls_)
+        voters.push_back({ { "host", "127.0.0.1" }, { "port", control.link } });
     while (entries_.size() < entries) {
         Entry entry;
         entry.port = freePort();
         auto name = "entry-" + std::to_string(entries_.size());
-        Json settings { { "node", 1000 + entries_.size() }, { "region", region }, { "zone", "north-" + std::to_string(entries_.size() % 4) },
+        Json settings { { "node", firstEntryNode + entries_.size() }, { "region", region }, { "zone", "north-" + std::to_string(entries_.size() % 4) },
             { "fleet_key", fleetKey }, { "http", { { "host", "127.0.0.1" }, { "port", entry.port } } },
             { "link", { { "host", "127.0.0.1" }, { "port", freePort() } } },
-            { "control_voters", { { { "host", "127.0.0.1" }, { "port", controlLink_ } } } }, { "log_level", "warning" } };
+            { "control_voters", voters }, { "log_level", "warning" } };
         entry.process = start("briarhitch-entry", { "--config=" + writeFile(name, settings) }, name);
         entries_.push_back(std::move(entry));
     }
@@ -120,14 +135,36 @@
         waitUntil("entry is ready", [&] { return callPlain(entry.port, { "GET", "/readyz", {}, "" }).status == 200; });
 }
 
+void CapacityFleet::acceptChange(size_t exceptVoter)
+{
+    Json body { { "change_id", "capacity-" + std::to_string(++changes_) }, { "expected_version", 0 },
+        { "contract", { { "tier", 1 }, { "key_hashes", { sha256Hex("accepted-" + std::to_string(changes_)) } } } } };
+    PlainRequest request { "PUT", "/v1/customers/accepted-" + std::to_string(changes_) + "?wait_s=0",
+        { { "Authorization", std::string("Bearer ") + operatorKey } }, body.dump() };
+    waitUntil("a change is accepted", [&] {
+        for (size_t i = 0; i < controls_.size(); ++i) {
+            if (i != exceptVoter && callPlain(controls_[i].admin, request, acceptTimeout).status == okStatus)
+                return true;
+        }
+        return false;
+    });
+}
+
 Json CapacityFleet::operate(const std::string& method, const std::string& path, Json body)
 {
     if (!body.is_null())
         body["change_id"] = "capacity-" + std::to_string(++changes_);
     PlainRequest request { method, path, { { "Authorization", std::string("Bearer ") + operatorKey } }, body.is_null() ? "" : body.dump() };
-    auto answer = callPlain(controlAdmin_, request);
-    if (answer.status != 200)
-        throw std::runtime_error(path + ": " + std::to_string(answer.status) + " " + answer.body);
+    PlainAnswer answer;
+    // A change may be sent again, because its id makes it take effect once.
+    waitUntil("a leader answers " + path, [&] {
+        for (const auto& control : controls_) {
+            answer = callPlain(control.admin, request, operatorTimeout);
+            if (answer.status == okStatus)
+                return true;
+        }
+        return false;
+    });
     return Json::parse(answer.body);
 }
 
@@ -136,6 +173,20 @@
     return operate("GET", "/v1/status");
 }
 
+std::optional<size_t> CapacityFleet::ownerOf(const std::string& pool)
+{
+    for (const auto& record : status().at("pools")) {
+        if (record.at("name") == pool && record.at("owner").is_number_unsigned() && record.at("owner").get<size_t>() >= firstEntryNode)
+            return record.at("owner").get<size_t>() - firstEntryNode;
+    }
+    return std::nullopt;
+}
+
+size_t CapacityFleet::leader()
+{
+    return status().at("leader").get<size_t>() - 1;
+}
+
 void CapacityFleet::addCustomers(size_t from, size_t to)
 {
     for (size_t number = from; number < to; ++number) {
@@ -193,7 +244,7 @@
     return toSeconds(BootClock::now() - begin);
 }
 
-Json CapacityFleet::load(const std::vector<std::string>& flags, const Json& mix)
+std::unique_ptr<ChildProcess> CapacityFleet::startLoad(const std::vector<std::string>& flags, const Json& mix)
 {
     Json customers { { "customers", { { { "name", "customer-1" }, { "key", callerKey }, { "mix", mix } } } } };
     std::vector<std::string> arguments { "--customers=" + writeFile("load", customers), "--service=shop", "--model=small", "--seed=1" };
@@ -202,14 +253,22 @@
         targets += (targets.empty() ? "" : ",") + std::string("127.0.0.1:") + std::to_string(entry.port);
     arguments.push_back("--entries=" + targets);
     arguments.insert(arguments.end(), flags.begin(), flags.end());
-    auto log = "load-" + std::to_string(++changes_);
-    auto process = start("briarhitch-load", arguments, log);
-    if (!process->waitExit(120s))
+    return start("briarhitch-load", arguments, "load-" + std::to_string(++changes_));
+}
+
+Json loadResult(ChildProcess& load)
+{
+    if (!load.waitExit(120s))
         throw std::runtime_error("briarhitch-load did not end in time");
-    auto output = process->log();
+    auto output = load.log();
     return Json::parse(output.substr(output.find('{')));
 }
 
+Json CapacityFleet::load(const std::vector<std::string>& flags, const Json& mix)
+{
+    return loadResult(*startLoad(flags, mix));
+}
+
 double CapacityFleet::metric(uint16_t port, const std::string& name) const
 {
     auto text = callPlain(port, { "GET", "/metrics", {}, "" }).body;
@@ -220,9 +279,9 @@
 CapacityFleet::Totals CapacityFleet::totals()
 {
     Totals totals;
-    totals.usage.push_back(readUsage(control_->pid()));
-    totals.sent.push_back(metric(controlAdmin_, "control_link_bytes_sent"));
-    totals.received.push_back(metric(controlAdmin_, "control_link_bytes_received"));
+    totals.usage.push_back(readUsage(controls_[0].process->pid()));
+    totals.sent.push_back(metric(controls_[0].admin, "control_link_bytes_sent"));
+    totals.received.push_back(metric(controls_[0].admin, "control_link_bytes_received"));
     for (const auto& entry : entries_) {
         totals.usage.push_back(readUsage(entry.process->pid()));
         totals.sent.push_back(metric(entry.port, "entry_link_bytes_sent"));
@@ -236,12 +295,12 @@
     // Reading the counters costs the processes some time themselves, so the window begins after it.
     auto before = totals();
     for (size_t i = 0; i <= entries_.size(); ++i)
-        before.usage[i] = readUsage(i == 0 ? control_->pid() : entries_[i - 1].process->pid());
+        before.usage[i] = readUsage(i == 0 ? controls_[0].process->pid() : entries_[i - 1].process->pid());
     auto begin = BootClock::now();
     pause(seconds);
     std::vector<ProcessUsage> usage;
     for (size_t i = 0; i <= entries_.size(); ++i)
-        usage.push_back(readUsage(i == 0 ? control_->pid() : entries_[i - 1].process->pid()));
+        usage.push_back(readUsage(i == 0 ? controls_[0].process->pid() : entries_[i - 1].process->pid()));
     double elapsed = toSeconds(BootClock::now() - begin);
     auto after = totals();
     std::vector<Usage> result;
--- a/tools/capacity/CapacityMain.cpp
+++ b/tools/capacity/CapacityMain.cpp
@@ -1,5 +1,6 @@
 #include "capacity/CapacityTable.h"
 #include "capacity/FleetSlopes.h"
+#include "capacity/RecoveryTimes.h"
 #include "capacity/StaticSlopes.h"
 
 #include "briarhitch/runtime/Loop.h"
@@ -15,7 +16,7 @@
 ABSL_FLAG(std::string, folder, "/tmp/briarhitch-capacity", "folder for settings, logs and data; removed at the end");
 ABSL_FLAG(std::string, fill_page, "", "page whose table is filled in from --data, in place of a measurement");
 ABSL_FLAG(std::string, data, "docs/data/capacity.json", "JSON line of an earlier run, for --fill_page");
-ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, decisions, records; all if empty");
+ABSL_FLAG(std::string, only, "", "one of messages, nodes, configuration, requests, decisions, records (all if empty); or recovery, for docs/PERFORMANCE.md");
 
 namespace briarhitch {
 namespace {
@@ -57,6 +58,9 @@
             if (isWanted(name))
                 addFleet(result, measure(programs, folder));
         }
+        // Not part of the capacity run: it takes minutes by itself.
+        if (only == "recovery")
+            result = measureRecovery(programs, folder);
         return result;
     }
 
