Give operators the commands to change and rebuild the control log

Cause: docs/consensus.md told operators to call addVoter, removeVoter and rebuildAsSoleVoter, which were functions of the library that no program offered.

--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -12,6 +12,9 @@
 
 ABSL_FLAG(std::string, config, "", "settings file, JSON with comments; see examples/control.json");
 ABSL_FLAG(bool, check_config, false, "check the settings file, print what is wrong with it, and exit");
+ABSL_FLAG(bool, rebuild_as_sole_voter, false,
+    "make the voter of this stopped process the only one, with all that its data folder has, and exit; only after a majority of the "
+    "disks is lost for good, see docs/consensus.md");
 
 namespace briarhitch {
 namespace {
@@ -22,7 +25,7 @@
     constexpr int exitWrongUsage = 2;
 
     constexpr auto usageText = "a voter of the control log and the operators' HTTP API of a Briarhitch fleet.\n\n"
-                               "usage: briarhitch-control --config FILE [--check_config]\n\n"
+                               "usage: briarhitch-control --config FILE [--check_config | --rebuild_as_sole_voter]\n\n"
                                "SIGTERM and SIGINT end the process after the running requests; a second one ends it at once.\n"
                                "exit codes: 0 ended by a signal, or the settings are good; 1 an address cannot be bound or the\n"
                                "data folder cannot be used; 2 wrong flags or settings";
@@ -75,6 +78,11 @@
             std::cout << path << ": good\n";
             return exitGood;
         }
+        if (absl::GetFlag(FLAGS_rebuild_as_sole_voter)) {
+            auto rebuilt = RaftNode::rebuildAsSoleVoter(settings->dataFolder, settings->node);
+            std::cerr << (rebuilt ? "node " + std::to_string(settings->node.value()) + " is the only voter now" : rebuilt.error().message) << "\n";
+            return rebuilt ? exitGood : exitFailed;
+        }
         setUpLogging(settings->logLevel);
         serve(std::move(*settings));
     }
--- a/include/briarhitch/control/AdminApi.h
+++ b/include/briarhitch/control/AdminApi.h
@@ -19,6 +19,9 @@
     PoolScope poolScope { PoolScope::Region };
     /** State of the replicated log for the status page; may be unset. */
     std::function<RaftStatus()> logStatus;
+    /** Changes of the log's members; unset where there is only one process, without a replicated log. */
+    std::function<Result<void>(NodeId)> addVoter {};
+    std::function<Result<void>(NodeId)> removeVoter {};
 };
 
 /** The operators' HTTP API; see docs/design.md 4.4 and docs/control.md. */
@@ -40,6 +43,7 @@
     void windDown(const Call& call);
     void putTarget(const Call& call);
     void setTargetState(const Call& call, TargetState state);
+    void changeVoter(const Call& call);
     void showChange(const Call& call);
     void exportCustomer(const Call& call);
     void sendStatus(HttpExchange& exchange);
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -136,6 +136,8 @@
         routeTarget(call);
     else if (call.path[0] == "changes" && call.is("GET", 2))
         showChange(call);
+    else if (call.path[0] == "voters" && call.is("POST", 3))
+        changeVoter(call);
     else
         call.failNoRoute();
 }
@@ -233,6 +235,27 @@
         commit(call, command->change.changeId, encodeCommand(*command));
 }
 
+void AdminApi::changeVoter(const Call& call)
+{
+    uint32_t number = 0;
+    if (!absl::SimpleAtoi(call.path[1], &number) || number == 0) {
+        call.fail(ErrorKind::BadRequest, "a voter is named by its node number, found " + call.path[1]);
+        return;
+    }
+    const auto* hook = call.path[2] == "add" ? &settings_.addVoter : call.path[2] == "remove" ? &settings_.removeVoter
+                                                                                              : nullptr;
+    if (!hook || !*hook) {
+        call.failNoRoute();
+        return;
+    }
+    // The change is safe to repeat: adding a member or removing a stranger changes nothing.
+    if (auto changed = (*hook)(NodeId(number)); !changed) {
+        call.fail(changed.error());
+        return;
+    }
+    sendJson(call.exchange, 200, { { "node", number }, { "proposed", call.path[2] } });
+}
+
 void AdminApi::commit(const Call& call, const std::string& changeId, std::string command)
 {
     auto result = server_.propose(std::move(command));
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -36,7 +36,8 @@
     , settings_(std::move(settings))
     , link_(linkSettingsOf(settings_))
     , server_(loop_, serverSettingsOf(settings_), state_, metrics_)
-    , admin_(loop_, { settings_.node, settings_.voters, settings_.operatorKeyHashes, settings_.poolScope, [this] { return log_->status(); } }, server_, metrics_)
+    , admin_(loop_, { settings_.node, settings_.voters, settings_.operatorKeyHashes, settings_.poolScope, [this] { return log_->status(); }, [this](NodeId node) { return log_->addVoter(node); }, [this](NodeId node) { return log_->removeVoter(node); } },
+          server_, metrics_)
 {
 }
 
--- a/tests/process/ControlFailureTest.cpp
+++ b/tests/process/ControlFailureTest.cpp
@@ -117,5 +117,47 @@
         EXPECT_EQ(present(left)["version"], 3);
     }
 
+    // Guards against an operator who has no way back after a majority of the disks is lost for good.
+    TEST_F(ControlFailureTest, LogIsRebuiltFromOneVoterAndTheOthersJoinIt)
+    {
+        putShare({ 1, 2, 3 }, 5, 1);
+        auto version = status()["config_version"].get<uint64_t>();
+        waitUntil("voter 1 has the change", [&] { return appliedBy(1) == version; });
+        for (int number : { 1, 2, 3 })
+            voter(number).process->kill();
+        for (int number : { 2, 3 }) {
+            auto folder = dataFolderOf(voter(number));
+            ASSERT_FALSE(folder.empty());
+            std::filesystem::remove_all(folder);
+            std::filesystem::create_directory(folder);
+        }
+        auto arguments = voter(1).arguments;
+        arguments.emplace_back("--rebuild_as_sole_voter");
+        ChildProcess rebuild(std::string(BRIARHITCH_BIN_DIR) + "/briarhitch-control", arguments, dataFolderOf(voter(1)) + "/../rebuild.log");
+        ASSERT_EQ(rebuild.waitExit(std::chrono::seconds(20)), 0) << rebuild.log();
+        restart(voter(1));
+        EXPECT_EQ(present({ 1 })["contract"]["share"], 5);
+        for (int number : { 2, 3 }) {
+            restart(voter(number));
+            ask({ 1 }, { "POST", "/v1/voters/" + std::to_string(number + 100) + "/add", {}, "" });
+            waitUntil("the voter votes", [&] { return statusAt({ 1 })["log"]["voters"].size() == static_cast<size_t>(number); });
+        }
+        voter(1).process->kill();
+        putShare({ 2, 3 }, 6, 2);
+        EXPECT_EQ(present({ 2, 3 })["contract"]["share"], 6);
+    }
+
+    // Guards against a voter that counts for the majority after the operator removed it.
+    TEST_F(ControlFailureTest, RemovedVoterNoLongerCounts)
+    {
+        int lost = otherThan(leader());
+        voter(lost).process->kill();
+        std::vector<int> left { otherThan(lost), otherThan(lost, otherThan(lost)) };
+        ask(left, { "POST", "/v1/voters/" + std::to_string(lost + 100) + "/remove", {}, "" });
+        waitUntil("two voters are left", [&] { return statusAt(left)["log"]["voters"].size() == 2; });
+        putShare(left, 5, 1);
+        EXPECT_EQ(present(left)["contract"]["share"], 5);
+    }
+
 }
 }
--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -13,6 +13,7 @@
 
     constexpr double microseconds = 1e6;
     constexpr double milliseconds = 1e3;
+    constexpr size_t timedChanges = 3;
     constexpr double idleWindowSeconds = 8;
     constexpr double configurationWindowSeconds = 6;
     constexpr double loadSeconds = 6;
@@ -116,9 +117,8 @@
     for (size_t nodes : nodeCounts) {
         progress(std::to_string(nodes) + " idle entries");
         fleet.growTo(nodes);
-        std::vector<double> times;
-        for (int i = 0; i < 3; ++i)
-            times.push_back(fleet.timeToForce());
+        std::vector<double> times(timedChanges);
+        std::generate(times.begin(), times.end(), [&] { return fleet.timeToForce(); });
         auto usage = fleet.measure(idleWindowSeconds);
         auto entry = meanOfEntries(usage);
         auto x = static_cast<double>(nodes);
--- a/tools/capacity/RecoveryTimes.cpp
+++ b/tools/capacity/RecoveryTimes.cpp
@@ -16,6 +16,8 @@
 
     constexpr auto pool = "model:small@north";
     constexpr int tries = 3;
+    constexpr int ownerPolls = 100;
+    constexpr int ownerPollMs = 100;
     constexpr int loadLeadMs = 2000;
     constexpr size_t entryCount = 3;
     constexpr size_t voterCount = 3;
@@ -81,13 +83,21 @@
         return summarize(times, loads);
     }
 
+    size_t waitOwner(CapacityFleet& fleet)
+    {
+        for (int i = 0; i < ownerPolls; ++i) {
+            if (auto owner = fleet.ownerOf(pool))
+                return *owner;
+            ::poll(nullptr, 0, ownerPollMs);
+        }
+        throw std::runtime_error("the pool has no owner before the failure: " + fleet.status().dump());
+    }
+
     double failOwner(CapacityFleet& fleet, int signal)
     {
-        auto owner = fleet.ownerOf(pool);
-        if (!owner)
-            throw std::runtime_error("the pool has no owner before the failure");
-        fleet.entryProcess(*owner).signal(signal);
-        return timeToAnswer(fleet.entryPort((*owner + 1) % entryCount));
+        auto owner = waitOwner(fleet);
+        fleet.entryProcess(owner).signal(signal);
+        return timeToAnswer(fleet.entryPort((owner + 1) % entryCount));
     }
 
     double failLeader(CapacityFleet& fleet, int signal)
--- a/tools/ctl/CtlCommands.cpp
+++ b/tools/ctl/CtlCommands.cpp
@@ -71,6 +71,8 @@
         return customer(words);
     if (words[0] == "target")
         return target(words);
+    if (words[0] == "voter")
+        return voter(words);
     if (words[0] == "status" && words.size() == 1)
         return show("/v1/status", statusToText);
     if (words[0] == "change" && words.size() == 3 && words[1] == "show")
@@ -114,6 +116,15 @@
     return wrongUsage("unknown command target " + words[1]);
 }
 
+CtlExit CtlCommands::voter(const Words& words)
+{
+    bool isKnown = words.size() == 3 && (words[1] == "add" || words[1] == "remove");
+    if (!isKnown)
+        return wrongUsage("voter needs add|remove and a node number");
+    auto answer = client_.send("POST", "/v1/voters/" + words[2] + "/" + words[1], {});
+    return report(answer, [](const Json& json) { return json.dump() + "\n"; });
+}
+
 CtlExit CtlCommands::explain(const Words& words)
 {
     if (words.size() != 2 || options_.entry.empty())
--- a/tools/ctl/CtlMain.cpp
+++ b/tools/ctl/CtlMain.cpp
@@ -36,6 +36,7 @@
                                "  target retire NAME                 take it out for good\n"
                                "  target list\n"
                                "  change show CHANGE_ID              the answer that a change got\n"
+                               "  voter add|remove NODE             change the members of the control log\n"
                                "  status                             leader, nodes, pools, repairs under way\n"
                                "  explain REQUEST_ID --entry HOST:PORT   why a request was routed, delayed or refused\n\n"
                                "A change prints its id first. If the answer is lost, send the same command with --change_id ID:\n"
