--- a/tools/capacity/CapacityFleet.cpp
+++ b/tools/capacity/CapacityFleet.cpp
@@ -90,7 +90,7 @@
     return path;
 }
 
-std::unique_ptr<ChildProcess> CapacityFleet::start(const std::string& program, std::vector<std::string> arguments, const std::string& name)
+std::unique_ptr<ChildProcess> CapacityFleet::start(const std::string& program, const std::vector<std::string>& arguments, const std::string& name)
 {
     return std::make_unique<ChildProcess>(programFolder_ + "/" + program, arguments, folder_ + "/" + name + ".log");
 }
--- a/tools/capacity/CapacityFleet.h
+++ b/tools/capacity/CapacityFleet.h
@@ -81,7 +81,7 @@
 
     uint16_t freePort();
     std::string writeFile(const std::string& name, const nlohmann::json& content) const;
-    std::unique_ptr<ChildProcess> start(const std::string& program, std::vector<std::string> arguments, const std::string& name);
+    std::unique_ptr<ChildProcess> start(const std::string& program, const std::vector<std::string>& arguments, const std::string& name);
     nlohmann::json operate(const std::string& method, const std::string& path, nlohmann::json body = nullptr);
     void addTarget(const std::string& kind, const std::string& serves, uint16_t port);
     uint16_t startStandIn(const std::string& program, std::vector<std::string> flags);
