--- a/tests/LinkTest.cpp
+++ b/tests/LinkTest.cpp
@@ -2,8 +2,16 @@
 
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
+#include "runtime/FiberWaiter.h"
 #include "wire/Codec.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
 #include <gtest/gtest.h>
 
 namespace briarhitch {
@@ -71,6 +79,73 @@
         });
     }
 
+    /** Passes one connection on to a port and keeps what the dialling end sent. */
+    class RecordingForwarder {
+    public:
+        RecordingForwarder(Loop& loop, uint16_t to)
+            : loop_(loop)
+            , acceptor_(loop.context(), { boost::asio::ip::address_v4::loopback(), 0 })
+            , near_(loop.context())
+            , far_(loop.context())
+        {
+            loop_.spawn([this, to] {
+                awaitIo([&](auto done) { acceptor_.async_accept(near_, done); });
+                awaitIo([&](auto done) { far_.async_connect({ boost::asio::ip::address_v4::loopback(), to }, done); });
+                loop_.spawn([this] { pass(far_, near_, nullptr); });
+                pass(near_, far_, &recorded_);
+            });
+        }
+
+        [[nodiscard]] uint16_t port() const { return acceptor_.local_endpoint().port(); }
+        [[nodiscard]] const std::string& recorded() const { return recorded_; }
+
+    private:
+        static void pass(boost::asio::ip::tcp::socket& from, boost::asio::ip::tcp::socket& to, std::string* record)
+        {
+            std::array<char, 4096> bytes {};
+            for (;;) {
+                auto read = awaitIo([&](auto done) { from.async_read_some(boost::asio::buffer(bytes), done); });
+                if (read.error)
+                    return;
+                if (record)
+                    record->append(bytes.data(), read.count);
+                awaitIo([&](auto done) { boost::asio::async_write(to, boost::asio::buffer(bytes.data(), read.count), done); });
+            }
+        }
+
+        Loop& loop_;
+        boost::asio::ip::tcp::acceptor acceptor_;
+        boost::asio::ip::tcp::socket near_;
+        boost::asio::ip::tcp::socket far_;
+        std::string recorded_;
+    };
+
+    // Guards against a stranger who recorded a handshake and sends it again.
+    TEST(LinkTest, RecordedHandshakeOpensNoSecondLink)
+    {
+        runInLoop([](Loop& loop) {
+            int opened = 0;
+            auto hooks = echoHooks();
+            hooks.onOpen = [&](const Peer&) { ++opened; };
+            auto server = LinkServer::listen(loop, "127.0.0.1", 0, settingsFor(1), hooks);
+            ASSERT_TRUE(server);
+            RecordingForwarder forwarder(loop, (*server)->port());
+            LinkClient client(loop, "127.0.0.1", forwarder.port(), settingsFor(2), {});
+            ASSERT_TRUE(client.waitOpen(5s));
+            ASSERT_TRUE(client.call(MessageType::Heartbeat, "hello", 5s));
+            ASSERT_EQ(opened, 1);
+
+            boost::asio::ip::tcp::socket replay(loop.context());
+            awaitIo([&](auto done) { replay.async_connect({ boost::asio::ip::address_v4::loopback(), (*server)->port() }, done); });
+            awaitIo([&](auto done) { boost::asio::async_write(replay, boost::asio::buffer(forwarder.recorded()), done); });
+            // The server answers the first message with its own nonce and proof, and closes at the stale proof.
+            std::string answer;
+            auto read = awaitIo([&](auto done) { boost::asio::async_read(replay, boost::asio::dynamic_buffer(answer), done); });
+            EXPECT_TRUE(read.error);
+            EXPECT_EQ(opened, 1);
+        });
+    }
+
     // Guards against a caller that hangs when the other process goes away.
     TEST(LinkTest, CallFailsWhenTheLinkCloses)
     {
