--- a/tools/capacity/CapacityFleet.cpp
+++ b/tools/capacity/CapacityFleet.cpp
@@ -24,6 +24,8 @@
     constexpr auto region = "north";
     constexpr size_t firstEntryNode = 1000;
     constexpr int okStatus = 200;
+    constexpr int firstRefusal = 400;
+    constexpr int firstServerError = 500;
     /** Longer than the longest wait_s that is asked for here. */
     constexpr auto operatorTimeout = 35s;
     constexpr auto acceptTimeout = 2s;
@@ -162,6 +164,8 @@
             answer = callPlain(control.admin, request, operatorTimeout);
             if (answer.status == okStatus)
                 return true;
+            if (answer.status >= firstRefusal && answer.status < firstServerError)
+                throw std::runtime_error(path + ": " + answer.body);
         }
         return false;
     });
@@ -175,7 +179,8 @@
 
 std::optional<size_t> CapacityFleet::ownerOf(const std::string& pool)
 {
-    for (const auto& record : status().at("pools")) {
+    auto pools = status().at("pools");
+    for (const auto& record : pools) {
         if (record.at("name") == pool && record.at("owner").is_number_unsigned() && record.at("owner").get<size_t>() >= firstEntryNode)
             return record.at("owner").get<size_t>() - firstEntryNode;
     }
--- a/tools/capacity/CapacityMain.cpp
+++ b/tools/capacity/CapacityMain.cpp
@@ -82,6 +82,6 @@
         briarhitch::exitProcess(0);
     } catch (const std::exception& error) {
         std::fprintf(stderr, "capacity: %s\n", error.what());
-        return 1;
+        briarhitch::exitProcess(1);
     }
 }
