Share the listening socket between the HTTP server and the link server

Cause: both had the same code to bind, listen and accept, with the same pause after a failed accept. Behaviour stays as it was; their tests pass unchanged.

--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -2,11 +2,9 @@
 
 #include "briarhitch/runtime/Loop.h"
 #include "http/HttpConnection.h"
-#include "runtime/FiberWaiter.h"
+#include "runtime/TcpListener.h"
 
 #include <algorithm>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <cctype>
 #include <cmath>
 #include <set>
@@ -15,12 +13,6 @@
 
 namespace {
 
-    using boost::asio::ip::tcp;
-    using namespace std::chrono_literals;
-
-    /** Pause after a failed accept, for example when file descriptors have run out. */
-    constexpr Duration acceptRetryDelay = 100ms;
-
     bool equalIgnoringCase(std::string_view left, std::string_view right)
     {
         return std::equal(left.begin(), left.end(), right.begin(), right.end(),
@@ -50,10 +42,10 @@
 }
 
 struct HttpServer::Impl : std::enable_shared_from_this<HttpServer::Impl> {
-    Impl(Loop& loopToUse, HttpServerSettings settingsToUse, Handler handlerToUse)
+    Impl(Loop& loopToUse, HttpServerSettings settingsToUse, Handler handlerToUse, std::shared_ptr<TcpListener> listenerToUse)
         : loop(loopToUse)
         , settings(std::move(settingsToUse))
-        , acceptor(loopToUse.context())
+        , listener(std::move(listenerToUse))
     {
         handler = [this, inner = std::move(handlerToUse)](const HttpRequest& request, HttpExchange& exchange) {
             ++running;
@@ -62,46 +54,33 @@
         };
     }
 
-    void acceptUntilClosed()
+    void serve(boost::asio::ip::tcp::socket socket)
     {
-        while (!isClosed) {
-            tcp::socket socket(loop.context());
-            auto accepted = awaitIo([&](auto done) { acceptor.async_accept(socket, done); });
-            if (isClosed)
-                return;
-            if (accepted.error) {
-                sleepFor(loop, acceptRetryDelay);
-                continue;
-            }
-            if (connections.size() >= settings.maxConnections)
-                continue;
-            auto connection = std::make_shared<HttpConnection>(std::move(socket), settings, handler);
-            connections.insert(connection);
-            loop.spawn([self = shared_from_this(), connection] {
-                connection->serve();
-                self->connections.erase(connection);
-            });
-        }
+        if (connections.size() >= settings.maxConnections)
+            return;
+        auto connection = std::make_shared<HttpConnection>(std::move(socket), settings, handler);
+        connections.insert(connection);
+        loop.spawn([self = shared_from_this(), connection] {
+            connection->serve();
+            self->connections.erase(connection);
+        });
     }
 
     void drain()
     {
-        if (isClosed)
+        if (listener->isClosed())
             return;
-        isClosed = true;
-        boost::system::error_code ignored;
-        acceptor.close(ignored);
+        listener->close();
         for (const auto& connection : connections)
             connection->drain();
     }
 
     Loop& loop;
     HttpServerSettings settings;
-    tcp::acceptor acceptor;
+    std::shared_ptr<TcpListener> listener;
     Handler handler;
     std::set<std::shared_ptr<HttpConnection>> connections;
     size_t running { 0 };
-    bool isClosed { false };
 };
 
 HttpServer::HttpServer(std::shared_ptr<Impl> impl)
@@ -116,27 +95,17 @@
 
 Result<std::unique_ptr<HttpServer>> HttpServer::listen(Loop& loop, const HttpServerSettings& settings, Handler handler)
 {
-    auto impl = std::make_shared<Impl>(loop, settings, std::move(handler));
-    boost::system::error_code error;
-    tcp::endpoint endpoint(boost::asio::ip::make_address(settings.host, error), settings.port);
-    if (!error)
-        impl->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        impl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        impl->acceptor.bind(endpoint, error);
-    if (!error)
-        impl->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    if (error)
-        return fail(ErrorKind::Unavailable, "cannot listen on " + settings.host + ":" + std::to_string(settings.port) + ": " + error.message());
-    loop.spawn([impl] { impl->acceptUntilClosed(); });
+    auto listener = TcpListener::listen(loop, settings.host, settings.port);
+    if (!listener)
+        return tl::unexpected(listener.error());
+    auto impl = std::make_shared<Impl>(loop, settings, std::move(handler), *listener);
+    (*listener)->start([impl](boost::asio::ip::tcp::socket socket) { impl->serve(std::move(socket)); });
     return std::unique_ptr<HttpServer>(new HttpServer(impl));
 }
 
 uint16_t HttpServer::port() const
 {
-    boost::system::error_code ignored;
-    return impl_->acceptor.local_endpoint(ignored).port();
+    return impl_->listener->port();
 }
 
 size_t HttpServer::requestsRunning() const
--- a/src/wire/LinkServer.cpp
+++ b/src/wire/LinkServer.cpp
@@ -1,50 +1,32 @@
 #include "briarhitch/runtime/Loop.h"
-#include "runtime/FiberWaiter.h"
+#include "runtime/TcpListener.h"
 #include "wire/LinkConnection.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/address.hpp>
 #include <map>
 
 namespace briarhitch {
 
 namespace {
 
-    using boost::asio::ip::tcp;
-    using namespace std::chrono_literals;
-
     /** Connections that have not proved the fleet key yet; more are closed at once. */
     constexpr size_t maxHandshakes = 256;
-    /** Pause after a failed accept, for example when file descriptors have run out. */
-    constexpr Duration acceptRetryDelay = 100ms;
-
 }
 
 struct LinkServer::Impl : std::enable_shared_from_this<LinkServer::Impl> {
-    Impl(Loop& loopToUse, LinkSettings settingsToUse, LinkHooks hooksToUse)
+    Impl(Loop& loopToUse, LinkSettings settingsToUse, LinkHooks hooksToUse, std::shared_ptr<TcpListener> listenerToUse)
         : loop(loopToUse)
-        , acceptor(loopToUse.context())
+        , listener(std::move(listenerToUse))
         , settings(std::move(settingsToUse))
         , hooks(std::move(hooksToUse))
     {
     }
 
-    void acceptUntilClosed()
+    void accept(boost::asio::ip::tcp::socket socket)
     {
-        while (!closed) {
-            tcp::socket socket(loop.context());
-            auto accepted = awaitIo([&](auto handler) { acceptor.async_accept(socket, handler); });
-            if (closed)
-                return;
-            if (accepted.error) {
-                sleepFor(loop, acceptRetryDelay);
-                continue;
-            }
-            if (handshakes >= maxHandshakes)
-                continue;
-            auto connection = std::make_shared<LinkConnection>(loop, std::move(socket), settings, hooks, LinkId(nextLink++));
-            loop.spawn([self = shared_from_this(), connection] { self->serve(connection); });
-        }
+        if (handshakes >= maxHandshakes)
+            return;
+        auto connection = std::make_shared<LinkConnection>(loop, std::move(socket), settings, hooks, LinkId(nextLink++));
+        loop.spawn([self = shared_from_this(), connection] { self->serve(connection); });
     }
 
     void serve(const std::shared_ptr<LinkConnection>& connection)
@@ -52,7 +34,7 @@
         ++handshakes;
         auto proved = connection->handshake(true);
         --handshakes;
-        if (!proved || closed) {
+        if (!proved || listener->isClosed()) {
             connection->close();
             return;
         }
@@ -67,13 +49,12 @@
     }
 
     Loop& loop;
-    tcp::acceptor acceptor;
+    std::shared_ptr<TcpListener> listener;
     LinkSettings settings;
     LinkHooks hooks;
     std::map<LinkId, std::shared_ptr<LinkConnection>> links;
     uint64_t nextLink { 1 };
     size_t handshakes { 0 };
-    bool closed { false };
 };
 
 LinkServer::LinkServer(std::shared_ptr<Impl> impl)
@@ -88,27 +69,17 @@
 
 Result<std::unique_ptr<LinkServer>> LinkServer::listen(Loop& loop, const std::string& host, uint16_t port, LinkSettings settings, LinkHooks hooks)
 {
-    auto impl = std::make_shared<Impl>(loop, std::move(settings), std::move(hooks));
-    boost::system::error_code error;
-    tcp::endpoint endpoint(boost::asio::ip::make_address(host, error), port);
-    if (!error)
-        impl->acceptor.open(endpoint.protocol(), error);
-    if (!error)
-        impl->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    if (!error)
-        impl->acceptor.bind(endpoint, error);
-    if (!error)
-        impl->acceptor.listen(boost::asio::socket_base::max_listen_connections, error);
-    if (error)
-        return fail(ErrorKind::Unavailable, "cannot listen on " + host + ":" + std::to_string(port) + ": " + error.message());
-    loop.spawn([impl] { impl->acceptUntilClosed(); });
+    auto listener = TcpListener::listen(loop, host, port);
+    if (!listener)
+        return tl::unexpected(listener.error());
+    auto impl = std::make_shared<Impl>(loop, std::move(settings), std::move(hooks), *listener);
+    (*listener)->start([impl](boost::asio::ip::tcp::socket socket) { impl->accept(std::move(socket)); });
     return std::unique_ptr<LinkServer>(new LinkServer(impl));
 }
 
 uint16_t LinkServer::port() const
 {
-    boost::system::error_code ignored;
-    return impl_->acceptor.local_endpoint(ignored).port();
+    return impl_->listener->port();
 }
 
 Result<std::string> LinkServer::call(LinkId link, MessageType type, std::string body, Duration timeout)
@@ -129,11 +100,9 @@
 
 void LinkServer::close()
 {
-    if (impl_->closed)
+    if (impl_->listener->isClosed())
         return;
-    impl_->closed = true;
-    boost::system::error_code ignored;
-    impl_->acceptor.close(ignored);
+    impl_->listener->close();
     auto links = impl_->links;
     for (auto& [id, connection] : links)
         connection->close();
