Let an entry announce another link address than it listens on

Other nodes dial the address that an entry's heartbeat names, which so far was always the one it listens on. Behind address translation, or with a forwarder between two entries as in the tests of cut links, the two differ. The optional setting announced_link names the address to dial; without it nothing changes.

--- a/include/briarhitch/entry/EntrySettings.h
+++ b/include/briarhitch/entry/EntrySettings.h
@@ -41,8 +41,10 @@
     std::string region;
     std::string zone;
     HttpServerSettings http;
-    /** Address that other nodes reach this node's links at. */
+    /** Address that links are accepted at. */
     HostPort link;
+    /** Address that other nodes dial; the one above, unless address translation or a forwarder lies between. */
+    HostPort announcedLink;
     std::vector<HostPort> controlVoters;
     std::string fleetKey;
     PoolSettings pool;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -46,8 +46,8 @@
         self.incarnation = Incarnation(static_cast<uint64_t>(wallClockMs()));
         self.region = settings.region;
         self.zone = settings.zone;
-        self.host = settings.link.host;
-        self.port = settings.link.port;
+        self.host = settings.announcedLink.host;
+        self.port = settings.announcedLink.port;
         return self;
     }
 
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -100,6 +100,8 @@
         settings.fleetKey = reader.string("fleet_key", minFleetKeyBytes);
         reader.object("http", true, [&](SettingsReader& http) { readHttp(http, settings.http); });
         reader.object("link", true, [&](SettingsReader& link) { settings.link = readHostPort(link); });
+        settings.announcedLink = settings.link;
+        reader.object("announced_link", false, [&](SettingsReader& link) { settings.announcedLink = readHostPort(link); });
         reader.objects("control_voters", true, [&](SettingsReader& voter) { settings.controlVoters.push_back(readHostPort(voter)); });
         reader.object("policy", false, [&](SettingsReader& policy) { readPolicy(policy, settings.pool); });
         reader.object("limits", false, [&](SettingsReader& limits) { readLimits(limits, settings.limits); });
