--- a/tests/process/ProcessFixture.cpp
+++ b/tests/process/ProcessFixture.cpp
@@ -104,31 +104,41 @@
     return **it;
 }
 
-void ProcessFixture::startControls(size_t count)
+void ProcessFixture::startControls(size_t count, const std::function<uint16_t(int from, int to, uint16_t port)>& portBetween)
 {
     for (size_t node = 1; node <= count; ++node)
         voters_.push_back({ { "node", node + 100 }, { "host", "127.0.0.1" }, { "port", freePort() }, { "admin_port", freePort() } });
     for (const auto& voter : voters_) {
-        auto name = "control-" + std::to_string(voter["node"].get<int>() - 100);
+        int number = voter["node"].get<int>() - 100;
+        auto name = "control-" + std::to_string(number);
+        auto seen = voters_;
+        for (size_t other = 1; portBetween && other <= count; ++other) {
+            if (static_cast<int>(other) != number)
+                seen[other - 1]["port"] = portBetween(number, static_cast<int>(other), voters_[other - 1]["port"]);
+        }
         Json settings = { { "node", voter["node"] }, { "fleet_key", defaultFleetKey }, { "data_folder", folder_ + "/" + name },
             { "link", { { "host", "127.0.0.1" }, { "port", voter["port"] } } }, { "admin", { { "host", "127.0.0.1" }, { "port", voter["admin_port"] } } },
-            { "operator_key_hashes", { sha256Hex(operatorKey) } }, { "voters", voters_ } };
+            { "operator_key_hashes", { sha256Hex(operatorKey) } }, { "voters", seen } };
         std::filesystem::create_directory(folder_ + "/" + name);
         start({ name, "briarhitch-control", { "--config=" + writeSettings(name, settings) }, voter["admin_port"], voter["port"], nullptr });
     }
 }
 
-Daemon& ProcessFixture::startEntry(uint32_t node, const std::string& fleetKey)
+Daemon& ProcessFixture::startEntry(uint32_t node, const std::string& fleetKey, const VoterPort& voterPort, const AnnouncedPort& announcedPort)
 {
     auto name = "entry-" + std::to_string(node);
     auto port = freePort();
     auto linkPort = freePort();
     Json voters = Json::array();
-    for (const auto& voter : voters_)
-        voters.push_back({ { "host", voter["host"] }, { "port", voter["port"] } });
+    for (const auto& voter : voters_) {
+        uint16_t own = voter["port"];
+        voters.push_back({ { "host", voter["host"] }, { "port", voterPort ? voterPort(voter["node"].get<int>() - 100, own) : own } });
+    }
     Json settings = { { "node", node }, { "region", "lakes" }, { "zone", node % 2 ? "duluth" : "sault" }, { "fleet_key", fleetKey },
         { "http", { { "host", "127.0.0.1" }, { "port", port } } }, { "link", { { "host", "127.0.0.1" }, { "port", linkPort } } },
         { "control_voters", voters }, { "limits", { { "token_timeout_ms", 1000 } } } };
+    if (announcedPort)
+        settings["announced_link"] = { { "host", "127.0.0.1" }, { "port", announcedPort(linkPort) } };
     return start({ name, "briarhitch-entry", { "--config=" + writeSettings(name, settings) }, port, linkPort, nullptr });
 }
 
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -38,9 +38,14 @@
     ProcessFixture();
     ~ProcessFixture() override;
 
+    /** Port at which a process dials a voter whose own port is given; for a forwarder between them. */
+    using VoterPort = std::function<uint16_t(int voter, uint16_t port)>;
+    /** Port that an entry announces for its links instead of the given one. */
+    using AnnouncedPort = std::function<uint16_t(uint16_t port)>;
+
     /** Starts all voters at once; they need each other's addresses. */
-    void startControls(size_t count);
-    Daemon& startEntry(uint32_t node, const std::string& fleetKey = "fleet key of the tests");
+    void startControls(size_t count, const std::function<uint16_t(int from, int to, uint16_t port)>& portBetween = {});
+    Daemon& startEntry(uint32_t node, const std::string& fleetKey = "fleet key of the tests", const VoterPort& voterPort = {}, const AnnouncedPort& announcedPort = {});
     Daemon& startEngine(const std::string& name, std::vector<std::string> flags = {});
     Daemon& startService(const std::string& name, std::vector<std::string> flags = {});
     /** One control, entries 1 and 2, a fast and a slow engine, two services, a customer; returns when requests are answered. */
--- a/tests/process/TcpCutter.cpp
+++ b/tests/process/TcpCutter.cpp
@@ -65,7 +65,8 @@
         connection->target.connect({ asio::ip::address_v4::loopback(), targetPort }, error);
         if (error)
             return;
-        connection->towardsTarget.isCut = connection->towardsCaller.isCut = cutsNew;
+        connection->towardsTarget.isCut = cutsNewTowardsTarget;
+        connection->towardsCaller.isCut = cutsNewTowardsCaller;
         connections.push_back(connection);
         forward(connection, connection->caller, connection->target, connection->towardsTarget);
         forward(connection, connection->target, connection->caller, connection->towardsCaller);
@@ -111,7 +112,8 @@
     asio::io_context io;
     Tcp::acceptor acceptor { io, { asio::ip::address_v4::loopback(), 0 } };
     uint16_t targetPort;
-    bool cutsNew { false };
+    bool cutsNewTowardsTarget { false };
+    bool cutsNewTowardsCaller { false };
     std::list<std::shared_ptr<Connection>> connections;
     std::atomic<uint64_t> forwarded { 0 };
     std::thread thread;
@@ -143,15 +145,21 @@
     });
 }
 
-void TcpCutter::cutAll()
+void TcpCutter::cutAll(bool towardsTarget, bool towardsCaller)
 {
-    impl_->apply([this] { impl_->cutsNew = true; });
-    cutOpenConnections(true, true);
+    impl_->apply([=, this] {
+        impl_->cutsNewTowardsTarget = towardsTarget;
+        impl_->cutsNewTowardsCaller = towardsCaller;
+    });
+    cutOpenConnections(towardsTarget, towardsCaller);
 }
 
 void TcpCutter::heal()
 {
-    impl_->apply([this] { impl_->cutsNew = false; });
+    impl_->apply([this] {
+        impl_->cutsNewTowardsTarget = false;
+        impl_->cutsNewTowardsCaller = false;
+    });
 }
 
 uint64_t TcpCutter::bytesToTarget() const
--- a/tests/process/TcpCutter.h
+++ b/tests/process/TcpCutter.h
@@ -19,8 +19,9 @@
     [[nodiscard]] uint16_t port() const;
     /** Cuts the directions of all open connections for good; later connections are forwarded. */
     void cutOpenConnections(bool towardsTarget, bool towardsCaller);
-    /** Also cuts all later connections, until heal(). */
-    void cutAll();
+    /** Also cuts these directions of all later connections, until heal(). */
+    void cutAll(bool towardsTarget = true, bool towardsCaller = true);
+    /** Later connections are forwarded again; those that were cut stay so. */
     void heal();
     /** Bytes that reached the target so far. */
     [[nodiscard]] uint64_t bytesToTarget() const;
