--- a/tests/RequestRunnerTest.cpp
+++ b/tests/RequestRunnerTest.cpp
@@ -343,6 +343,27 @@
         });
     }
 
+    // Guards against new work on a leaving target when the entry learns of the change before the owner does (invariant 6).
+    TEST(RequestRunnerTest, GrantForALeavingTargetIsGivenBack)
+    {
+        withBench([](Bench& bench) {
+            HeartbeatReply reply;
+            reply.snapshot = bench.view.config();
+            reply.snapshot->version = Version(2);
+            reply.snapshot->targets[TargetId(1)].state = TargetState::Draining;
+            bench.view.apply(reply);
+            bench.charge();
+            bench.pools.grants = { TargetId(1), TargetId(2) };
+            bench.targets.script = { answerWith(200, "charged") };
+            bench.run();
+            EXPECT_EQ(bench.exchange.body, "charged");
+            EXPECT_EQ(bench.targets.sends(), 1u);
+            EXPECT_EQ(bench.pools.released, 1);
+            ASSERT_EQ(bench.pools.asks.size(), 2u);
+            EXPECT_EQ(bench.pools.asks[1].excluded, std::vector<TargetId> { TargetId(1) });
+        });
+    }
+
     // Guards against a charge that is abandoned half-way because its caller hung up.
     TEST(RequestRunnerTest, ChargeIsSeenThroughWhenItsCallerLeaves)
     {
