Test a control leader whose quorum lease has ended before it steps down

A trial on a scratch copy let ControlServer::isLeader trust the role alone, without the log's quorum lease. The new test fails in that trial (200 instead of 503) and passes on the unchanged code.

--- a/tests/ControlServerTest.cpp
+++ b/tests/ControlServerTest.cpp
@@ -39,6 +39,12 @@
         [[nodiscard]] std::optional<NodeId> leader() const override { return NodeId(2); }
     };
 
+    /** The log of voter 1, a leader whose quorum lease has ended and that has not stepped down yet. */
+    class LapsedLog : public FollowerLog {
+    public:
+        [[nodiscard]] std::optional<NodeId> leader() const override { return NodeId(1); }
+    };
+
     /** A control process on free ports of this machine, with a log in memory. */
     struct Voter {
         Voter(Loop& loopToUse, uint32_t id, bool isLeader, const std::vector<ControlVoter>& voters = {}, Duration lease = 3s)
@@ -326,5 +332,30 @@
         });
     }
 
+    // Guards against a leader that was cut off or suspended and answers from old state or gives leases before it steps down.
+    TEST(AdminApiTest, ALeaderWithoutItsQuorumLeaseAnswersNothing)
+    {
+        runInLoop([](Loop& loop) {
+            LapsedLog lapsed;
+            Voter voter(loop, 1, true, { { NodeId(1), "127.0.0.1", 7001, 7002 } });
+            Admin admin(loop, voter);
+            LinkClient node(loop, "127.0.0.1", voter.links->port(), linkOf(LinkRole::Entry, 7), {});
+            ASSERT_TRUE(node.waitOpen(5s));
+            auto leaseNow = [&] {
+                auto answer = node.call(MessageType::Heartbeat, encode(Heartbeat { nodeRecord(7, 1), {}, {} }), 5s);
+                auto reply = answer.and_then([](const std::string& body) { return decode<HeartbeatReply>(body); });
+                EXPECT_TRUE(reply);
+                return reply ? reply->leaseDuration : Duration::zero();
+            };
+            EXPECT_EQ(admin.send("GET", "/v1/customers").first, 200);
+            EXPECT_GT(leaseNow(), Duration::zero());
+            voter.server.setLog(lapsed);
+            auto [status, body] = admin.send("GET", "/v1/customers");
+            EXPECT_EQ(status, 503);
+            EXPECT_EQ(body["error"]["kind"], "no_quorum");
+            EXPECT_EQ(leaseNow(), Duration::zero());
+        });
+    }
+
 }
 }
