Test that failing targets get a repeatable request at most once

A trial on a scratch copy removed the excluded targets both from the ask (RequestRun::makeAsk) and from the entry's check of a grant (RequestRun::checkTarget). Unit tests caught each removal alone, but no process test caught both together: TargetFailureTest's engine restarts with an empty ledger, and its charge is not retried within one request.

--- a/tests/process/RepeatedFailureTest.cpp
+++ b/tests/process/RepeatedFailureTest.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/core/Digest.h"
 #include "process/ProcessFixture.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -147,6 +148,27 @@
         EXPECT_NE(leader(), old);
     }
 
+    // Guards against a retry at a target that had the request, when all targets fail (invariant 1).
+    TEST_F(RepeatedFailureTest, EachFailingTargetGetsARepeatableRequestOnce)
+    {
+        // The retry budget is 10% of the requests before.
+        constexpr int earlierRequests = 60;
+        startFleet(1, 2);
+        for (int number = 0; number < earlierRequests; ++number)
+            ASSERT_EQ(callPlain(entry(1).port, lookup("earlier")).status, 200);
+        orderServiceFaults({ { "mode", "reset" } });
+        orderFaults(daemon("engine-1"), { { "mode", "reset" } });
+        auto looked = callPlain(entry(1).port, lookup("twice"));
+        EXPECT_EQ(errorField(looked, "ran"), "unknown") << looked.body;
+        for (const auto* name : { "booking-1", "booking-2" }) {
+            auto json = ledger(daemon(name));
+            EXPECT_EQ(std::count_if(json["requests"].begin(), json["requests"].end(), [](const Json& request) { return request["call"] == "GET /status/twice"; }), 1) << name;
+        }
+        auto asked = callPlain(entry(1).port, chat("asked once", 3, false));
+        EXPECT_EQ(errorField(asked, "ran"), "unknown") << asked.body;
+        EXPECT_EQ(timesRun("asked once"), 1);
+    }
+
     class ManyChangesTest : public RepeatedFailureTest {
     protected:
         // More than the 1,024 changes that a node gets one by one, so that it needs a snapshot.
