Wait for the end of the suspended entry's lease in the test of many changes

The test failed in the first run of the whole process suite: the 1,200 changes took less than the lease of 3 s, so that the entry that woke up still had its lease and could act on its configuration. The leader's log of that run has no line that node 2 was lost, which rules out a fault in the lease. The test now waits until the leader reports the node as lost, and still demands that the old key is not accepted.

--- a/tests/process/RepeatedFailureTest.cpp
+++ b/tests/process/RepeatedFailureTest.cpp
@@ -188,6 +188,12 @@
             }
         }
 
+        bool isLost(uint32_t node)
+        {
+            auto json = status();
+            return std::any_of(json["nodes"].begin(), json["nodes"].end(), [&](const Json& record) { return record["node"] == node && record["state"] == "lost"; });
+        }
+
         /** No key but the last may be accepted while the entry catches up and after. */
         void expectOnlyLastKeyUntilServed(uint32_t node)
         {
@@ -208,6 +214,8 @@
         entry(1).process->kill();
         entry(2).process->signal(SIGSTOP);
         changeKeys();
+        // Within its lease an entry may still act on what it knew, and the changes may take less time than that.
+        waitUntil("the lease of the suspended entry has ended", [&] { return isLost(2); });
         PlainCall asleep(entry(2).port, chat("asked while suspended", 1, false));
         entry(2).process->signal(SIGCONT);
         auto answer = asleep.finish();
