--- a/tests/process/NodeFailureTest.cpp
+++ b/tests/process/NodeFailureTest.cpp
@@ -102,7 +102,7 @@
         putCustomer(defaultContract());
         putTarget(engine, "engine");
         TcpCutter cutter(daemon("control-1").linkPort);
-        waitReady(startEntry(1, "fleet key of the tests", cutter.port()));
+        waitReady(startEntry(1, "fleet key of the tests", [&](int, uint16_t) { return cutter.port(); }));
         askUntilAnswered(entry(1).port, "warm up");
         waitReady(startEntry(2));
         ASSERT_EQ(ownerOf(modelPool), 1);
