--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -45,7 +45,7 @@
 other=${fleet_port[entry-2]}
 
 step "a streamed model request"
-ask "$entry" /v1/chat/completions -N -d "$(chat 'List the moorings.' 4 true)"
+ask "$entry" /v1/chat/completions -N -d "$(chat 'List the berths.' 4 true)"
 step "a whole model request"
 ask "$other" /v1/chat/completions -d "$(chat 'Is berth 7 free?' 6 false)"
 step "a deposit charge, sent twice with one key through two entries"
