Answer a caller when this program meets a fault of its own

Cause: an unexpected exception closed the caller's connection without an answer, so that it learned neither the kind nor whether its request ran.

Change: the answer is the error `internal` with ran = unknown; a stream that has begun is still cut off. A test plants a fault; before, it got no answer.

--- a/src/entry/HttpFront.cpp
+++ b/src/entry/HttpFront.cpp
@@ -74,7 +74,10 @@
         // What one caller sent must not end the process for all others. The text may quote the input.
         entryLog().error("Request " + toString(id) + " met an unexpected exception.");
         metrics_.count("entry_exceptions_total");
-        exchange.abort();
+        // Nothing can be sent any more if a stream has begun; then the caller must see that it is cut off.
+        auto error = makeError(ErrorKind::Internal, "a fault in this program; see its log");
+        if (!sendError(exchange, error, { { "X-Request-Id", toString(id) } }))
+            exchange.abort();
     }
 }
 
--- a/tests/CallerRequestTest.cpp
+++ b/tests/CallerRequestTest.cpp
@@ -9,6 +9,7 @@
 
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace briarhitch {
 namespace {
@@ -154,6 +155,27 @@
         EXPECT_EQ(statusOf("/services/booking/x", "10.0.0.5"), 503);
     }
 
+    // Guards against a fault in this program that leaves its caller without an answer, or ends the process.
+    TEST(HttpFrontTest, FaultOfThisProgramIsAnsweredAsInternal)
+    {
+        ManualClock clock;
+        RequestHistory history(2, clock.hook());
+        ClusterView view;
+        MetricRegistry metrics;
+        HttpFrontHooks hooks;
+        hooks.unreadyReason = []() -> std::string { throw std::runtime_error("planted fault"); };
+        HttpFront front({}, view, history, metrics, hooks);
+        HttpRequest request;
+        request.method = "GET";
+        request.path = "/readyz";
+        FakeExchange exchange;
+        front.handle(request, exchange);
+        EXPECT_EQ(exchange.status, 500);
+        EXPECT_EQ(nlohmann::json::parse(exchange.body)["error"]["kind"], "internal");
+        EXPECT_EQ(findHeader(exchange.headers, "X-Request-Id").size(), 16u);
+        EXPECT_FALSE(exchange.isAborted);
+    }
+
     // Guards against a target that nobody or everybody polls, and against figures read from the wrong lines.
     TEST(LoadPollerTest, EachTargetIsPolledByOneNode)
     {
