--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Runs clang-tidy over the sources that compile_commands.json lists. Results are cached by content,
 # because linting the Beast and msgpack headers takes much longer than compiling them.
-# usage: tools/lint.sh [BUILD_DIR]
+# usage: [LINT_JOBS=N] tools/lint.sh [BUILD_DIR]
 set -euo pipefail
 cd "$(dirname "$0")/.."
 build=${1:-build}
@@ -16,4 +16,4 @@
 }
 export -f lint_one
 export build cache headers
-git ls-files -co --exclude-standard '*.cpp' | xargs -r -P "$(nproc)" -I{} bash -c 'lint_one {}'
+git ls-files -co --exclude-standard '*.cpp' | xargs -r -P "${LINT_JOBS:-$(nproc)}" -I{} bash -c 'lint_one {}'
