Give new and idle customers two retries in hand

Cause: the retry budget started at zero, so the first failure of a customer with few requests was never retried although another target was idle; the users want idempotent calls to be retried freely. Seen in a hand trial with a refusing engine.

Ruled out: a retry without any budget (retries would multiply the load of a failing fleet).

Change: the bucket starts with two.

--- a/include/briarhitch/sched/RetryBudget.h
+++ b/include/briarhitch/sched/RetryBudget.h
@@ -8,8 +8,8 @@
 namespace briarhitch {
 
 /**
- * Limits an entry's own retries to a tenth of each customer's recent requests. Every request earns a tenth of a retry;
- * at most ten retries are saved up, and savings of a customer that was idle for ten minutes are dropped.
+ * Limits an entry's own retries to a tenth of each customer's recent requests and two more. Every request earns a tenth
+ * of a retry, and at most ten retries are saved up. A customer that is new or was idle for ten minutes starts with two.
  */
 class RetryBudget {
 public:
--- a/src/sched/RetryBudget.cpp
+++ b/src/sched/RetryBudget.cpp
@@ -10,6 +10,8 @@
 
     constexpr int requestsByRetry = 10;
     constexpr int mostRetriesSaved = 10;
+    // Without any in hand, the first failure of a customer with few requests would never be retried.
+    constexpr int startingRetries = 2;
     constexpr Duration idleTime = 10min;
 
 }
@@ -17,9 +19,10 @@
 void RetryBudget::requestArrived(CustomerId customer, Instant now)
 {
     dropIdle(now);
-    auto& savings = savings_[customer];
-    if (now - savings.lastRequest > idleTime)
-        savings.credit = 0;
+    auto [it, isNew] = savings_.try_emplace(customer);
+    auto& savings = it->second;
+    if (isNew || now - savings.lastRequest > idleTime)
+        savings.credit = startingRetries * requestsByRetry;
     savings.credit = std::min(savings.credit + 1, requestsByRetry * mostRetriesSaved);
     savings.lastRequest = now;
 }
