--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -43,6 +43,14 @@
         return mean;
     }
 
+    double meanEntryMemory(const CapacityFleet::Totals& totals)
+    {
+        double sum = 0;
+        for (size_t i = 1; i < totals.usage.size(); ++i)
+            sum += totals.usage[i].residentBytes;
+        return sum / static_cast<double>(totals.usage.size() - 1);
+    }
+
     double median(std::vector<double> values)
     {
         std::sort(values.begin(), values.end());
@@ -200,6 +208,7 @@
         table.add("entry_cpu_s_by_request", "s/request", cost.answered, cost.entryCpu);
         table.add("link_bytes_by_request", "bytes/request", cost.answered, cost.linkBytes);
         table.add("control_cpu_s_by_request", "s/request", cost.answered, cost.controlCpu);
+        table.add("entry_memory_by_request_rate", "bytes/(request/s)", static_cast<double>(rate), meanEntryMemory(fleet.totals()));
     }
     for (size_t tokens : tokenCounts) {
         progress(std::to_string(tokens) + " tokens a request");
