--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -1,12 +1,10 @@
 #include "briarhitch/control/ControlProcess.h"
 #include "briarhitch/core/Log.h"
 #include "briarhitch/runtime/Loop.h"
+#include "briarhitch/runtime/Program.h"
 #include "briarhitch/settings/ControlSettings.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <csignal>
 #include <iostream>
 
@@ -22,7 +20,6 @@
     /** Exit codes, as the usage text lists them. */
     constexpr int exitGood = 0;
     constexpr int exitFailed = 1;
-    constexpr int exitWrongUsage = 2;
 
     constexpr auto usageText = "a voter of the control log and the operators' HTTP API of a Briarhitch fleet.\n\n"
                                "usage: briarhitch-control --config FILE [--check_config | --rebuild_as_sole_voter]\n\n"
@@ -92,17 +89,5 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage(briarhitch::usageText);
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("briarhitch-control " BRIARHITCH_VERSION "\n"); };
-    usage.contains_helpshort_flags = [](absl::string_view file) { return file.find("ControlMain") != absl::string_view::npos; };
-    usage.contains_help_flags = usage.contains_helpshort_flags;
-    absl::SetFlagsUsageConfig(usage);
-    if (absl::ParseCommandLine(argc, argv).size() > 1) {
-        std::cerr << "briarhitch-control: takes flags only; see --help\n";
-        return briarhitch::exitWrongUsage;
-    }
-    int code = briarhitch::runMain();
-    std::cout.flush();
-    briarhitch::exitProcess(code);
+    briarhitch::runProgram(argc, argv, { "briarhitch-control", briarhitch::usageText, "ControlMain" }, briarhitch::runMain);
 }
--- a/daemons/EntryMain.cpp
+++ b/daemons/EntryMain.cpp
@@ -1,11 +1,9 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/entry/EntryNode.h"
 #include "briarhitch/runtime/Loop.h"
+#include "briarhitch/runtime/Program.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
-#include <absl/flags/usage_config.h>
 #include <csignal>
 #include <iostream>
 
@@ -18,7 +16,6 @@
     /** Exit codes, as the usage text lists them. */
     constexpr int exitGood = 0;
     constexpr int exitFailed = 1;
-    constexpr int exitWrongUsage = 2;
     /** As a shell reports a process that SIGTERM ended. */
     constexpr int exitCutShort = 128 + SIGTERM;
 
@@ -106,15 +103,5 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage(briarhitch::usageText);
-    absl::FlagsUsageConfig usage;
-    usage.version_string = [] { return std::string("briarhitch-entry " BRIARHITCH_VERSION "\n"); };
-    absl::SetFlagsUsageConfig(usage);
-    if (absl::ParseCommandLine(argc, argv).size() > 1) {
-        std::cerr << "briarhitch-entry: takes flags only; see --help\n";
-        return briarhitch::exitWrongUsage;
-    }
-    int code = briarhitch::runMain();
-    std::cout.flush();
-    briarhitch::exitProcess(code);
+    briarhitch::runProgram(argc, argv, { "briarhitch-entry", briarhitch::usageText, "EntryMain" }, briarhitch::runMain);
 }
