--- a/tools/fake_engine/FakeEngineMain.cpp
+++ b/tools/fake_engine/FakeEngineMain.cpp
@@ -1,9 +1,8 @@
+#include "briarhitch/runtime/Program.h"
 #include "fake_engine/EngineApi.h"
 #include "support/StandInServer.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/time/time.h>
 
 ABSL_FLAG(uint32_t, slots, 8, "streams that run side by side");
@@ -52,7 +51,5 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("stand-in for a language model engine; for tests only");
-    absl::ParseCommandLine(argc, argv);
-    briarhitch::exitProcess(briarhitch::run());
+    briarhitch::runProgram(argc, argv, { "briarhitch-fake-engine", "stand-in for a language model engine; for tests only", "FakeEngineMain" }, briarhitch::run);
 }
--- a/tools/fake_service/FakeServiceMain.cpp
+++ b/tools/fake_service/FakeServiceMain.cpp
@@ -1,9 +1,8 @@
+#include "briarhitch/runtime/Program.h"
 #include "fake_service/ServiceApi.h"
 #include "support/StandInServer.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/time/time.h>
 
 ABSL_FLAG(absl::Duration, call_time, absl::Milliseconds(5), "time of one call");
@@ -31,7 +30,5 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("stand-in for a booking or shop service; for tests only");
-    absl::ParseCommandLine(argc, argv);
-    briarhitch::exitProcess(briarhitch::run());
+    briarhitch::runProgram(argc, argv, { "briarhitch-fake-service", "stand-in for a booking or shop service; for tests only", "FakeServiceMain" }, briarhitch::run);
 }
--- a/tools/load/LoadMain.cpp
+++ b/tools/load/LoadMain.cpp
@@ -1,9 +1,8 @@
 #include "briarhitch/runtime/Loop.h"
+#include "briarhitch/runtime/Program.h"
 #include "load/LoadRunner.h"
 
 #include <absl/flags/flag.h>
-#include <absl/flags/parse.h>
-#include <absl/flags/usage.h>
 #include <absl/time/time.h>
 #include <algorithm>
 #include <cstdio>
@@ -65,7 +64,7 @@
         auto plan = planFromFlags();
         if (!plan) {
             std::fprintf(stderr, "%s\n", plan.error().message.c_str());
-            return 2;
+            return exitWrongUsage;
         }
         int exitCode = 0;
         // The journal is complete once the tally is gone.
@@ -91,7 +90,5 @@
 
 int main(int argc, char** argv)
 {
-    absl::SetProgramUsageMessage("open-loop load generator; exits 1 if an answer is wrong");
-    absl::ParseCommandLine(argc, argv);
-    briarhitch::exitProcess(briarhitch::run());
+    briarhitch::runProgram(argc, argv, { "briarhitch-load", "open-loop load generator.\n\nusage: briarhitch-load --entries HOST:PORT,... --customers FILE [FLAGS]\n\nPrints one JSON object. exit codes: 0 no answer was wrong; 1 an answer was wrong; 2 wrong flags", "LoadMain" }, briarhitch::run);
 }
