--- a/src/wire/LinkConnection.cpp
+++ b/src/wire/LinkConnection.cpp
@@ -83,7 +83,7 @@
 Result<void> LinkConnection::handshake(bool isServer)
 {
     // The timer holds the connection weakly: a refused connection must not live until the timer fires.
-    bool done = false;
+    bool isProved = false;
     loop_.after(handshakeTimeout, [weak = weak_from_this()] {
         if (auto self = weak.lock(); self && self->peer_.identity == LinkIdentity {})
             self->close();
@@ -102,7 +102,7 @@
         auto answer = readHello();
         if (!answer)
             return tl::unexpected(answer.error());
-        done = constantTimeEqual(answer->proof, proofOf(settings_, "client", other, own));
+        isProved = constantTimeEqual(answer->proof, proofOf(settings_, "client", other, own));
     } else {
         if (!writeNow(encode(own)))
             return fail(ErrorKind::Unavailable, "link closed in the handshake");
@@ -110,14 +110,14 @@
         if (!hello)
             return tl::unexpected(hello.error());
         other = *hello;
-        done = constantTimeEqual(other.proof, proofOf(settings_, "server", own, other));
-        if (done) {
+        isProved = constantTimeEqual(other.proof, proofOf(settings_, "server", own, other));
+        if (isProved) {
             own.proof = proofOf(settings_, "client", own, other);
             if (!writeNow(encode(own)))
                 return fail(ErrorKind::Unavailable, "link closed in the handshake");
         }
     }
-    if (!done || other.protocol != protocolVersion)
+    if (!isProved || other.protocol != protocolVersion)
         return fail(ErrorKind::Unauthorized, "the other end of the link does not know the fleet key");
     peer_.identity = other.identity;
     lastSent_ = lastReceived_ = BootClock::now();
