--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -26,6 +26,7 @@
                                "SIGTERM and SIGINT end the process after the running requests; a second one ends it at once.\n"
                                "exit codes: 0 ended by a signal, or the settings are good; 1 an address cannot be bound or the\n"
                                "data folder cannot be used; 2 wrong flags or settings";
+    constexpr ProgramInfo program { "briarhitch-control", usageText, "ControlMain" };
 
     void endOnSignals(Loop& loop, ControlProcess& process)
     {
@@ -61,20 +62,9 @@
 
     int runMain()
     {
-        auto path = absl::GetFlag(FLAGS_config);
-        if (path.empty()) {
-            std::cerr << "briarhitch-control: --config is missing; see --help\n";
-            return exitWrongUsage;
-        }
-        auto settings = ControlSettings::fromFile(path);
-        if (!settings) {
-            std::cerr << settings.error().message << "\n";
-            return exitWrongUsage;
-        }
-        if (absl::GetFlag(FLAGS_check_config)) {
-            std::cout << path << ": good\n";
-            return exitGood;
-        }
+        auto settings = loadSettings<ControlSettings>(program, absl::GetFlag(FLAGS_config), absl::GetFlag(FLAGS_check_config));
+        if (!settings)
+            return settings.error();
         if (absl::GetFlag(FLAGS_rebuild_as_sole_voter)) {
             auto rebuilt = RaftNode::rebuildAsSoleVoter(settings->dataFolder, settings->node);
             std::cerr << (rebuilt ? "node " + std::to_string(settings->node.value()) + " is the only voter now" : rebuilt.error().message) << "\n";
@@ -89,5 +79,5 @@
 
 int main(int argc, char** argv)
 {
-    briarhitch::runProgram(argc, argv, { "briarhitch-control", briarhitch::usageText, "ControlMain" }, briarhitch::runMain);
+    briarhitch::runProgram(argc, argv, briarhitch::program, briarhitch::runMain);
 }
--- a/daemons/EntryMain.cpp
+++ b/daemons/EntryMain.cpp
@@ -25,6 +25,7 @@
                                "the process at once.\n"
                                "exit codes: 0 drained, or the settings are good; 1 an address cannot be bound; 2 wrong flags or\n"
                                "settings; 143 ended at once";
+    constexpr ProgramInfo program { "briarhitch-entry", usageText, "EntryMain" };
 
     /** The running process; only its loop and its signals. */
     class EntryProcess {
@@ -78,20 +79,9 @@
 
     int runMain()
     {
-        auto path = absl::GetFlag(FLAGS_config);
-        if (path.empty()) {
-            std::cerr << "briarhitch-entry: --config is missing; see --help\n";
-            return exitWrongUsage;
-        }
-        auto settings = EntrySettings::fromFile(path);
-        if (!settings) {
-            std::cerr << settings.error().message << "\n";
-            return exitWrongUsage;
-        }
-        if (absl::GetFlag(FLAGS_check_config)) {
-            std::cout << path << ": good\n";
-            return exitGood;
-        }
+        auto settings = loadSettings<EntrySettings>(program, absl::GetFlag(FLAGS_config), absl::GetFlag(FLAGS_check_config));
+        if (!settings)
+            return settings.error();
         setUpLogging(settings->logLevel);
         // Fibers still wait on the parts of the process when run() returns, so it is never taken apart.
         auto* process = new EntryProcess(std::move(*settings));
@@ -103,5 +93,5 @@
 
 int main(int argc, char** argv)
 {
-    briarhitch::runProgram(argc, argv, { "briarhitch-entry", briarhitch::usageText, "EntryMain" }, briarhitch::runMain);
+    briarhitch::runProgram(argc, argv, briarhitch::program, briarhitch::runMain);
 }
