--- a/tools/capacity/FleetSlopes.cpp
+++ b/tools/capacity/FleetSlopes.cpp
@@ -142,40 +142,63 @@
     return { table.fit(), {} };
 }
 
-FleetSlopes measureConfiguration(const std::string& programs, const std::string& folder)
-{
-    CapacityFleet fleet(programs, folder);
-    fleet.startControl();
-    fleet.growTo(4);
-    Table table;
-    auto sample = [&](const std::string& of, double x) {
+namespace {
+
+    void sampleConfiguration(CapacityFleet& fleet, Table& table, const std::string& of, size_t count)
+    {
         auto usage = fleet.measure(configurationWindowSeconds);
-        table.add("entry_memory_by_" + of, "bytes/" + of, x, meanOfEntries(usage).residentBytes);
+        auto entry = meanOfEntries(usage);
+        auto x = static_cast<double>(count);
+        table.add("entry_memory_by_" + of, "bytes/" + of, x, entry.residentBytes);
         table.add("control_memory_by_" + of, "bytes/" + of, x, usage[0].residentBytes);
-        table.add("entry_cpu_us_per_s_by_" + of, "us/s/" + of, x, meanOfEntries(usage).cpu * microseconds);
-        table.add("entry_link_bytes_sent_by_" + of, "bytes/s/" + of, x, meanOfEntries(usage).linkBytesSent);
-    };
-    auto begin = fleet.totals();
-    size_t customers = 1;
-    for (size_t count : customerCounts) {
-        progress(std::to_string(count) + " customers");
-        fleet.addCustomers(customers, count + 1);
-        customers = count + 1;
-        fleet.timeToForce();
-        sample("customer", static_cast<double>(count));
+        table.add("entry_cpu_us_per_s_by_" + of, "us/s/" + of, x, entry.cpu * microseconds);
+        table.add("entry_link_bytes_sent_by_" + of, "bytes/s/" + of, x, entry.linkBytesSent);
     }
-    auto end = fleet.totals();
-    nlohmann::ordered_json figures;
-    figures["control_cpu_us_per_change"] = (end.usage[0].cpuSeconds - begin.usage[0].cpuSeconds) / static_cast<double>(customers) * microseconds;
-    figures["entry_cpu_us_per_change"] = (end.usage[1].cpuSeconds - begin.usage[1].cpuSeconds) / static_cast<double>(customers) * microseconds;
-    size_t targets = 0;
-    for (size_t count : targetCounts) {
-        progress(std::to_string(count) + " targets");
-        fleet.addIdleTargets(targets, count);
-        targets = count;
-        fleet.timeToForce();
-        sample("target", static_cast<double>(count));
+
+    nlohmann::ordered_json measureCustomers(CapacityFleet& fleet, Table& table)
+    {
+        auto begin = fleet.totals();
+        size_t next = 1;
+        for (size_t count : customerCounts) {
+            progress(std::to_string(count) + " customers");
+            fleet.addCustomers(next, count + 1);
+            next = count + 1;
+            fleet.timeToForce();
+            sampleConfiguration(fleet, table, "customer", count);
+        }
+        auto end = fleet.totals();
+        auto perChange = [&](size_t process) {
+            return (end.usage[process].cpuSeconds - begin.usage[process].cpuSeconds) / static_cast<double>(next) * microseconds;
+        };
+        return { { "control_cpu_us_per_change", perChange(0) }, { "entry_cpu_us_per_change", perChange(1) } };
     }
+
+    void measureTargets(CapacityFleet& fleet, Table& table)
+    {
+        size_t next = 0;
+        for (size_t count : targetCounts) {
+            progress(std::to_string(count) + " targets");
+            fleet.addIdleTargets(next, count);
+            next = count;
+            fleet.timeToForce();
+            sampleConfiguration(fleet, table, "target", count);
+        }
+    }
+
+}
+
+FleetSlopes measureConfiguration(const std::string& programs, const std::string& folder)
+{
+    // Each part gets processes of its own: memory that one part freed would hide what the next one needs.
+    auto withFleet = [&](auto&& measure) {
+        CapacityFleet fleet(programs, folder);
+        fleet.startControl();
+        fleet.growTo(4);
+        return measure(fleet);
+    };
+    Table table;
+    auto figures = withFleet([&](CapacityFleet& fleet) { return measureCustomers(fleet, table); });
+    withFleet([&](CapacityFleet& fleet) { measureTargets(fleet, table); });
     return { table.fit(), figures };
 }
 
