Keep one reading of bearer keys and one check of key digests

Change: isSha256Hex() beside sha256Hex(), and http/BearerKey. Callers' and operators' answers stay as they were; both ends now compare with every known hash, as the control's operators' API did before.

Ruled out: the other pairs that were listed are overrides of one interface, includes and constants, or alike in shape only.

--- a/include/briarhitch/core/Digest.h
+++ b/include/briarhitch/core/Digest.h
@@ -8,6 +8,8 @@
 
 /** SHA-256 in lower-case hexadecimal; how customers' and operators' keys are kept. */
 std::string sha256Hex(std::string_view text);
+/** Whether a text has the form that sha256Hex() returns. */
+bool isSha256Hex(std::string_view text);
 /** HMAC-SHA256, 32 raw bytes. */
 std::string hmacSha256(std::string_view key, std::string_view text);
 /** Compares in a time that does not depend on where the texts differ. */
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -1,6 +1,6 @@
 #include "briarhitch/control/AdminApi.h"
 
-#include "briarhitch/core/Digest.h"
+#include "briarhitch/http/BearerKey.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Loop.h"
 #include "control/AdminJson.h"
@@ -20,7 +20,6 @@
     constexpr double defaultWaitSeconds = 5;
     constexpr double maxWaitSeconds = 30;
     constexpr Duration waitStep = 50ms;
-    constexpr std::string_view bearerPrefix = "Bearer ";
 
     const HttpHeaders jsonHeaders { { "Content-Type", "application/json" } };
 
@@ -360,14 +359,7 @@
 
 bool AdminApi::isOperator(const HttpRequest& request) const
 {
-    auto header = request.header("Authorization");
-    if (!header.starts_with(bearerPrefix))
-        return false;
-    auto hash = sha256Hex(header.substr(bearerPrefix.size()));
-    bool known = false;
-    for (const auto& allowed : settings_.operatorKeyHashes)
-        known = constantTimeEqual(hash, allowed) || known;
-    return known;
+    return hasKnownBearerKey(request, settings_.operatorKeyHashes);
 }
 
 }
--- a/src/control/AdminJson.cpp
+++ b/src/control/AdminJson.cpp
@@ -1,6 +1,7 @@
 #include "control/AdminJson.h"
 
 #include "briarhitch/control/StateMachine.h"
+#include "briarhitch/core/Digest.h"
 #include "briarhitch/settings/SettingsReader.h"
 
 #include <algorithm>
@@ -12,7 +13,6 @@
     constexpr size_t maxNameBytes = 64;
     constexpr size_t maxTextBytes = 255;
     constexpr size_t maxListLength = 256;
-    constexpr size_t sha256Digits = 64;
     constexpr double minShare = 0.001;
     constexpr double maxShare = 1e6;
     constexpr double maxRate = 1e9;
@@ -22,11 +22,6 @@
     constexpr size_t maxBodyDepth = 16;
     constexpr auto nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
 
-    bool isSha256(const std::string& text)
-    {
-        return text.size() == sha256Digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
-    }
-
     void readHeader(SettingsReader& reader, ChangeHeader& change)
     {
         change.changeId = reader.string("change_id");
@@ -80,7 +75,7 @@
             reader.problem("repeatable", "allowed are up to " + std::to_string(maxListLength) + " rules");
         contract.models = readTexts(reader, "models");
         contract.keyHashes = readTexts(reader, "key_hashes");
-        if (!std::all_of(contract.keyHashes.begin(), contract.keyHashes.end(), isSha256))
+        if (!std::all_of(contract.keyHashes.begin(), contract.keyHashes.end(), isSha256Hex))
             reader.problem("key_hashes", "allowed are SHA-256 digests of 64 lower-case hexadecimal digits");
     }
 
--- a/src/core/Digest.cpp
+++ b/src/core/Digest.cpp
@@ -17,6 +17,11 @@
 
 }
 
+bool isSha256Hex(std::string_view text)
+{
+    return text.size() == 2 * SHA256_DIGEST_LENGTH && text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+}
+
 std::string sha256Hex(std::string_view text)
 {
     static constexpr char digits[] = "0123456789abcdef";
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -12,7 +12,6 @@
 
     constexpr int64_t maxPort = 65535;
     constexpr size_t minFleetKeyBytes = 16;
-    constexpr size_t sha256HexDigits = 64;
     constexpr double maxFloor = 0.5;
 
     HostPort readHostPort(SettingsReader& reader)
@@ -75,8 +74,7 @@
     {
         settings.operatorKeyHashes = reader.strings("operator_key_hashes");
         for (const auto& hash : settings.operatorKeyHashes) {
-            bool isHash = hash.size() == sha256HexDigits && hash.find_first_not_of("0123456789abcdef") == std::string::npos;
-            if (!isHash)
+            if (!isSha256Hex(hash))
                 reader.problem("operator_key_hashes", "allowed are SHA-256 hashes of keys, as 64 lower-case hexadecimal digits");
         }
     }
--- a/src/entry/HttpFront.cpp
+++ b/src/entry/HttpFront.cpp
@@ -1,10 +1,9 @@
 #include "briarhitch/entry/HttpFront.h"
 
-#include "briarhitch/core/Digest.h"
 #include "briarhitch/core/Log.h"
+#include "briarhitch/http/BearerKey.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 
-#include <algorithm>
 #include <exception>
 
 namespace briarhitch {
@@ -13,7 +12,6 @@
 
     constexpr int okStatus = 200;
     constexpr int unavailableStatus = 503;
-    constexpr std::string_view bearerPrefix = "Bearer ";
     constexpr std::string_view servicesPrefix = "/services/";
     constexpr std::string_view debugPrefix = "/debug/requests/";
 
@@ -23,15 +21,6 @@
         return log;
     }
 
-    /** Empty if there is no bearer key. */
-    std::string bearerKeyHash(const HttpRequest& request)
-    {
-        auto value = request.header("Authorization");
-        if (!value.starts_with(bearerPrefix) || value.size() == bearerPrefix.size())
-            return {};
-        return sha256Hex(value.substr(bearerPrefix.size()));
-    }
-
     bool isLoopback(const std::string& address)
     {
         return address.starts_with("127.") || address == "::1" || address.starts_with("::ffff:127.");
@@ -109,11 +98,7 @@
 
 bool HttpFront::isOperator(const HttpRequest& request) const
 {
-    if (isLoopback(request.peer))
-        return true;
-    auto hash = bearerKeyHash(request);
-    return std::any_of(settings_.operatorKeyHashes.begin(), settings_.operatorKeyHashes.end(),
-        [&](const std::string& known) { return constantTimeEqual(known, hash); });
+    return isLoopback(request.peer) || hasKnownBearerKey(request, settings_.operatorKeyHashes);
 }
 
 void HttpFront::answerDebug(const HttpRequest& request, HttpExchange& exchange, RequestId id) const
--- a/src/settings/ControlSettings.cpp
+++ b/src/settings/ControlSettings.cpp
@@ -1,5 +1,6 @@
 #include "briarhitch/settings/ControlSettings.h"
 
+#include "briarhitch/core/Digest.h"
 #include "briarhitch/settings/SettingsReader.h"
 
 #include <algorithm>
@@ -12,17 +13,11 @@
 
     constexpr int64_t maxPort = 65535;
     constexpr size_t minFleetKeyBytes = 16;
-    constexpr size_t sha256Digits = 64;
     constexpr size_t maxVoters = 5;
     constexpr int64_t maxRunRecordsLimit = 50'000'000;
     constexpr int64_t maxAnswerMibLimit = 16 * 1024;
     constexpr int64_t maxRetentionHours = 24 * 30;
 
-    bool isSha256(const std::string& text)
-    {
-        return text.size() == sha256Digits && text.find_first_not_of("0123456789abcdef") == std::string::npos;
-    }
-
     LogLevel toLogLevel(const std::string& word)
     {
         static const std::map<std::string, LogLevel> levels {
@@ -69,7 +64,7 @@
     {
         if (settings.operatorKeyHashes.empty())
             reader.problem("operator_key_hashes", "found none; without one no operator has access");
-        if (!std::all_of(settings.operatorKeyHashes.begin(), settings.operatorKeyHashes.end(), isSha256))
+        if (!std::all_of(settings.operatorKeyHashes.begin(), settings.operatorKeyHashes.end(), isSha256Hex))
             reader.problem("operator_key_hashes", "allowed are SHA-256 digests of 64 lower-case hexadecimal digits");
     }
 
