Debit ceilings exactly at their owner for routed requests

Ruled out: lost portions (all were renewed) and the lowered ceiling of one customer (refusals before it). Change: CeilingBuckets at the ceiling's owner admits each routed request; while the owner is silent an entry admits within its part. The tolerance of the deployment's window bounds what an owner and its successor may admit together.

--- a/include/briarhitch/entry/EntrySettings.h
+++ b/include/briarhitch/entry/EntrySettings.h
@@ -5,6 +5,7 @@
 #include "briarhitch/entry/ControlClient.h"
 #include "briarhitch/entry/RoutedRunner.h"
 #include "briarhitch/http/HttpServer.h"
+#include "briarhitch/sched/CeilingBuckets.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/ServiceRetryBudget.h"
 
@@ -72,6 +73,7 @@
     /** Second address that tells whether this node is ready, beside the callers' one. */
     std::optional<HttpServerSettings> ready;
     RoutedSettings routed;
+    CeilingTolerance ceilingTolerance;
     std::string fleetKey;
     PoolSettings pool;
     EntryLimits limits;
--- a/include/briarhitch/entry/RoutedRunner.h
+++ b/include/briarhitch/entry/RoutedRunner.h
@@ -31,10 +31,10 @@
     std::function<bool()> hasConfiguration;
     std::function<bool()> hasLease;
     std::function<Result<std::shared_ptr<HttpCall>>(const HttpCallSettings&)> start;
-    /** Takes the tokens of a request out of its customer's ceiling. */
-    std::function<Result<void>(const Contract&, Tokens)> enterCeiling;
-    /** Must follow each enterCeiling() that succeeded; the tokens are those that were not used. */
-    std::function<void(CustomerId, Tokens unused)> leaveCeiling;
+    /** Takes a request and its tokens out of its customer's ceiling. */
+    std::function<Result<void>(const Contract&, Tokens)> debitCeiling;
+    /** Gives back a request that was admitted and did not run. */
+    std::function<void(const Contract&, Tokens)> refundCeiling;
     /** Counts a request to a service, as the base of its budget for repeats. */
     std::function<void(const std::string& service)> noteRequest;
     /** Whether one more repeat fits the service's budget; takes it if so. */
--- a/include/briarhitch/model/Contract.h
+++ b/include/briarhitch/model/Contract.h
@@ -22,13 +22,15 @@
     double requestsPerSecond { 0 };
     double tokensPerSecond { 0 };
     uint32_t inFlight { 0 };
+    /** Saved up by an idle customer, in the unit of the rate; zero means what one second brings. */
+    double burst { 0 };
 
     auto operator<=>(const Ceiling&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(requestsPerSecond, tokensPerSecond, inFlight);
+        visit(requestsPerSecond, tokensPerSecond, inFlight, burst);
     }
 };
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -28,6 +28,8 @@
     PoolRelease = 17,
     CeilingAsk = 18,
     LoadReport = 19,
+    CeilingDebit = 20,
+    CeilingRefund = 21,
 };
 
 /** Node to control leader, once a second. Answer: HeartbeatReply. */
@@ -318,6 +320,33 @@
     }
 };
 
+/** Entry to the owner of a customer's ceiling: admit one request? Answer: CeilingDecision. CeilingRefund: it did not run. */
+struct CeilingDebit {
+    PoolId pool;
+    CustomerId customer;
+    Tokens tokens;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, customer, tokens);
+    }
+};
+
+struct CeilingDecision {
+    /** False if the answering node does not own the ceiling; then nothing was decided. */
+    bool decided { false };
+    bool admitted { false };
+    ErrorKind kind { ErrorKind::CeilingTokens };
+    uint32_t retryAfterMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(decided, admitted, kind, retryAfterMs);
+    }
+};
+
 /** A target's published load; sent to the owner of its pool by the node that polls the target. */
 struct LoadReport {
     PoolId pool;
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -5,6 +5,8 @@
 #include "briarhitch/runtime/Loop.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
+
 namespace briarhitch {
 
 namespace {
@@ -15,6 +17,9 @@
     /** Longest wait for a first portion; a link to the owner may have to be opened. */
     constexpr Duration firstPortionTime = 1s;
     constexpr Duration retryDelay = 20ms;
+    /** Many times a round trip within a region. */
+    constexpr Duration debitTimeout = 100ms;
+    constexpr Duration silencePause = 300ms;
 
 }
 
@@ -112,4 +117,47 @@
     return true;
 }
 
+Result<void> CeilingClient::debit(const Contract& contract, Tokens tokens)
+{
+    if (contract.ceiling == Ceiling {})
+        return {};
+    const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
+    bool isSilent = !pool || !pool->owner.isValid() || now_() < silentUntil_[pool->id] || !transport_.isReachable(pool->owner);
+    if (isSilent)
+        return debitAlone(contract, tokens);
+    auto id = pool->id;
+    auto answer = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens }), debitTimeout);
+    auto decision = answer.and_then([](const std::string& body) { return decode<CeilingDecision>(body); });
+    if (!decision || !decision->decided) {
+        silentUntil_[id] = now_() + silencePause;
+        return debitAlone(contract, tokens);
+    }
+    if (decision->admitted)
+        return {};
+    auto error = makeError(decision->kind, "the customer's ceiling is reached");
+    error.retryAfter = std::chrono::milliseconds(decision->retryAfterMs);
+    return tl::unexpected(error);
+}
+
+Result<void> CeilingClient::debitAlone(const Contract& contract, Tokens tokens)
+{
+    const auto& nodes = view_.config().nodes;
+    auto entries = std::count_if(nodes.begin(), nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; });
+    auto part = contract.ceiling;
+    auto divisor = static_cast<double>(std::max<int64_t>(1, entries));
+    part.requestsPerSecond /= divisor;
+    part.tokensPerSecond /= divisor;
+    part.burst /= divisor;
+    alone_.setCeiling(contract.customer, part, now_());
+    return alone_.debit(contract.customer, tokens, now_());
+}
+
+void CeilingClient::refund(const Contract& contract, Tokens tokens)
+{
+    const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
+    if (contract.ceiling == Ceiling {} || !pool || !pool->owner.isValid())
+        return;
+    transport_.post(pool->owner, MessageType::CeilingRefund, encode(CeilingDebit { pool->id, contract.customer, tokens }));
+}
+
 }
--- a/src/entry/CeilingHost.cpp
+++ b/src/entry/CeilingHost.cpp
@@ -18,11 +18,12 @@
     return "ceiling:" + std::to_string(customer.value() % ceilingPoolCount);
 }
 
-CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now)
+CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now, CeilingTolerance tolerance)
     : self_(self)
     , incarnation_(incarnation)
     , hasLease_(std::move(hasLease))
     , now_(std::move(now))
+    , tolerance_(tolerance)
 {
 }
 
@@ -50,10 +51,12 @@
         firstGrantAt += CeilingLedger::portionLifetime;
     if (assignment.previousOwner.isValid() && assignment.previousOwner != self_)
         firstGrantAt += leaseAndDrift;
-    auto& pool = pools_.insert_or_assign(assignment.name, Pool { assignment.epoch, CeilingLedger(firstGrantAt) }).first->second;
+    auto& pool = pools_.insert_or_assign(assignment.name, Pool { assignment.epoch, CeilingLedger(firstGrantAt), CeilingBuckets(tolerance_, assignment.epoch > Epoch(1)) }).first->second;
     for (const auto& [customer, ceiling] : ceilings_) {
-        if (ceilingPoolName(customer) == assignment.name)
-            pool.ledger.setCeiling(customer, ceiling);
+        if (ceilingPoolName(customer) != assignment.name)
+            continue;
+        pool.ledger.setCeiling(customer, ceiling);
+        pool.buckets.setCeiling(customer, ceiling, now_());
     }
 }
 
@@ -64,8 +67,11 @@
         if (!isNew && it->second == contract.ceiling)
             continue;
         it->second = contract.ceiling;
-        if (auto pool = pools_.find(ceilingPoolName(id)); pool != pools_.end())
-            pool->second.ledger.setCeiling(id, contract.ceiling);
+        auto pool = pools_.find(ceilingPoolName(id));
+        if (pool == pools_.end())
+            continue;
+        pool->second.ledger.setCeiling(id, contract.ceiling);
+        pool->second.buckets.setCeiling(id, contract.ceiling, now_());
     }
 }
 
@@ -80,4 +86,33 @@
     return encode(pool->second.ledger.ask(from, *ask, now_()));
 }
 
+Result<std::string> CeilingHost::onDebit(std::string_view body)
+{
+    auto debit = decode<CeilingDebit>(body);
+    if (!debit)
+        return tl::unexpected(debit.error());
+    auto pool = pools_.find(ceilingPoolName(debit->customer));
+    if (pool == pools_.end() || !hasLease_() || !pool->second.buckets.knows(debit->customer))
+        return encode(CeilingDecision {});
+    auto admitted = pool->second.buckets.debit(debit->customer, debit->tokens, now_());
+    CeilingDecision decision;
+    decision.decided = true;
+    decision.admitted = admitted.has_value();
+    if (!admitted) {
+        decision.kind = admitted.error().kind;
+        decision.retryAfterMs = static_cast<uint32_t>(toMs(admitted.error().retryAfter.value_or(Duration(0))));
+    }
+    return encode(decision);
+}
+
+void CeilingHost::onRefund(std::string_view body)
+{
+    auto debit = decode<CeilingDebit>(body);
+    if (!debit)
+        return;
+    auto pool = pools_.find(ceilingPoolName(debit->customer));
+    if (pool != pools_.end())
+        pool->second.buckets.refund(debit->customer, debit->tokens, now_());
+}
+
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -97,7 +97,7 @@
         , http(loop)
         , targets([this](const HttpCallSettings& call) { return http.start(call); })
         , ceilingHost(
-              self.id, self.incarnation, [this] { return control.hasLease(); }, &BootClock::now)
+              self.id, self.incarnation, [this] { return control.hasLease(); }, &BootClock::now, settings.ceilingTolerance)
         , repeats(settings.routed.repeats)
         , poller({ self.id, self.region }, pollerHooks())
         , front(frontSettings(), view, history, metrics, frontHooks())
@@ -143,8 +143,15 @@
     NodeLinksHooks linkHooks()
     {
         NodeLinksHooks hooks;
-        hooks.onOwnerMessage = [this](NodeId from, LinkId link, MessageType type, std::string_view body) { host->onMessage(from, link, type, body); };
+        hooks.onOwnerMessage = [this](NodeId from, LinkId link, MessageType type, std::string_view body) {
+            if (type == MessageType::CeilingRefund)
+                ceilingHost.onRefund(body);
+            else
+                host->onMessage(from, link, type, body);
+        };
         hooks.onOwnerCall = [this](NodeId from, MessageType type, std::string_view body) -> Result<std::string> {
+            if (type == MessageType::CeilingDebit)
+                return ceilingHost.onDebit(body);
             if (type != MessageType::CeilingAsk)
                 return fail(ErrorKind::NotFound, "no such call");
             return ceilingHost.onCall(from, body);
@@ -187,8 +194,8 @@
         hooks.hasConfiguration = [this] { return control.hasConfiguration(); };
         hooks.hasLease = [this] { return control.hasLease(); };
         hooks.start = [this](const HttpCallSettings& call) { return http.start(call); };
-        hooks.enterCeiling = [this](const Contract& contract, Tokens tokens) { return ceilings->enter(contract, tokens); };
-        hooks.leaveCeiling = [this](CustomerId customer, Tokens unused) { ceilings->leave(customer, unused); };
+        hooks.debitCeiling = [this](const Contract& contract, Tokens tokens) { return ceilings->debit(contract, tokens); };
+        hooks.refundCeiling = [this](const Contract& contract, Tokens tokens) { ceilings->refund(contract, tokens); };
         hooks.noteRequest = [this](const std::string& service) { repeats.noteRequest(service, BootClock::now()); };
         hooks.takeRepeat = [this](const std::string& service) { return repeats.tryRepeat(service, entryCount(), BootClock::now()); };
         hooks.now = &BootClock::now;
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -89,6 +89,13 @@
         routed.repeats.window = std::chrono::duration_cast<Duration>(fromSeconds(reader.number("repeat_window_s", 0.1, 3600, toSeconds(routed.repeats.window))));
     }
 
+    void readTolerance(SettingsReader& reader, CeilingTolerance& tolerance)
+    {
+        tolerance.window = std::chrono::duration_cast<Duration>(fromSeconds(reader.number("window_s", 0.1, 3600, toSeconds(tolerance.window))));
+        tolerance.over = reader.number("over", 0, 10, tolerance.over);
+        tolerance.slack = reader.number("slack", 0, 1e12, tolerance.slack);
+    }
+
     /** In a fleet that forms itself the node's id and the control processes' addresses follow from addresses. */
     void readFleet(SettingsReader& reader, EntrySettings& settings)
     {
@@ -133,6 +140,7 @@
         settings.prefersPools = reader.boolean("prefers_pools", false);
         reader.object("http", settings.servesCallers, [&](SettingsReader& http) { readHttp(http, settings.http); });
         reader.object("ready", false, [&](SettingsReader& ready) { readHttp(ready, settings.ready.emplace()); });
+        reader.object("ceiling_tolerance", false, [&](SettingsReader& tolerance) { readTolerance(tolerance, settings.ceilingTolerance); });
         reader.object("routed", false, [&](SettingsReader& routed) { readRouted(routed, settings.routed); });
         reader.object("link", true, [&](SettingsReader& link) { settings.link = readHostPort(link); });
         settings.announcedLink = settings.link;
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -65,8 +65,8 @@
     // Only an exception leaves this open: the target's place must not stay taken.
     if (isGrantHeld_)
         finishAttempt(AttemptOutcome::Failed);
-    if (isInCeiling_)
-        runner_.hooks.leaveCeiling(contract_->customer, ran_ == Ran::No ? quotaTokens() : Tokens());
+    if (isDebited_ && ran_ == Ran::No)
+        runner_.hooks.refundCeiling(*contract_, quotaTokens());
 }
 
 void RoutedRun::run()
@@ -97,7 +97,7 @@
         return known;
     service_ = routes_->findService(chooseService(*route_, runner_.draw()));
     setDeadlines();
-    return enterCeiling();
+    return debitCeiling();
 }
 
 Result<void> RoutedRun::authenticate()
@@ -122,13 +122,13 @@
     return request_.promptTokens ? *request_.promptTokens + request_.maxOutputTokens : Tokens(plainTokens_);
 }
 
-Result<void> RoutedRun::enterCeiling()
+Result<void> RoutedRun::debitCeiling()
 {
     if (!contract_)
         return {};
-    auto entered = runner_.hooks.enterCeiling(*contract_, quotaTokens());
-    isInCeiling_ = entered.has_value();
-    return entered;
+    auto admitted = runner_.hooks.debitCeiling(*contract_, quotaTokens());
+    isDebited_ = admitted.has_value();
+    return admitted;
 }
 
 void RoutedRun::setDeadlines()
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -35,7 +35,7 @@
     // Admission.
     Result<void> admit();
     Result<void> authenticate();
-    Result<void> enterCeiling();
+    Result<void> debitCeiling();
     void setDeadlines();
 
     // Attempts.
@@ -88,7 +88,7 @@
     AttemptId attempt_;
     Grant grant_;
     bool isGrantHeld_ { false };
-    bool isInCeiling_ { false };
+    bool isDebited_ { false };
     std::vector<TargetId> excluded_;
     uint32_t sends_ { 0 };
     uint32_t unsentGrants_ { 0 };
