Add the policy slots, and judge targets by outcomes against their peers

(2) windows in learned tokens let prompts queue at slow engines and sent long prompts beside running answers, whose pauses then exceeded the objective; long answers went to engines that cannot finish them in time. Change: SlotScheduler keeps exact places, learns milliseconds a token and a prompt token for each target, places a request by the value that would be lost, orders by tier, urgency of the kind and lateness, refuses at once what cannot start in time. OutcomeHealth compares a target's failures with its peers'.

--- a/include/briarhitch/model/Target.h
+++ b/include/briarhitch/model/Target.h
@@ -43,13 +43,17 @@
     PoolId pool;
     /** Kept up to date by discovery instead of by operators. */
     bool isDiscovered { false };
+    /** Tokens that an engine's memory holds; zero if unknown. */
+    int64_t memoryTokens { 0 };
+    /** Tokens in one event of an engine's stream. */
+    uint32_t tokensPerEvent { 1 };
 
     bool operator==(const Target&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(id, name, version, kind, state, serves, region, zone, host, port, hardware, slots, checksFencing, pool, isDiscovered);
+        visit(id, name, version, kind, state, serves, region, zone, host, port, hardware, slots, checksFencing, pool, isDiscovered, memoryTokens, tokensPerEvent);
     }
 };
 
--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -30,6 +30,12 @@
     Instant deadline;
     /** By then the first token, or the whole answer of a service, has its full value; not after the deadline. */
     Instant objective;
+    /** The whole answer must be there by then; not before the deadline. */
+    Instant answerDeadline;
+    /** Longest pause between events that is still on time; zero if there is none. */
+    Duration gapObjective { 0 };
+    /** Urgency of its kind among requests of one tier. */
+    Tier urgency;
     /** Targets that had the request. */
     std::vector<TargetId> excluded;
     /** Stable hash of customer and idempotency key; zero if there is none. */
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -150,12 +150,18 @@
     Tokens expectedOutputTokens;
     /** Time left until the first token, or the whole answer of a service, has its full value; zero if there is none. */
     uint32_t objectiveMs { 0 };
+    /** Time left until the whole answer must be there; zero: no longer than the deadline. */
+    uint32_t answerMs { 0 };
+    /** Longest pause between events that is still on time; zero if there is none. */
+    uint32_t gapObjectiveMs { 0 };
+    /** Urgency of its kind among requests of one tier. */
+    Tier urgency;
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, repeatKey, expectedOutputTokens,
-            objectiveMs);
+            objectiveMs, answerMs, gapObjectiveMs, urgency);
     }
 };
 
@@ -220,6 +226,10 @@
     Refused,
     /** The target failed or went silent while running it. */
     Failed,
+    /** The target answered with an error of its own. */
+    Errored,
+    /** No connection to the target, or another one has its address; nothing ran. */
+    Unreachable,
 };
 
 /** Entry to owner: the attempt ended. */
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -33,6 +33,8 @@
         };
         loop.onSignal(SIGTERM, end);
         loop.onSignal(SIGINT, end);
+        // Seeds matter only until the group is found, and a process that starts reads them anew.
+        loop.onSignal(SIGHUP, [] { Log("control:").info("goes on with its settings after SIGHUP"); });
     }
 
     LinkSettings linkSettingsOf(const ControlSettings& settings)
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -1,5 +1,7 @@
 #include "entry/PoolRequests.h"
 
+#include <algorithm>
+
 namespace briarhitch {
 
 PoolRequest toPoolRequest(const Ask& ask, Instant deadline, Instant now)
@@ -15,6 +17,9 @@
     request.prefix = ask.prefix;
     request.deadline = deadline;
     request.objective = ask.objectiveMs > 0 ? now + std::chrono::milliseconds(ask.objectiveMs) : deadline;
+    request.answerDeadline = std::max<Instant>(deadline, now + std::chrono::milliseconds(ask.answerMs));
+    request.gapObjective = std::chrono::milliseconds(ask.gapObjectiveMs);
+    request.urgency = ask.urgency;
     request.excluded = ask.excluded;
     request.repeatKey = ask.repeatKey;
     return request;
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -198,6 +198,9 @@
     ask.prefix = prefixBlocks(request_.prefix);
     ask.deadlineMs = clampMs((isStreamBegun_ ? deadline_ : startDeadline_) - now());
     ask.objectiveMs = clampMs(begun_ + std::chrono::milliseconds(route_->objectiveMs) - now());
+    ask.answerMs = clampMs(timeLeft());
+    ask.gapObjectiveMs = route_->gapObjectiveMs;
+    ask.urgency = route_->tier;
     ask.excluded = excluded_;
     return ask;
 }
@@ -296,7 +299,7 @@
         ++sends_;
         failure = takeAnswer(*answer);
     } else if (answer.error().ran == Ran::No) {
-        failure = failed(answer.error(), AttemptOutcome::Failed);
+        failure = failed(answer.error(), AttemptOutcome::Unreachable);
         failure->isUnsent = true;
         count("routed_unsent_total", "reason", "connect");
     } else {
@@ -315,11 +318,10 @@
         (void)call->readAll(runner_.limits.answerMargin);
         auto error = makeError(ErrorKind::TargetRefused, absl::StrCat("the target answered ", call->status(), " without running the request"));
         error.ran = Ran::No;
-        auto failure = failed(error, AttemptOutcome::Refused);
-        if (kind == AnswerKind::WrongTarget) {
+        auto failure = failed(error, kind == AnswerKind::NotRun ? AttemptOutcome::Refused : AttemptOutcome::Unreachable);
+        // Another target's refusal does not count as one of the request's attempts, but as an arrival it is a repeat's cause.
+        if (kind == AnswerKind::WrongTarget)
             --sends_;
-            failure.isUnsent = true;
-        }
         return failure;
     }
     if (kind == AnswerKind::Unsound) {
@@ -346,12 +348,12 @@
         Failure failure { makeError(ErrorKind::TargetFailed, absl::StrCat("the target answered ", answer.status())) };
         ran_ = Ran::Yes;
         if (mayRepeat(failure)) {
-            finishAttempt(AttemptOutcome::Failed);
+            finishAttempt(AttemptOutcome::Errored);
             return failure;
         }
     }
     ran_ = Ran::Yes;
-    finishAttempt(isFailure ? AttemptOutcome::Failed : AttemptOutcome::Completed);
+    finishAttempt(isFailure ? AttemptOutcome::Errored : AttemptOutcome::Completed);
     outcome_ = absl::StrCat("status ", answer.status());
     if (!exchange_.send(answer.status(), answerHeaders(answer.headers()), *body))
         note("not delivered", "the caller left");
--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -275,6 +275,8 @@
         targets_.refused(record.target, now);
         return;
     case AttemptOutcome::Failed:
+    case AttemptOutcome::Errored:
+    case AttemptOutcome::Unreachable:
         targets_.failed(record.target, now);
         return;
     }
--- /dev/null
+++ b/src/sched/OutcomeHealth.cpp
@@ -0,0 +1,52 @@
+#include "sched/OutcomeHealth.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // About the last ten attempts count.
+    constexpr double gain = 0.12;
+    // Ordinary services fail some of their requests, each of them alike; only more than that speaks against one.
+    constexpr double failuresAllowed = 0.3;
+    constexpr double peerFactor = 2;
+    // A connection that cannot be opened says more than one bad answer.
+    constexpr double unreachableWeight = 3;
+    constexpr Duration firstBackoff = 300ms;
+    constexpr Duration longestBackoff = 2s;
+    constexpr int mostDoublings = 3;
+
+}
+
+void OutcomeHealth::note(OutcomeWeight outcome, double peerFailures, Instant now)
+{
+    if (outcome == OutcomeWeight::Good) {
+        failures_ *= 1 - gain;
+        // A probe that succeeds ends the back-off; what made it necessary does not count any more.
+        if (backoffs_ > 0)
+            failures_ = std::min(failures_, failuresAllowed / 2);
+        backoffs_ = 0;
+        return;
+    }
+    double weight = outcome == OutcomeWeight::Unreachable ? std::min(1.0, unreachableWeight * gain) : gain;
+    failures_ += weight * (1 - failures_);
+    // A failed probe keeps the target backed off, whatever its ratio.
+    if (backoffs_ > 0 ? now >= probeAt_ : failures_ > failuresAllowed + peerFactor * peerFailures)
+        backOff(now);
+}
+
+void OutcomeHealth::backOff(Instant now)
+{
+    probeAt_ = now + std::min(longestBackoff, firstBackoff * (1 << std::min(backoffs_, mostDoublings)));
+    ++backoffs_;
+}
+
+bool OutcomeHealth::allows(uint32_t running, Instant now) const
+{
+    return backoffs_ == 0 || (now >= probeAt_ && running == 0);
+}
+
+}
--- /dev/null
+++ b/src/sched/SlotScheduler.cpp
@@ -0,0 +1,527 @@
+#include "sched/SlotScheduler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // Until something was learned: usual figures of engines and plain services.
+    constexpr double startingTokenMs = 4;
+    constexpr double startingPrefillMs = 0.016;
+    constexpr double startingServiceMs = 30;
+    /** Time on the way to a target and back, and for it to begin. */
+    constexpr double overheadMs = 6;
+    // An engine reads prompts in chunks of this size, one for each step of all that it runs.
+    constexpr double chunkTokens = 1024;
+    // Other requests' prompts are read between the tokens of an answer.
+    constexpr double sharedStepFactor = 1.25;
+    // An answer that comes late has about a third of its value.
+    constexpr double lateLoss = 0.7;
+    constexpr double endLoss = 1.0;
+    // Of the allowed pause between events, what a placement may plan to use.
+    constexpr double usedGap = 0.85;
+    // Estimates of the output are noisy; an answer must fit its deadline with this much more.
+    constexpr double lengthMargin = 1.3;
+    // Of an engine's memory, what may be planned for.
+    constexpr double usedMemory = 0.92;
+    /** A placement with no more than this loss is taken at once. */
+    constexpr double acceptedLoss = 0.05;
+    /** Requests of the queue that are looked at in one pass; those behind them get the next places. */
+    constexpr size_t mostLookedAt = 48;
+    constexpr double peerGain = 0.02;
+    // Predicted waits are noisy; work is refused for them only if they are beyond its time by this factor.
+    constexpr double hopelessFactor = 1.2;
+    constexpr double shortestRetryMs = 500;
+    constexpr double longestRetryMs = 5000;
+    constexpr double retrySpread = 0.3;
+
+    double toMsExact(Duration duration) { return toSeconds(duration) * 1000; }
+    Duration fromMs(double ms) { return fromSeconds(ms / 1000); }
+
+    bool contains(const std::vector<TargetId>& targets, TargetId target)
+    {
+        return std::find(targets.begin(), targets.end(), target) != targets.end();
+    }
+
+    PoolSchedulerRegistry::Registration registration("slots", [](const PoolSettings& settings) {
+        return std::make_unique<SlotScheduler>(settings);
+    });
+
+}
+
+SlotScheduler::SlotScheduler(const PoolSettings& settings)
+    : settings_(settings)
+{
+}
+
+double SlotScheduler::expectedOutputOf(const PoolRequest& request) const
+{
+    if (!isModel())
+        return 0;
+    auto learned = static_cast<double>(lengths_.estimate(request.customer, request.kind, request.maxOutputTokens).value());
+    if (request.expectedOutputTokens.value() <= 0)
+        return learned;
+    auto most = static_cast<double>(std::max<int64_t>(1, request.maxOutputTokens.value()));
+    return std::min(most, static_cast<double>(request.expectedOutputTokens.value()));
+}
+
+double SlotScheduler::workMsOf(const SlotTarget& target) const
+{
+    return target.workMs.valueOr(poolWorkMs_.valueOr(isModel() ? startingTokenMs : startingServiceMs));
+}
+
+double SlotScheduler::prefillMsOf(const SlotTarget& target) const
+{
+    // A target that is slow at one kind of work is slow at the other.
+    double usual = poolPrefillMs_.valueOr(startingPrefillMs) * workMsOf(target) / poolWorkMs_.valueOr(startingTokenMs);
+    return target.prefillMs.valueOr(usual);
+}
+
+SlotScheduler::Placement SlotScheduler::placementOn(const Record& record, const SlotTarget& target, Instant now) const
+{
+    const auto& request = record.request;
+    Placement placement;
+    double work = workMsOf(target);
+    double objective = toMsExact(request.objective - now);
+    double left = toMsExact(request.deadline - now);
+    if (!isModel()) {
+        placement.firstTokenMs = placement.durationMs = overheadMs + work;
+        placement.loss = placement.durationMs > objective ? lateLoss : 0;
+        return placement;
+    }
+    double prompt = static_cast<double>(request.promptTokens.value());
+    double prefill = prefillMsOf(target);
+    placement.firstTokenMs = overheadMs + work + (target.prefillTokens + prompt) * prefill;
+    placement.durationMs = placement.firstTokenMs + record.expectedOutput * work * sharedStepFactor;
+    double gap = toMsExact(request.gapObjective);
+    double step = work + chunkTokens * prefill;
+    double stride = std::max(1U, target.target.tokensPerEvent);
+    if (placement.firstTokenMs > objective)
+        placement.loss += lateLoss;
+    else if (gap > 0 && stride * work > usedGap * gap)
+        placement.loss += lateLoss;
+    double answerLeft = std::max(left, toMsExact(request.answerDeadline - now));
+    if (placement.firstTokenMs + record.expectedOutput * lengthMargin * work * sharedStepFactor > answerLeft)
+        placement.loss += endLoss;
+    // While the prompt is read, each step of the answers that run there takes a chunk longer.
+    double chunks = std::min(stride, std::ceil(prompt / chunkTokens));
+    bool delaysOthers = gap > 0 && chunks * step + (stride - chunks) * work > usedGap * gap;
+    uint32_t answering = target.running - target.prefilling;
+    if (delaysOthers && answering > 0)
+        placement.loss += lateLoss * answering / 2.0;
+    return placement;
+}
+
+double SlotScheduler::costMs(const Record& record) const
+{
+    double work = poolWorkMs_.valueOr(isModel() ? startingTokenMs : startingServiceMs);
+    if (!isModel())
+        return work;
+    double prefill = poolPrefillMs_.valueOr(startingPrefillMs);
+    return overheadMs + record.expectedOutput * work * sharedStepFactor + static_cast<double>(record.request.promptTokens.value()) * prefill;
+}
+
+double SlotScheduler::bestFirstTokenMs(const Record& record) const
+{
+    if (!isModel())
+        return overheadMs + fastestWorkMs_;
+    return overheadMs + fastestWorkMs_ + static_cast<double>(record.request.promptTokens.value()) * fastestPrefillMs_;
+}
+
+SlotScheduler::Rank SlotScheduler::rankOf(const Record& record, Instant now) const
+{
+    const auto& request = record.request;
+    bool isLate = now + fromMs(bestFirstTokenMs(record)) > request.objective;
+    // A late answer of one kind is worth about as much as the next less urgent kind in time.
+    return { request.tier.value(), static_cast<uint8_t>(request.urgency.value() + (isLate ? 1 : 0)), isLate, record.arrival };
+}
+
+bool SlotScheduler::mayUse(const Record& record, const SlotTarget& target) const
+{
+    return !contains(record.request.excluded, target.target.id);
+}
+
+bool SlotScheduler::hasUsableTarget(const Record& record) const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.isActive() && mayUse(record, entry.second); });
+}
+
+double SlotScheduler::waitMs(const Rank& rank) const
+{
+    if (capacity_ <= 0)
+        return 0;
+    double ahead = 0;
+    for (const auto& [other, attempt] : queue_) {
+        if (other >= rank)
+            break;
+        ahead += costMs(*records_.at(attempt));
+    }
+    return ahead / capacity_;
+}
+
+Duration SlotScheduler::retryAfter(AttemptId attempt, double waitMs) const
+{
+    // Callers that were refused together come back spread out.
+    double part = static_cast<double>((attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
+    double ms = std::clamp(waitMs, shortestRetryMs, longestRetryMs);
+    return fromMs(ms * (1 + retrySpread * part));
+}
+
+SlotScheduler::Record& SlotScheduler::add(PoolRequest request, Instant now)
+{
+    auto record = std::make_unique<Record>();
+    record->arrival = ++lastArrival_;
+    record->expectedOutput = expectedOutputOf(request);
+    record->request = std::move(request);
+    record->rank = rankOf(*record, now);
+    auto& slot = records_[record->request.attempt];
+    slot = std::move(record);
+    return *slot;
+}
+
+void SlotScheduler::enqueue(Record& record)
+{
+    queue_.emplace(record.rank, record.request.attempt);
+    ++stats_.queued[record.request.tier.value()];
+    stats_.queuedTokens += record.request.promptTokens;
+}
+
+void SlotScheduler::dequeue(Record& record)
+{
+    queue_.erase({ record.rank, record.request.attempt });
+    --stats_.queued[record.request.tier.value()];
+    stats_.queuedTokens -= record.request.promptTokens;
+}
+
+void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, double waitMs, std::string_view reason)
+{
+    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(attempt, waitMs), std::string(reason) });
+    records_.erase(attempt);
+}
+
+void SlotScheduler::submit(PoolRequest request, Instant now)
+{
+    if (records_.contains(request.attempt))
+        return;
+    auto& record = add(std::move(request), now);
+    auto attempt = record.request.attempt;
+    if (!hasUsableTarget(record)) {
+        refuse(attempt, ErrorKind::NoTarget, 0, "no target can take the request");
+        return;
+    }
+    double wait = waitMs(record.rank);
+    double least = bestFirstTokenMs(record);
+    if (wait * hopelessFactor + least > toMsExact(record.request.deadline - now) || queue_.size() >= settings_.maxQueued) {
+        refuse(attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
+        return;
+    }
+    enqueue(record);
+    dispatch(now);
+}
+
+void SlotScheduler::cancel(AttemptId attempt, Instant now)
+{
+    auto it = records_.find(attempt);
+    if (it == records_.end())
+        return;
+    if (it->second->isRunning)
+        release(*it->second);
+    else
+        dequeue(*it->second);
+    records_.erase(it);
+    dispatch(now);
+}
+
+void SlotScheduler::occupy(Record& record, SlotTarget& target)
+{
+    record.target = target.target.id;
+    record.isRunning = true;
+    record.isPrefillAlone = target.prefilling == 0;
+    ++target.running;
+    target.memoryTokens += static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
+    if (!record.isStarted) {
+        ++target.prefilling;
+        target.prefillTokens += static_cast<double>(record.request.promptTokens.value());
+    }
+    ++stats_.running[record.request.tier.value()];
+    stats_.runningTokens += record.request.promptTokens;
+}
+
+void SlotScheduler::endPrefill(Record& record, SlotTarget& target)
+{
+    if (record.isStarted)
+        return;
+    record.isStarted = true;
+    --target.prefilling;
+    target.prefillTokens = target.prefilling == 0 ? 0 : target.prefillTokens - static_cast<double>(record.request.promptTokens.value());
+}
+
+void SlotScheduler::release(Record& record)
+{
+    auto it = targets_.find(record.target);
+    --stats_.running[record.request.tier.value()];
+    stats_.runningTokens -= record.request.promptTokens;
+    if (it == targets_.end())
+        return;
+    auto& target = it->second;
+    endPrefill(record, target);
+    assert(target.running > 0);
+    --target.running;
+    target.memoryTokens -= static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
+    if (target.running == 0)
+        target.memoryTokens = 0;
+    if (!target.isListed && target.running == 0)
+        targets_.erase(it);
+}
+
+void SlotScheduler::started(AttemptId attempt, Duration firstToken, Instant now)
+{
+    auto it = records_.find(attempt);
+    if (it == records_.end() || !it->second->isRunning || it->second->isStarted)
+        return;
+    auto& record = *it->second;
+    record.firstToken = firstToken;
+    auto found = targets_.find(record.target);
+    if (found != targets_.end()) {
+        auto& target = found->second;
+        endPrefill(record, target);
+        auto prompt = static_cast<double>(record.request.promptTokens.value());
+        if (record.isPrefillAlone && prompt >= chunkTokens / 2) {
+            double sample = std::max(0.0, toMsExact(firstToken) - overheadMs) / prompt;
+            target.prefillMs.learn(sample);
+            poolPrefillMs_.learn(sample);
+        }
+        noteOutcome(target, OutcomeWeight::Good, now);
+    }
+    dispatch(now);
+}
+
+void SlotScheduler::noteOutcome(SlotTarget& target, OutcomeWeight outcome, Instant now)
+{
+    peerFailures_ += peerGain * ((outcome == OutcomeWeight::Good ? 0 : 1) - peerFailures_);
+    target.health.note(outcome, peerFailures_, now);
+}
+
+void SlotScheduler::learnWork(const Record& record, SlotTarget& target, Tokens outputTokens, Duration duration)
+{
+    if (!isModel()) {
+        target.workMs.learn(toMsExact(duration));
+        poolWorkMs_.learn(toMsExact(duration));
+        return;
+    }
+    lengths_.learn(record.request.customer, record.request.kind, outputTokens);
+    auto tokens = static_cast<double>(outputTokens.value() - target.target.tokensPerEvent);
+    constexpr double fewTokens = 20;
+    if (tokens < fewTokens)
+        return;
+    double sample = toMsExact(duration - record.firstToken) / tokens;
+    target.workMs.learn(sample);
+    poolWorkMs_.learn(sample);
+}
+
+void SlotScheduler::finished(AttemptId attempt, AttemptOutcome outcome, Tokens, Tokens outputTokens, Duration duration, Instant now)
+{
+    auto it = records_.find(attempt);
+    if (it == records_.end() || !it->second->isRunning)
+        return;
+    auto record = std::move(it->second);
+    records_.erase(it);
+    if (auto found = targets_.find(record->target); found != targets_.end()) {
+        auto& target = found->second;
+        switch (outcome) {
+        case AttemptOutcome::Completed:
+            learnWork(*record, target, outputTokens, duration);
+            noteOutcome(target, OutcomeWeight::Good, now);
+            break;
+        case AttemptOutcome::Errored:
+            noteOutcome(target, OutcomeWeight::Error, now);
+            break;
+        case AttemptOutcome::Failed:
+            noteOutcome(target, OutcomeWeight::Broken, now);
+            break;
+        case AttemptOutcome::Unreachable:
+            noteOutcome(target, OutcomeWeight::Unreachable, now);
+            break;
+        case AttemptOutcome::Cancelled:
+        case AttemptOutcome::Refused:
+            break;
+        }
+    }
+    release(*record);
+    updateCapacity();
+    dispatch(now);
+}
+
+void SlotScheduler::restore(PoolRequest request, TargetId target, bool isStarted, Instant now)
+{
+    if (records_.contains(request.attempt))
+        return;
+    auto& record = add(std::move(request), now);
+    record.isStarted = isStarted;
+    record.target = target;
+    if (auto it = targets_.find(target); it != targets_.end()) {
+        occupy(record, it->second);
+        return;
+    }
+    record.isRunning = true;
+    ++stats_.running[record.request.tier.value()];
+    stats_.runningTokens += record.request.promptTokens;
+}
+
+void SlotScheduler::restoreRepeat(uint64_t, TargetId, Instant)
+{
+    // Callers with an idempotency key are served by the policies that remember them.
+}
+
+void SlotScheduler::reportLoad(const LoadReport&, Instant)
+{
+    // The count of what was granted is exact, and reports are older than it.
+}
+
+void SlotScheduler::setContract(const Contract&)
+{
+    // Shares within a tier follow from arrival; ceilings bound each customer.
+}
+
+void SlotScheduler::setTargets(const std::vector<Target>& targets, Instant now)
+{
+    for (auto& [id, target] : targets_)
+        target.isListed = false;
+    for (const auto& listed : targets) {
+        auto& target = targets_[listed.id];
+        target.target = listed;
+        target.isListed = true;
+    }
+    std::erase_if(targets_, [](const auto& entry) { return !entry.second.isListed && entry.second.running == 0; });
+    updateCapacity();
+    std::vector<AttemptId> without;
+    for (const auto& [rank, attempt] : queue_) {
+        if (!hasUsableTarget(*records_.at(attempt)))
+            without.push_back(attempt);
+    }
+    for (AttemptId attempt : without) {
+        dequeue(*records_.at(attempt));
+        refuse(attempt, ErrorKind::NoTarget, 0, "all its targets left");
+    }
+    dispatch(now);
+}
+
+void SlotScheduler::updateCapacity()
+{
+    capacity_ = 0;
+    fastestWorkMs_ = 0;
+    fastestPrefillMs_ = 0;
+    double usual = poolWorkMs_.valueOr(isModel() ? startingTokenMs : startingServiceMs);
+    for (const auto& [id, target] : targets_) {
+        if (!target.isActive() || target.health.isBackedOff())
+            continue;
+        double work = workMsOf(target);
+        capacity_ += target.slots() * usual / std::max(work, 0.01);
+        if (fastestWorkMs_ == 0 || work < fastestWorkMs_) {
+            fastestWorkMs_ = work;
+            fastestPrefillMs_ = prefillMsOf(target);
+        }
+    }
+}
+
+SlotTarget* SlotScheduler::choose(const Record& record, Instant now)
+{
+    SlotTarget* best = nullptr;
+    Placement bestPlacement;
+    double needed = static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
+    for (auto& [id, target] : targets_) {
+        if (!target.hasPlace(now) || !mayUse(record, target))
+            continue;
+        auto memory = static_cast<double>(target.target.memoryTokens);
+        if (memory > 0 && target.running > 0 && target.memoryTokens + needed > usedMemory * memory)
+            continue;
+        auto placement = placementOn(record, target, now);
+        // Among equal speeds the emptier one, so that answers disturb each other less.
+        placement.durationMs *= 1 + 0.2 * target.running / target.slots();
+        bool isBetter = !best || placement.loss < bestPlacement.loss - acceptedLoss
+            || (placement.loss < bestPlacement.loss + acceptedLoss && placement.durationMs < bestPlacement.durationMs);
+        if (isBetter) {
+            best = &target;
+            bestPlacement = placement;
+        }
+    }
+    if (!best || bestPlacement.loss <= acceptedLoss)
+        return best;
+    // A better place may become free before the request would be late for that alone.
+    bool mayWait = !record.rank.isLate && now + fromMs(bestFirstTokenMs(record) * hopelessFactor) < record.request.objective;
+    return mayWait ? nullptr : best;
+}
+
+void SlotScheduler::dispatch(Instant now)
+{
+    size_t looked = 0;
+    auto hasPlace = [&] { return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasPlace(now); }); };
+    for (auto it = queue_.begin(); it != queue_.end() && looked < mostLookedAt && hasPlace(); ++looked) {
+        auto& record = *records_.at(it->second);
+        ++it;
+        auto* target = choose(record, now);
+        if (!target)
+            continue;
+        dequeue(record);
+        occupy(record, *target);
+        actions_.emplace_back(PoolGrant { record.request.attempt, target->target.id });
+    }
+}
+
+void SlotScheduler::rerank(Instant now)
+{
+    std::vector<std::pair<Rank, AttemptId>> changed;
+    for (const auto& entry : queue_) {
+        if (!entry.first.isLate && rankOf(*records_.at(entry.second), now).isLate)
+            changed.push_back(entry);
+    }
+    for (const auto& entry : changed) {
+        queue_.erase(entry);
+        auto& record = *records_.at(entry.second);
+        record.rank = rankOf(record, now);
+        queue_.emplace(record.rank, entry.second);
+    }
+}
+
+void SlotScheduler::refuseHopeless(Instant now)
+{
+    double ahead = 0;
+    std::vector<std::pair<AttemptId, double>> hopeless;
+    for (const auto& [rank, attempt] : queue_) {
+        const auto& record = *records_.at(attempt);
+        double wait = capacity_ > 0 ? ahead / capacity_ : 0;
+        if (wait * hopelessFactor + bestFirstTokenMs(record) > toMsExact(record.request.deadline - now))
+            hopeless.emplace_back(attempt, wait);
+        else
+            ahead += costMs(record);
+    }
+    for (const auto& [attempt, wait] : hopeless) {
+        dequeue(*records_.at(attempt));
+        refuse(attempt, ErrorKind::DeadlineUnreachable, wait, "deadline cannot be met any more");
+    }
+}
+
+void SlotScheduler::tick(Instant now)
+{
+    rerank(now);
+    refuseHopeless(now);
+    updateCapacity();
+    dispatch(now);
+}
+
+std::vector<PoolAction> SlotScheduler::takeActions()
+{
+    return std::exchange(actions_, {});
+}
+
+PoolStats SlotScheduler::stats() const
+{
+    return stats_;
+}
+
+}
--- /dev/null
+++ b/src/sched/SlotScheduler.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include "briarhitch/sched/PoolScheduler.h"
+#include "sched/LengthEstimator.h"
+#include "sched/SlotTarget.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace briarhitch {
+
+/**
+ * The policy "slots", for targets that run a fixed number of requests side by side. It never grants more than a target
+ * has places, so that requests wait here, in order, and not at the target; it learns how fast each target is and
+ * places a request where it is in time and does not make others late.
+ */
+class SlotScheduler : public PoolScheduler {
+public:
+    explicit SlotScheduler(const PoolSettings& settings);
+
+    void setTargets(const std::vector<Target>& targets, Instant now) override;
+    void setContract(const Contract& contract) override;
+    void submit(PoolRequest request, Instant now) override;
+    void cancel(AttemptId attempt, Instant now) override;
+    void started(AttemptId attempt, Duration firstToken, Instant now) override;
+    void finished(AttemptId attempt, AttemptOutcome outcome, Tokens promptTokens, Tokens outputTokens, Duration duration, Instant now) override;
+    void restore(PoolRequest request, TargetId target, bool isStarted, Instant now) override;
+    void restoreRepeat(uint64_t repeatKey, TargetId target, Instant now) override;
+    void reportLoad(const LoadReport& report, Instant now) override;
+    void tick(Instant now) override;
+    std::vector<PoolAction> takeActions() override;
+    [[nodiscard]] PoolStats stats() const override;
+
+private:
+    /** Order of waiting: tier, then urgency with lateness, then arrival. */
+    struct Rank {
+        uint8_t tier { 0 };
+        uint8_t urgency { 0 };
+        bool isLate { false };
+        uint64_t arrival { 0 };
+
+        auto operator<=>(const Rank&) const = default;
+    };
+    struct Record {
+        PoolRequest request;
+        uint64_t arrival { 0 };
+        Rank rank;
+        double expectedOutput { 0 };
+        TargetId target;
+        bool isRunning { false };
+        bool isStarted { false };
+        /** The target had no other prompt to read when this one was granted. */
+        bool isPrefillAlone { false };
+        Duration firstToken { 0 };
+    };
+    /** What would come of placing a request on a target. */
+    struct Placement {
+        double firstTokenMs { 0 };
+        double durationMs { 0 };
+        /** Parts of a request's value that would be lost, its own and of those that run there. */
+        double loss { 0 };
+    };
+
+    [[nodiscard]] bool isModel() const { return settings_.kind == PoolKind::Model; }
+    [[nodiscard]] double expectedOutputOf(const PoolRequest& request) const;
+    [[nodiscard]] double workMsOf(const SlotTarget& target) const;
+    [[nodiscard]] double prefillMsOf(const SlotTarget& target) const;
+    [[nodiscard]] Placement placementOn(const Record& record, const SlotTarget& target, Instant now) const;
+    /** Work of a request in milliseconds of a place on a middling target. */
+    [[nodiscard]] double costMs(const Record& record) const;
+    [[nodiscard]] double bestFirstTokenMs(const Record& record) const;
+    [[nodiscard]] Rank rankOf(const Record& record, Instant now) const;
+    [[nodiscard]] bool mayUse(const Record& record, const SlotTarget& target) const;
+    [[nodiscard]] bool hasUsableTarget(const Record& record) const;
+    /** How long the waiting work before this rank takes. */
+    [[nodiscard]] double waitMs(const Rank& rank) const;
+    [[nodiscard]] Duration retryAfter(AttemptId attempt, double waitMs) const;
+
+    Record& add(PoolRequest request, Instant now);
+    void enqueue(Record& record);
+    void dequeue(Record& record);
+    void refuse(AttemptId attempt, ErrorKind kind, double waitMs, std::string_view reason);
+    void occupy(Record& record, SlotTarget& target);
+    void release(Record& record);
+    void endPrefill(Record& record, SlotTarget& target);
+    void noteOutcome(SlotTarget& target, OutcomeWeight outcome, Instant now);
+    void learnWork(const Record& record, SlotTarget& target, Tokens outputTokens, Duration duration);
+    /** Fills free places from the queue. */
+    void dispatch(Instant now);
+    SlotTarget* choose(const Record& record, Instant now);
+    void rerank(Instant now);
+    void refuseHopeless(Instant now);
+    void updateCapacity();
+
+    PoolSettings settings_;
+    LengthEstimator lengths_;
+    std::map<TargetId, SlotTarget> targets_;
+    absl::flat_hash_map<AttemptId, std::unique_ptr<Record>> records_;
+    std::set<std::pair<Rank, AttemptId>> queue_;
+    std::vector<PoolAction> actions_;
+    PoolStats stats_;
+    uint64_t lastArrival_ { 0 };
+    /** Over all targets, as fallbacks for those that nothing is known of. */
+    LearnedMean poolWorkMs_ { 0.02 };
+    LearnedMean poolPrefillMs_ { 0.02 };
+    double peerFailures_ { 0 };
+    /** Places of all active targets, weighted by their speed relative to the pool's mean. */
+    double capacity_ { 0 };
+    double fastestWorkMs_ { 0 };
+    double fastestPrefillMs_ { 0 };
+};
+
+}
