--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -85,6 +85,7 @@
     void postToOwner(PoolId pool, MessageType type, const T& message);
     void onGrant(const Grant& grant);
     void onRefuse(const Refuse& refuse);
+    void onQueued(const Queued& queued);
     void sendAsk(const Pending& pending);
     void sync(PoolId pool);
     void adoptAssignment(const PoolAssignment& assignment);
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -30,6 +30,7 @@
     LoadReport = 19,
     CeilingDebit = 20,
     CeilingRefund = 21,
+    Queued = 22,
 };
 
 /** Node to control leader, once a second. Answer: HeartbeatReply. */
@@ -193,6 +194,18 @@
     }
 };
 
+/** Owner to entry: the ask waits in its queue. */
+struct Queued {
+    PoolId pool;
+    AttemptId attempt;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt);
+    }
+};
+
 /** Entry to owner: the ask or the grant is no longer wanted and nothing was sent. */
 struct Cancel {
     PoolId pool;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -52,6 +52,8 @@
     Instant deadline;
     Instant askedAt {};
     bool isSolo { false };
+    /** The owner has said that the ask waits there. */
+    bool isQueued { false };
     FiberEvent decided;
     Result<Grant> result { fail(ErrorKind::DeadlineUnreachable, "no target became free before the deadline") };
 };
@@ -186,9 +188,21 @@
     } else if (type == MessageType::Refuse) {
         if (auto refuse = decode<Refuse>(body))
             onRefuse(*refuse);
+    } else if (type == MessageType::Queued) {
+        if (auto queued = decode<Queued>(body))
+            onQueued(*queued);
     }
 }
 
+void PoolClient::onQueued(const Queued& queued)
+{
+    auto& state = pools_[queued.pool];
+    state.lastHeard = now_();
+    state.isSuspect = false;
+    if (auto it = pending_.find(queued.attempt); it != pending_.end())
+        it->second->isQueued = true;
+}
+
 void PoolClient::onGrant(const Grant& grant)
 {
     auto& state = pools_[grant.pool];
@@ -292,6 +306,7 @@
     for (const auto& pending : waiting) {
         leaveSolo(pool, pending->ask.attempt);
         pending->isSolo = false;
+        pending->isQueued = false;
         pending->askedAt = now_();
         sendAsk(*pending);
     }
@@ -447,7 +462,7 @@
             continue;
         auto& state = pools_[pending->ask.pool];
         auto since = std::max(pending->askedAt, state.lastHeard);
-        if (isOwnerReachable(state) && now - since < *settings_.soloAfter)
+        if (isOwnerReachable(state) && (pending->isQueued || now - since < *settings_.soloAfter))
             continue;
         if (isOwnerReachable(state)) {
             state.isSuspect = true;
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -292,6 +292,8 @@
         return;
     pool.scheduler->submit(toPoolRequest(ask, hosted.deadline, hooks_.now()), hooks_.now());
     flush(pool);
+    if (auto waiting = pool.hosted.find(ask.attempt); waiting != pool.hosted.end() && !waiting->second.target.isValid())
+        transport_.answer(from, MessageType::Queued, encode(Queued { ask.pool, ask.attempt }));
 }
 
 void PoolHost::onSync(NodeId from, LinkId link, const PoolSync& sync)
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -25,24 +25,35 @@
     constexpr double endLoss = 1.0;
     // Of the allowed pause between events, what a placement may plan to use.
     constexpr double usedGap = 0.85;
-    // Estimates of the output are noisy; an answer must fit its deadline with this much more.
-    constexpr double lengthMargin = 1.3;
+    // Callers' estimates of the output are right at the median; their logarithms deviate by about this much.
+    constexpr double lengthDeviation = 0.6;
     // Of an engine's memory, what may be planned for.
     constexpr double usedMemory = 0.92;
     /** A placement with no more than this loss is taken at once. */
     constexpr double acceptedLoss = 0.05;
+    constexpr double acceptedEndRisk = 0.3;
     /** Requests of the queue that are looked at in one pass; those behind them get the next places. */
     constexpr size_t mostLookedAt = 48;
     constexpr double peerGain = 0.02;
     // Predicted waits are noisy; work is refused for them only if they are beyond its time by this factor.
     constexpr double hopelessFactor = 1.2;
-    constexpr double shortestRetryMs = 500;
+    constexpr double shortestRetryMs = 1500;
     constexpr double longestRetryMs = 5000;
     constexpr double retrySpread = 0.3;
 
     double toMsExact(Duration duration) { return toSeconds(duration) * 1000; }
     Duration fromMs(double ms) { return fromSeconds(ms / 1000); }
 
+    /** Chance that an answer is longer than the limit. */
+    double chanceBeyond(double limit, double expected)
+    {
+        if (limit <= 0)
+            return 1;
+        if (expected <= 0)
+            return 0;
+        return 0.5 * std::erfc(std::log(limit / expected) / (lengthDeviation * std::sqrt(2.0)));
+    }
+
     bool contains(const std::vector<TargetId>& targets, TargetId target)
     {
         return std::find(targets.begin(), targets.end(), target) != targets.end();
@@ -106,8 +117,8 @@
     else if (gap > 0 && stride * work > usedGap * gap)
         placement.loss += lateLoss;
     double answerLeft = std::max(left, toMsExact(request.answerDeadline - now));
-    if (placement.firstTokenMs + record.expectedOutput * lengthMargin * work * sharedStepFactor > answerLeft)
-        placement.loss += endLoss;
+    placement.endRisk = endLoss * chanceBeyond((answerLeft - placement.firstTokenMs) / (work * sharedStepFactor), record.expectedOutput);
+    placement.loss += placement.endRisk;
     // While the prompt is read, each step of the answers that run there takes a chunk longer.
     double chunks = std::min(stride, std::ceil(prompt / chunkTokens));
     bool delaysOthers = gap > 0 && chunks * step + (stride - chunks) * work > usedGap * gap;
@@ -137,8 +148,8 @@
 {
     const auto& request = record.request;
     bool isLate = now + fromMs(bestFirstTokenMs(record)) > request.objective;
-    // A late answer of one kind is worth about as much as the next less urgent kind in time.
-    return { request.tier.value(), static_cast<uint8_t>(request.urgency.value() + (isLate ? 1 : 0)), isLate, record.arrival };
+    // Late work before work in time would make that late too, and under load everything.
+    return { isLate, request.tier.value(), request.urgency.value(), record.arrival };
 }
 
 bool SlotScheduler::mayUse(const Record& record, const SlotTarget& target) const
@@ -450,7 +461,9 @@
             bestPlacement = placement;
         }
     }
-    if (!best || bestPlacement.loss <= acceptedLoss)
+    // A risk that is there on most targets is no reason to wait.
+    double avoidable = bestPlacement.loss - (bestPlacement.endRisk < acceptedEndRisk ? bestPlacement.endRisk : 0);
+    if (!best || avoidable <= acceptedLoss)
         return best;
     // A better place may become free before the request would be late for that alone.
     bool mayWait = !record.rank.isLate && now + fromMs(bestFirstTokenMs(record) * hopelessFactor) < record.request.objective;
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -34,11 +34,11 @@
     [[nodiscard]] PoolStats stats() const override;
 
 private:
-    /** Order of waiting: tier, then urgency with lateness, then arrival. */
+    /** Order of waiting: what can still be in time, then tier, urgency of the kind, arrival. */
     struct Rank {
+        bool isLate { false };
         uint8_t tier { 0 };
         uint8_t urgency { 0 };
-        bool isLate { false };
         uint64_t arrival { 0 };
 
         auto operator<=>(const Rank&) const = default;
@@ -61,6 +61,8 @@
         double durationMs { 0 };
         /** Parts of a request's value that would be lost, its own and of those that run there. */
         double loss { 0 };
+        /** The chance that the answer does not end in time; also a part of the loss. */
+        double endRisk { 0 };
     };
 
     [[nodiscard]] bool isModel() const { return settings_.kind == PoolKind::Model; }
