--- a/daemons/ControlMain.cpp
+++ b/daemons/ControlMain.cpp
@@ -36,7 +36,7 @@
             std::cerr << (rebuilt ? "node " + std::to_string(settings->node.value()) + " is the only voter now" : rebuilt.error().message) << "\n";
             return rebuilt ? exitGood : exitFailed;
         }
-        setUpLogging(settings->logLevel);
+        setUpLogging(settings->logLevel, "control-" + std::to_string(settings->node.value()));
         runControlProcess(std::move(*settings), {});
     }
 
--- a/daemons/EntryMain.cpp
+++ b/daemons/EntryMain.cpp
@@ -23,7 +23,7 @@
         auto settings = loadSettings<EntrySettings>(program, absl::GetFlag(FLAGS_config), absl::GetFlag(FLAGS_check_config));
         if (!settings)
             return settings.error();
-        setUpLogging(settings->logLevel);
+        setUpLogging(settings->logLevel, "entry-" + std::to_string(settings->node.value()));
         return runEntryProcess(std::move(*settings), std::nullopt, absl::GetFlag(FLAGS_config));
     }
 
--- a/include/briarhitch/control/ControlProcess.h
+++ b/include/briarhitch/control/ControlProcess.h
@@ -36,6 +36,8 @@
 
     /** Opens the log, binds the addresses and starts to serve; to be called in a fiber. Damaged or Unavailable. */
     Result<void> start();
+    /** Blocks the calling fiber until the data folder takes writes again, or for 30 s. */
+    void waitForDisk();
     /** Stops taking operators' requests and waits for the running ones, but only for a few seconds; to be called in a fiber. */
     void drain();
 
--- a/include/briarhitch/entry/CeilingClient.h
+++ b/include/briarhitch/entry/CeilingClient.h
@@ -48,6 +48,8 @@
     CeilingBuckets alone_ { CeilingTolerance {}, false };
     /** An owner that did not answer is not waited for again until then. */
     std::map<PoolId, Instant> silentUntil_;
+    /** Tokens admitted by this entry that the owner does not know of yet. */
+    std::map<CustomerId, Tokens> usedAlone_;
 };
 
 }
--- a/include/briarhitch/entry/RequestHistory.h
+++ b/include/briarhitch/entry/RequestHistory.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Clock.h"
 #include "briarhitch/core/Ids.h"
+#include "briarhitch/core/Log.h"
 #include "briarhitch/core/Units.h"
 
 #include <deque>
@@ -18,7 +19,9 @@
 
     void begin(RequestId request, const std::string& customer, const std::string& work, Tier tier);
     /** Ignored for a request that is not known any more; at most 64 events are kept for each. */
-    void add(RequestId request, const std::string& event, const std::string& reason = {});
+    void add(RequestId request, const std::string& event, const std::string& reason = {}, const LogFields& fields = {});
+    /** Writes a log line for each event of the request; for requests whose end shows that they matter. */
+    void writeLog(RequestId request, const std::string& callerId) const;
     /** JSON object with all events; empty if the request is not known. */
     [[nodiscard]] std::string toJson(RequestId request) const;
     [[nodiscard]] size_t size() const { return records_.size(); }
@@ -28,6 +31,7 @@
         Duration sinceStart;
         std::string name;
         std::string reason;
+        LogFields fields;
     };
     struct Record {
         Instant begun;
--- a/include/briarhitch/sched/CeilingBuckets.h
+++ b/include/briarhitch/sched/CeilingBuckets.h
@@ -28,6 +28,8 @@
     [[nodiscard]] bool knows(CustomerId customer) const { return accounts_.contains(customer); }
     /** Takes one request out; CeilingRequests or CeilingTokens, with the time at which it would fit. */
     Result<void> debit(CustomerId customer, Tokens tokens, Instant now);
+    /** Counts tokens that were used without asking here. */
+    void charge(CustomerId customer, Tokens tokens, Instant now);
     /** Gives back a request that did not run. */
     void refund(CustomerId customer, Tokens tokens, Instant now);
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -348,11 +348,13 @@
     PoolId pool;
     CustomerId customer;
     Tokens tokens;
+    /** What the entry admitted by itself since the last answer. */
+    Tokens usedAlone;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, customer, tokens);
+        visit(pool, customer, tokens, usedAlone);
     }
 };
 
--- a/src/consensus/PosixFileSystem.cpp
+++ b/src/consensus/PosixFileSystem.cpp
@@ -183,4 +183,18 @@
     return {};
 }
 
+bool isFolderWritable(const std::string& folder)
+{
+    constexpr size_t probeBytes = 4096;
+    std::string path = folder + "/" + lockName;
+    int file = ::open(path.c_str(), O_WRONLY | O_CREAT | O_CLOEXEC, fileMode);
+    if (file < 0)
+        return false;
+    std::string probe(probeBytes, 'p');
+    bool isWritten = ::write(file, probe.data(), probe.size()) == static_cast<ssize_t>(probe.size()) && ::fsync(file) == 0;
+    bool isCut = ::ftruncate(file, 0) == 0;
+    ::close(file);
+    return isWritten && isCut;
+}
+
 }
--- a/src/consensus/PosixFileSystem.h
+++ b/src/consensus/PosixFileSystem.h
@@ -31,4 +31,7 @@
     std::string appendedPath_;
 };
 
+/** Whether the folder's disk takes and keeps writes now; uses the folder's lock file, which holds nothing else. */
+bool isFolderWritable(const std::string& folder);
+
 }
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -1,5 +1,7 @@
 #include "briarhitch/control/ControlProcess.h"
 
+#include "consensus/PosixFileSystem.h"
+
 #include <csignal>
 #include <set>
 
@@ -14,6 +16,9 @@
     constexpr Duration drainStep = 20ms;
     /** How often links to processes that are no members any more are looked for. */
     constexpr Duration linkCheckInterval = 1s;
+    constexpr Duration diskProbeInterval = 300ms;
+    /** A disk that is gone for good is found by whoever looks after the VM, once the process has ended. */
+    constexpr Duration diskWaitLimit = 30s;
 
     /** Exit codes, as the usage texts list them. */
     constexpr int exitGood = 0;
@@ -123,6 +128,14 @@
         raft.mayFound = settings_.fleet->mayFound;
     }
     raft.dataFolder = settings_.dataFolder;
+    // The log has stopped by itself. Starting anew is of no use, and unsafe ends pile up, while the disk takes nothing.
+    raft.onFatal = [this](const Error& error) {
+        console_.error("cannot make the log durable; the process ends when the disk takes writes again: " + error.message);
+        loop_.spawn([this] {
+            waitForDisk();
+            exitProcess(exitFailed);
+        });
+    };
     raft.sendMessage = [this](NodeId to, std::string bytes) { sendToVoter(to, std::move(bytes)); };
     return raft;
 }
@@ -241,6 +254,14 @@
     return {};
 }
 
+void ControlProcess::waitForDisk()
+{
+    auto end = BootClock::now() + diskWaitLimit;
+    do
+        sleepFor(loop_, diskProbeInterval);
+    while (!isFolderWritable(settings_.dataFolder) && BootClock::now() < end);
+}
+
 void ControlProcess::drain()
 {
     console_.info("ends after the running requests");
@@ -261,6 +282,7 @@
         auto started = process.start();
         if (!started) {
             Log("control:").error(started.error().message);
+            process.waitForDisk();
             exitProcess(exitFailed);
         }
     });
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -1,16 +1,21 @@
 #include "briarhitch/core/Log.h"
 
-#include <log4cplus/consoleappender.h>
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/LineWriter.h"
+
+#include <functional>
+#include <log4cplus/appender.h>
 #include <log4cplus/initializer.h>
-#include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
-#include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
 
 namespace briarhitch {
 
 namespace {
 
-    constexpr auto layoutPattern = "%D{%Y-%m-%dT%H:%M:%S.%q} %-5p %m%n";
+    using Json = nlohmann::ordered_json;
 
     void initializeOnce()
     {
@@ -19,6 +24,12 @@
         (void)initializer;
     }
 
+    std::string& nodeName()
+    {
+        static auto* name = new std::string;
+        return *name;
+    }
+
     log4cplus::LogLevel toLibraryLevel(LogLevel level)
     {
         switch (level) {
@@ -34,33 +45,78 @@
         return log4cplus::INFO_LOG_LEVEL;
     }
 
+    const char* levelName(log4cplus::LogLevel level)
+    {
+        if (level >= log4cplus::ERROR_LOG_LEVEL)
+            return "error";
+        if (level >= log4cplus::WARN_LOG_LEVEL)
+            return "warning";
+        return level >= log4cplus::INFO_LOG_LEVEL ? "info" : "debug";
+    }
+
+    /** Messages are whole JSON lines already. */
+    class LineAppender : public log4cplus::Appender {
+    public:
+        LineAppender()
+            : writer_(STDOUT_FILENO, LineBudget {}, &BootClock::now)
+        {
+        }
+        ~LineAppender() override { destructorImpl(); }
+
+        void close() override
+        {
+            writer_.flush();
+            closed = true;
+        }
+
+    protected:
+        void append(const log4cplus::spi::InternalLoggingEvent& event) override { writer_.write(event.getMessage()); }
+
+    private:
+        LineWriter writer_;
+    };
+
 }
 
-void setUpLogging(LogLevel minimum)
+void setUpLogging(LogLevel minimum, const std::string& node)
 {
     initializeOnce();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
-    appender->setLayout(std::make_unique<log4cplus::PatternLayout>(layoutPattern));
+    nodeName() = node;
     auto root = log4cplus::Logger::getRoot();
     root.removeAllAppenders();
-    root.addAppender(appender);
+    root.addAppender(log4cplus::SharedAppenderPtr(new LineAppender));
     root.setLogLevel(toLibraryLevel(minimum));
 }
 
 struct Log::Impl {
-    std::string prefix;
+    std::string part;
     log4cplus::Logger logger;
 
+    void write(log4cplus::LogLevel level, const std::function<void(Json&)>& fill) const
+    {
+        if (!logger.isEnabledFor(level))
+            return;
+        Json line;
+        line["unix_ms"] = wallClockMs();
+        line["level"] = levelName(level);
+        if (!nodeName().empty())
+            line["node"] = nodeName();
+        line["part"] = part;
+        fill(line);
+        logger.log(level, line.dump(-1, ' ', false, Json::error_handler_t::replace));
+    }
+
     void write(log4cplus::LogLevel level, std::string_view sentence) const
     {
-        if (logger.isEnabledFor(level))
-            logger.log(level, prefix + " " + std::string(sentence));
+        write(level, [&](Json& line) { line["message"] = std::string(sentence); });
     }
 };
 
 Log::Log(std::string_view prefix)
 {
     initializeOnce();
+    if (prefix.ends_with(':'))
+        prefix.remove_suffix(1);
     impl_ = std::make_unique<Impl>(Impl { std::string(prefix), log4cplus::Logger::getInstance("briarhitch") });
 }
 
@@ -71,4 +127,13 @@
 void Log::warning(std::string_view sentence) const { impl_->write(log4cplus::WARN_LOG_LEVEL, sentence); }
 void Log::error(std::string_view sentence) const { impl_->write(log4cplus::ERROR_LOG_LEVEL, sentence); }
 
+void Log::event(std::string_view name, const LogFields& fields) const
+{
+    impl_->write(log4cplus::INFO_LOG_LEVEL, [&](Json& line) {
+        line["event"] = std::string(name);
+        for (const auto& [field, value] : fields)
+            std::visit([&, key = field](const auto& known) { line[key] = known; }, value);
+    });
+}
+
 }
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -6,6 +6,7 @@
 #include "wire/Codec.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace briarhitch {
 
@@ -20,6 +21,8 @@
     /** Many times a round trip within a region. */
     constexpr Duration debitTimeout = 100ms;
     constexpr Duration silencePause = 300ms;
+    /** Saved up for the time alone; the owner may have admitted the burst of the ceiling just before. */
+    constexpr double aloneBurstSeconds = 0.5;
 
 }
 
@@ -126,10 +129,12 @@
     if (isSilent)
         return debitAlone(contract, tokens);
     auto id = pool->id;
-    auto answer = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens }), debitTimeout);
+    auto usedAlone = std::exchange(usedAlone_[contract.customer], Tokens());
+    auto answer = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, usedAlone }), debitTimeout);
     auto decision = answer.and_then([](const std::string& body) { return decode<CeilingDecision>(body); });
     if (!decision || !decision->decided) {
         silentUntil_[id] = now_() + silencePause;
+        usedAlone_[contract.customer] += usedAlone;
         return debitAlone(contract, tokens);
     }
     if (decision->admitted)
@@ -147,9 +152,12 @@
     auto divisor = static_cast<double>(std::max<int64_t>(1, entries));
     part.requestsPerSecond /= divisor;
     part.tokensPerSecond /= divisor;
-    part.burst /= divisor;
+    part.burst = aloneBurstSeconds * std::max(part.requestsPerSecond, part.tokensPerSecond);
     alone_.setCeiling(contract.customer, part, now_());
-    return alone_.debit(contract.customer, tokens, now_());
+    auto admitted = alone_.debit(contract.customer, tokens, now_());
+    if (admitted)
+        usedAlone_[contract.customer] += tokens;
+    return admitted;
 }
 
 void CeilingClient::refund(const Contract& contract, Tokens tokens)
@@ -157,7 +165,7 @@
     const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
     if (contract.ceiling == Ceiling {} || !pool || !pool->owner.isValid())
         return;
-    transport_.post(pool->owner, MessageType::CeilingRefund, encode(CeilingDebit { pool->id, contract.customer, tokens }));
+    transport_.post(pool->owner, MessageType::CeilingRefund, encode(CeilingDebit { pool->id, contract.customer, tokens, Tokens() }));
 }
 
 }
--- a/src/entry/CeilingHost.cpp
+++ b/src/entry/CeilingHost.cpp
@@ -94,6 +94,8 @@
     auto pool = pools_.find(ceilingPoolName(debit->customer));
     if (pool == pools_.end() || !hasLease_() || !pool->second.buckets.knows(debit->customer))
         return encode(CeilingDecision {});
+    if (debit->usedAlone > Tokens())
+        pool->second.buckets.charge(debit->customer, debit->usedAlone, now_());
     auto admitted = pool->second.buckets.debit(debit->customer, debit->tokens, now_());
     CeilingDecision decision;
     decision.decided = true;
--- a/src/entry/RequestHistory.cpp
+++ b/src/entry/RequestHistory.cpp
@@ -36,7 +36,7 @@
     }
 }
 
-void RequestHistory::add(RequestId request, const std::string& event, const std::string& reason)
+void RequestHistory::add(RequestId request, const std::string& event, const std::string& reason, const LogFields& fields)
 {
     auto it = records_.find(request);
     if (it == records_.end())
@@ -46,7 +46,7 @@
         ++record.droppedEvents;
         return;
     }
-    record.events.push_back({ now_() - record.begun, event, reason.substr(0, maxReasonBytes) });
+    record.events.push_back({ now_() - record.begun, event, reason.substr(0, maxReasonBytes), fields });
 }
 
 std::string RequestHistory::toJson(RequestId request) const
@@ -62,10 +62,31 @@
     json["work"] = record.work;
     json["tier"] = record.tier.value();
     json["events"] = nlohmann::ordered_json::array();
-    for (const auto& event : record.events)
-        json["events"].push_back({ { "after_ms", toSeconds(event.sinceStart) * msPerSecond }, { "event", event.name }, { "reason", event.reason } });
+    for (const auto& event : record.events) {
+        nlohmann::ordered_json entry { { "after_ms", toSeconds(event.sinceStart) * msPerSecond }, { "event", event.name }, { "reason", event.reason } };
+        for (const auto& [name, value] : event.fields)
+            std::visit([&, key = name](const auto& known) { entry[key] = known; }, value);
+        json["events"].push_back(std::move(entry));
+    }
     json["dropped_events"] = record.droppedEvents;
     return json.dump(-1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+void RequestHistory::writeLog(RequestId request, const std::string& callerId) const
+{
+    static const Log log("request:");
+    auto it = records_.find(request);
+    if (it == records_.end())
+        return;
+    const auto& record = it->second;
+    for (const auto& event : record.events) {
+        LogFields fields { { "request", callerId }, { "work", record.work }, { "tier", int64_t(record.tier.value()) },
+            { "begun_unix_ms", record.wallClockMs }, { "after_ms", toSeconds(event.sinceStart) * msPerSecond } };
+        if (!event.reason.empty())
+            fields.emplace_back("reason", event.reason);
+        fields.insert(fields.end(), event.fields.begin(), event.fields.end());
+        log.event(event.name, fields);
+    }
+}
+
 }
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -67,6 +67,8 @@
         finishAttempt(AttemptOutcome::Failed);
     if (isDebited_ && ran_ == Ran::No)
         runner_.hooks.refundCeiling(*contract_, quotaTokens());
+    if (isNotable())
+        runner_.history.writeLog(attempt_.request, request_.callerId);
 }
 
 void RoutedRun::run()
@@ -97,7 +99,9 @@
         return known;
     service_ = routes_->findService(chooseService(*route_, runner_.draw()));
     setDeadlines();
-    return debitCeiling();
+    auto admitted = debitCeiling();
+    note(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "objective_ms", int64_t(route_->objectiveMs) }, { "deadline_ms", toMs(timeLeft()) } });
+    return admitted;
 }
 
 Result<void> RoutedRun::authenticate()
@@ -276,7 +280,7 @@
 
 std::optional<RoutedRun::Failure> RoutedRun::dispatch(const Grant& grant, const Target& target)
 {
-    note("granted", target.name);
+    note("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) } });
     excluded_.push_back(target.id);
     grant_ = grant;
     isGrantHeld_ = true;
@@ -394,6 +398,9 @@
         return true;
     if (!hasFirstEvent_)
         noteFirstEvent();
+    if (events_ > 0 || isStreamBegun_)
+        longestGap_ = std::max(longestGap_, now() - lastEventAt_);
+    lastEventAt_ = now();
     ++events_;
     if (!isStreamBegun_) {
         isStreamBegun_ = true;
@@ -421,7 +428,7 @@
 
 RoutedRun::Failure RoutedRun::failed(Error error, AttemptOutcome outcome)
 {
-    note(outcome == AttemptOutcome::Refused ? "refused by target" : "attempt failed", error.message);
+    note(outcome == AttemptOutcome::Refused ? "refused by target" : "attempt failed", error.message, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(events_) } });
     ran_ = std::max(ran_, error.ran);
     finishAttempt(outcome);
     return { std::move(error) };
@@ -464,6 +471,7 @@
     else if (ran_ == Ran::No && !promisesNotRun)
         error = makeError(ErrorKind::NoTarget, error.message);
     const auto& info = errorInfo(error.kind);
+    hasFailed_ = true;
     note("refused", absl::StrCat(std::string(info.name), ": ", error.message));
     count("routed_refusals_total", "kind", info.name);
     if (isStreamBegun_) {
@@ -481,21 +489,35 @@
     hasFirstEvent_ = true;
     ran_ = Ran::Yes;
     runner_.pools.started({ grant_.pool, attempt_, clampMs(now() - sentAt_) });
-    if (!isStreamBegun_)
+    if (!isStreamBegun_) {
+        firstEventAt_ = now();
         runner_.metrics.observe("routed_first_event_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - begun_));
-    note("first event");
+    }
+    note("first event", {}, { { "after_sending_ms", toMs(now() - sentAt_) } });
 }
 
 void RoutedRun::complete()
 {
+    bool isStream = route_->repeat == RepeatKind::Stream;
+    auto measured = isStream ? firstEventAt_ : now();
+    isLate_ = measured > begun_ + std::chrono::milliseconds(route_->objectiveMs) || (isStream && route_->gapObjectiveMs > 0 && longestGap_ > std::chrono::milliseconds(route_->gapObjectiveMs));
+    if (isLate_)
+        count("routed_late_total", "cause", measured > begun_ + std::chrono::milliseconds(route_->objectiveMs) ? "first_event" : "pause");
     runner_.metrics.observe("routed_request_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - begun_));
     count("routed_ends_total", "end", "answered");
-    note("completed", outcome_);
+    note("completed", outcome_, { { "late", int64_t(isLate_) }, { "longest_pause_ms", toMs(longestGap_) } });
+}
+
+void RoutedRun::note(const std::string& event, const std::string& reason, const LogFields& fields)
+{
+    runner_.history.add(attempt_.request, event, reason, fields);
 }
 
-void RoutedRun::note(const std::string& event, const std::string& reason)
+bool RoutedRun::isNotable() const
 {
-    runner_.history.add(attempt_.request, event, reason);
+    // A hundredth of the good ones stay as examples of the usual way.
+    constexpr uint64_t sampledPart = 100;
+    return hasFailed_ || isLate_ || attempt_.number > 1 || attempt_.request.value() % sampledPart == 0;
 }
 
 void RoutedRun::count(std::string_view metric, std::string_view label, std::string_view value)
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -65,7 +65,9 @@
     [[nodiscard]] Instant now() const { return runner_.hooks.now(); }
     [[nodiscard]] Duration timeLeft() const;
     [[nodiscard]] Tokens quotaTokens() const;
-    void note(const std::string& event, const std::string& reason = {});
+    void note(const std::string& event, const std::string& reason = {}, const LogFields& fields = {});
+    /** Whether the lines of this request are worth their place in the log. */
+    [[nodiscard]] bool isNotable() const;
     void count(std::string_view metric, std::string_view label, std::string_view value);
     [[nodiscard]] HttpHeaders answerHeaders(const HttpHeaders& fromTarget) const;
 
@@ -94,11 +96,16 @@
     uint32_t unsentGrants_ { 0 };
     Ran ran_ { Ran::No };
     Instant sentAt_;
+    Instant firstEventAt_;
+    Instant lastEventAt_;
+    Duration longestGap_ { 0 };
     bool hasFirstEvent_ { false };
     bool isStreamBegun_ { false };
     std::optional<uint64_t> lastEventId_;
     uint64_t events_ { 0 };
     std::string outcome_;
+    bool hasFailed_ { false };
+    bool isLate_ { false };
 };
 
 }
--- a/src/sched/CeilingBuckets.cpp
+++ b/src/sched/CeilingBuckets.cpp
@@ -90,4 +90,13 @@
     it->second.tokens.level = std::min(it->second.tokens.capacity, it->second.tokens.level + static_cast<double>(tokens.value()));
 }
 
+void CeilingBuckets::charge(CustomerId customer, Tokens tokens, Instant now)
+{
+    auto it = accounts_.find(customer);
+    if (it == accounts_.end())
+        return;
+    it->second.tokens.fill(now);
+    it->second.tokens.level -= static_cast<double>(tokens.value());
+}
+
 }
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -32,12 +32,14 @@
     /** A placement with no more than this loss is taken at once. */
     constexpr double acceptedLoss = 0.05;
     constexpr double acceptedEndRisk = 0.3;
+    /** Part of its objective that any request may wait for a good place. */
+    constexpr double fairWaitPart = 0.5;
     /** Requests of the queue that are looked at in one pass; those behind them get the next places. */
     constexpr size_t mostLookedAt = 48;
     constexpr double peerGain = 0.02;
     // Predicted waits are noisy; work is refused for them only if they are beyond its time by this factor.
     constexpr double hopelessFactor = 1.2;
-    constexpr double shortestRetryMs = 1500;
+    constexpr double shortestRetryMs = 500;
     constexpr double longestRetryMs = 5000;
     constexpr double retrySpread = 0.3;
 
@@ -144,10 +146,18 @@
     return overheadMs + fastestWorkMs_ + static_cast<double>(record.request.promptTokens.value()) * fastestPrefillMs_;
 }
 
+Instant SlotScheduler::latestGoodStart(const Record& record) const
+{
+    const auto& request = record.request;
+    // A long prompt takes most of its objective to read; without a part of it for waiting it would always be the loser.
+    auto fairWait = fromSeconds(fairWaitPart * std::max(0.0, toSeconds(request.objective - record.arrivedAt)));
+    return std::max(request.objective - fromMs(bestFirstTokenMs(record)), record.arrivedAt + fairWait);
+}
+
 SlotScheduler::Rank SlotScheduler::rankOf(const Record& record, Instant now) const
 {
     const auto& request = record.request;
-    bool isLate = now + fromMs(bestFirstTokenMs(record)) > request.objective;
+    bool isLate = now > latestGoodStart(record);
     // Late work before work in time would make that late too, and under load everything.
     return { isLate, request.tier.value(), request.urgency.value(), record.arrival };
 }
@@ -187,6 +197,7 @@
 {
     auto record = std::make_unique<Record>();
     record->arrival = ++lastArrival_;
+    record->arrivedAt = now;
     record->expectedOutput = expectedOutputOf(request);
     record->request = std::move(request);
     record->rank = rankOf(*record, now);
@@ -466,8 +477,8 @@
     if (!best || avoidable <= acceptedLoss)
         return best;
     // A better place may become free before the request would be late for that alone.
-    bool mayWait = !record.rank.isLate && now + fromMs(bestFirstTokenMs(record) * hopelessFactor) < record.request.objective;
-    return mayWait ? nullptr : best;
+    auto margin = fromMs((hopelessFactor - 1) * bestFirstTokenMs(record));
+    return now + margin < latestGoodStart(record) ? nullptr : best;
 }
 
 void SlotScheduler::dispatch(Instant now)
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -46,6 +46,7 @@
     struct Record {
         PoolRequest request;
         uint64_t arrival { 0 };
+        Instant arrivedAt;
         Rank rank;
         double expectedOutput { 0 };
         TargetId target;
@@ -73,6 +74,8 @@
     /** Work of a request in milliseconds of a place on a middling target. */
     [[nodiscard]] double costMs(const Record& record) const;
     [[nodiscard]] double bestFirstTokenMs(const Record& record) const;
+    /** Until then the request waits for a place where it is in time. */
+    [[nodiscard]] Instant latestGoodStart(const Record& record) const;
     [[nodiscard]] Rank rankOf(const Record& record, Instant now) const;
     [[nodiscard]] bool mayUse(const Record& record, const SlotTarget& target) const;
     [[nodiscard]] bool hasUsableTarget(const Record& record) const;
--- /dev/null
+++ b/tests/CeilingBucketsTest.cpp
@@ -0,0 +1,133 @@
+#include "briarhitch/sched/CeilingBuckets.h"
+#include "briarhitch/sched/ServiceRetryBudget.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Instant start { 1h };
+    const CustomerId customer(3);
+
+    Ceiling tokensPerSecond(double rate, double burst)
+    {
+        Ceiling ceiling;
+        ceiling.tokensPerSecond = rate;
+        ceiling.burst = burst;
+        return ceiling;
+    }
+
+    /** Tokens admitted while requests of this size press without pause. */
+    int64_t admittedUnderPressure(CeilingBuckets& buckets, int64_t size, Instant from, Duration length)
+    {
+        int64_t admitted = 0;
+        for (Instant now = from; now < from + length; now += 2ms) {
+            if (buckets.debit(customer, Tokens(size), now))
+                admitted += size;
+        }
+        return admitted;
+    }
+
+    // Pattern: one customer sends many times its usual. Guards against use beyond the ceiling and its tolerance in a window.
+    TEST(CeilingBucketsTest, PressureStaysWithinRateBurstAndTolerance)
+    {
+        CeilingTolerance tolerance { 8s, 0.1, 140000 };
+        CeilingBuckets buckets(tolerance, false);
+        buckets.setCeiling(customer, tokensPerSecond(100000, 100000), start);
+        auto allowed = static_cast<int64_t>((100000 * 8 + 100000) * 1.1 + 140000);
+        auto admitted = admittedUnderPressure(buckets, 9000, start, 8s);
+        EXPECT_LE(admitted, allowed);
+        EXPECT_GE(admitted, 100000 * 8 + 100000);
+    }
+
+    // Guards against an owner and its successor that together admit more than the tolerance.
+    TEST(CeilingBucketsTest, SuccessorStartsWithPartOfTheTolerance)
+    {
+        CeilingTolerance tolerance { 8s, 0.1, 140000 };
+        CeilingBuckets first(tolerance, false);
+        CeilingBuckets second(tolerance, true);
+        first.setCeiling(customer, tokensPerSecond(100000, 100000), start);
+        second.setCeiling(customer, tokensPerSecond(100000, 100000), start + 4s);
+        auto admitted = admittedUnderPressure(first, 9000, start, 4s) + admittedUnderPressure(second, 9000, start + 4s, 4s);
+        EXPECT_LE(admitted, static_cast<int64_t>((100000 * 8 + 100000) * 1.1 + 140000));
+    }
+
+    // Guards against a customer within its ceiling that is refused, and one without a ceiling that is limited.
+    TEST(CeilingBucketsTest, UseWithinTheCeilingIsAdmitted)
+    {
+        CeilingBuckets buckets({}, false);
+        buckets.setCeiling(customer, tokensPerSecond(1000, 1000), start);
+        for (int i = 0; i < 100; ++i)
+            EXPECT_TRUE(buckets.debit(customer, Tokens(99), start + i * 100ms));
+        buckets.setCeiling(CustomerId(4), {}, start);
+        EXPECT_TRUE(buckets.debit(CustomerId(4), Tokens(1 << 30), start));
+        EXPECT_TRUE(buckets.debit(CustomerId(4), Tokens(1 << 30), start));
+        EXPECT_EQ(buckets.debit(CustomerId(5), Tokens(1), start).error().kind, ErrorKind::NoOwner);
+    }
+
+    // Guards against a lowered ceiling that is not in force until saved-up tokens are used.
+    TEST(CeilingBucketsTest, LoweredCeilingTakesEffectAtOnce)
+    {
+        CeilingBuckets buckets({}, false);
+        buckets.setCeiling(customer, tokensPerSecond(100000, 100000), start);
+        buckets.setCeiling(customer, tokensPerSecond(100, 100), start);
+        EXPECT_LE(admittedUnderPressure(buckets, 50, start, 1s), 300);
+        auto refused = buckets.debit(customer, Tokens(50), start + 1s);
+        for (int i = 0; refused && i < 10; ++i)
+            refused = buckets.debit(customer, Tokens(50), start + 1s);
+        ASSERT_FALSE(refused);
+        EXPECT_EQ(refused.error().kind, ErrorKind::CeilingTokens);
+        EXPECT_GT(*refused.error().retryAfter, 0s);
+    }
+
+    // Guards against requests that did not run and still use up the ceiling, and tokens used while the owner was silent
+    // that are admitted once more.
+    TEST(CeilingBucketsTest, RefundsAndUseAloneAreCounted)
+    {
+        CeilingBuckets buckets({}, false);
+        buckets.setCeiling(customer, tokensPerSecond(1000, 1000), start);
+        ASSERT_TRUE(buckets.debit(customer, Tokens(1000), start));
+        EXPECT_FALSE(buckets.debit(customer, Tokens(500), start));
+        buckets.refund(customer, Tokens(1000), start);
+        EXPECT_TRUE(buckets.debit(customer, Tokens(500), start));
+        buckets.charge(customer, Tokens(2000), start);
+        EXPECT_FALSE(buckets.debit(customer, Tokens(1), start + 1s));
+        EXPECT_TRUE(buckets.debit(customer, Tokens(1), start + 3s));
+    }
+
+    // Pattern: a service fails half of its requests on all nodes at once. Guards against more repeats than the fleet allows.
+    TEST(ServiceRetryBudgetTest, AllNodesTogetherStayWithinRatioAndSlack)
+    {
+        constexpr size_t nodes = 9;
+        ServiceRetryBudgetSettings settings { 0.2, 58, 10s };
+        std::vector<ServiceRetryBudget> budgets(nodes, ServiceRetryBudget(settings));
+        int requests = 0;
+        int repeats = 0;
+        for (Instant now = start; now < start + 10s; now += 10ms) {
+            for (auto& budget : budgets) {
+                budget.noteRequest("pool", now);
+                ++requests;
+                repeats += budget.tryRepeat("pool", nodes, now) ? 1 : 0;
+            }
+        }
+        EXPECT_LE(repeats, 0.2 * requests + 58);
+        EXPECT_GE(repeats, 0.1 * requests);
+    }
+
+    // Guards against a budget that is used up for good, and one that is shared between services.
+    TEST(ServiceRetryBudgetTest, RepeatsComeBackWithTheWindow)
+    {
+        ServiceRetryBudget budget({ 0, 10, 10s });
+        int first = 0;
+        while (budget.tryRepeat("pool", 1, start))
+            ++first;
+        EXPECT_EQ(first, 7);
+        EXPECT_TRUE(budget.tryRepeat("shop", 1, start));
+        EXPECT_FALSE(budget.tryRepeat("pool", 1, start + 9s));
+        EXPECT_TRUE(budget.tryRepeat("pool", 1, start + 11s));
+    }
+
+}
+}
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -2,6 +2,7 @@
 
 #include "support/EntryFakes.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace briarhitch {
@@ -11,9 +12,15 @@
 
     /** A client whose only pool, 10, is owned by node 2 with epoch 5. */
     struct Entry {
-        explicit Entry(Loop& loopToUse)
+        explicit Entry(Loop& loopToUse, std::optional<Duration> soloAfter = std::nullopt)
             : loop(loopToUse)
+            , soloAfter_(soloAfter)
         {
+            Target target;
+            target.id = TargetId(7);
+            target.pool = PoolId(10);
+            target.slots = 4;
+            config.targets[target.id] = target;
             config.version = Version(1);
             for (uint32_t id = 1; id <= 3; ++id)
                 config.nodes[NodeId(id)] = nodeRecord(id);
@@ -57,7 +64,17 @@
         ClusterConfig config;
         ClusterView view;
         bool hasLease { true };
-        PoolClient client { loop, { NodeId(1), "lakes", "duluth", 6s, [this] { return hasLease; } }, view, transport, clock.hook() };
+        std::optional<Duration> soloAfter_;
+        std::unique_ptr<PoolClient> owned { std::make_unique<PoolClient>(loop, settings(), view, transport, clock.hook()) };
+        PoolClient& client { *owned };
+
+        PoolClientSettings settings()
+        {
+            PoolClientSettings settings { NodeId(1), "lakes", "duluth", 6s, [this] { return hasLease; } };
+            settings.soloAfter = soloAfter_;
+            settings.soloPolicy.policy = "slots";
+            return settings;
+        }
     };
 
     // Guards against dispatch under a grant of an owner that has lost the pool.
@@ -171,5 +188,69 @@
         });
     }
 
+    // Pattern: a pool's owner dies without closing its connections. Guards against requests that wait on it.
+    TEST(PoolClientTest, EntryChoosesByItselfWhileTheOwnerIsSilent)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            auto waiting = entry.ask(100);
+            entry.clock.now += 100ms;
+            entry.client.checkOwners();
+            EXPECT_FALSE(waiting->has_value());
+            entry.clock.now += 100ms;
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(waiting->has_value());
+            ASSERT_TRUE(**waiting);
+            EXPECT_EQ((***waiting).target, TargetId(7));
+            EXPECT_TRUE(entry.client.isCurrent(***waiting));
+            EXPECT_EQ(entry.cancelsTo(2), 1u) << "the owner must not grant it too";
+            auto next = entry.ask(101);
+            EXPECT_TRUE(next->has_value()) << "the next one does not wait for a silent owner";
+        });
+    }
+
+    // Guards against an entry that decides beside an owner that holds the ask in its queue.
+    TEST(PoolClientTest, QueuedAskStaysWithItsOwner)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            auto waiting = entry.ask(100);
+            entry.client.onMessage(MessageType::Queued, encode(Queued { PoolId(10), { RequestId(100), 1 } }));
+            entry.clock.now += 2s;
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            EXPECT_FALSE(waiting->has_value());
+            entry.transport.unreachable.insert(NodeId(2));
+            entry.client.checkOwners();
+            sleepFor(loop, 0ms);
+            EXPECT_TRUE(waiting->has_value()) << "the owner was lost";
+        });
+    }
+
+    // Guards against entries that together overfill a target, and against work that the returning owner does not know of.
+    TEST(PoolClientTest, EntryAloneKeepsToItsPartAndReportsItToTheOwner)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            entry.transport.unreachable.insert(NodeId(2));
+            std::vector<std::shared_ptr<std::optional<Result<Grant>>>> asks;
+            for (uint64_t id = 100; id < 104; ++id)
+                asks.push_back(entry.ask(id));
+            auto granted = std::count_if(asks.begin(), asks.end(), [](const auto& ask) { return ask->has_value(); });
+            EXPECT_EQ(granted, 2) << "four slots for three entries";
+            entry.transport.unreachable.clear();
+            entry.transport.posts.clear();
+            entry.client.onNodeOpen(NodeId(2));
+            auto sync = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(2));
+            ASSERT_EQ(sync.size(), 1u);
+            EXPECT_EQ(sync[0].running.size(), 2u);
+            EXPECT_EQ(entry.asksTo(2), 2u);
+            entry.grant(102, Epoch(5));
+            entry.grant(103, Epoch(5));
+            EXPECT_TRUE(asks[3]->has_value());
+        });
+    }
+
 }
 }
--- /dev/null
+++ b/tests/RoutedRunnerTest.cpp
@@ -0,0 +1,311 @@
+#include "briarhitch/entry/RoutedRunner.h"
+
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "support/EntryFakes.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    std::string event(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+    ScriptedAnswer streamOf(std::vector<Result<std::string>> parts)
+    {
+        return { std::nullopt, 200, { { "Content-Type", "text/event-stream" } }, std::move(parts) };
+    }
+
+    /** A dialect with short header names. */
+    TargetDialect testDialect()
+    {
+        TargetDialect dialect;
+        dialect.headersFor = [](const AttemptTerms& terms) {
+            HttpHeaders headers { { "Left-Ms", std::to_string(toMs(terms.timeLeft)) }, { "Instance", terms.target.name }, { "Customer", terms.customer } };
+            if (terms.resumeAfter)
+                headers.emplace_back("After", std::to_string(*terms.resumeAfter));
+            return headers;
+        };
+        dialect.judge = [](const RoutedRequest&, int status, const HttpHeaders& headers) {
+            if (status == 421)
+                return AnswerKind::WrongTarget;
+            if (!findHeader(headers, "Not-Run").empty())
+                return AnswerKind::NotRun;
+            return findHeader(headers, "Unsound").empty() ? AnswerKind::Genuine : AnswerKind::Unsound;
+        };
+        dialect.isForeign = [](const RoutedRequest&, const HttpHeaders&) { return false; };
+        dialect.loadOf = [](const HttpHeaders&) { return std::optional<StatedLoad>(); };
+        dialect.refusalHeaders = [](const Error&) { return HttpHeaders(); };
+        return dialect;
+    }
+
+    /** A runner with a route of each kind and three targets. */
+    struct Bench {
+        Bench()
+        {
+            ClusterConfig config;
+            config.version = Version(1);
+            for (uint32_t id = 1; id <= 3; ++id) {
+                Target target;
+                target.id = TargetId(id);
+                target.name = "t" + std::to_string(id);
+                config.targets[target.id] = target;
+            }
+            config.routing.version = Version(1);
+            config.routing.services = { { "shop", "", 0, false, 0, 1 }, { "engines", "", 0, true, 0, 5 } };
+            addRoute(config, "/charge/", RepeatKind::AtMostOnce, "shop", 1);
+            addRoute(config, "/lookup/", RepeatKind::Repeatable, "shop", 2);
+            addRoute(config, "/plan/", RepeatKind::Stream, "engines", 1);
+            addRoute(config, "/query/", RepeatKind::Stream, "engines", 2, true);
+            addRoute(config, "/private/", RepeatKind::Repeatable, "shop", 2, false, false);
+            config.routing.hasCustomers = true;
+            RoutedCustomer customer;
+            customer.name = "harbour";
+            customer.keyHashes = { "key" };
+            customer.plainTokens = 200;
+            config.routing.customers = { customer };
+            Contract contract;
+            contract.customer = CustomerId(4);
+            contract.name = "harbour";
+            contract.keyHashes = { "key" };
+            config.customers[contract.customer] = contract;
+            apply(config);
+            pools.grants = { TargetId(1), TargetId(2), TargetId(3) };
+        }
+
+        static void addRoute(ClusterConfig& config, const std::string& prefix, RepeatKind repeat, const std::string& service, uint32_t attempts, bool isResumable = false, bool isPublic = true)
+        {
+            Route route;
+            route.name = prefix;
+            route.host = "a.example";
+            route.pathPrefix = prefix;
+            route.repeat = repeat;
+            route.timeoutMs = 1200;
+            route.objectiveMs = 150;
+            route.services = { { service, 1 } };
+            route.maxAttempts = attempts;
+            route.isResumable = isResumable;
+            route.isPublic = isPublic;
+            config.routing.routes.push_back(route);
+        }
+
+        void apply(const ClusterConfig& newConfig)
+        {
+            HeartbeatReply reply;
+            reply.snapshot = newConfig;
+            view.apply(reply);
+            runner.onConfigChange(view.config());
+        }
+
+        RoutedHooks hooks()
+        {
+            RoutedHooks hooks;
+            hooks.hasConfiguration = [this] { return hasConfiguration; };
+            hooks.hasLease = [this] { return hasLease; };
+            hooks.start = targets.hook();
+            hooks.debitCeiling = [this](const Contract&, Tokens tokens) {
+                debited += tokens.value();
+                return Result<void>();
+            };
+            hooks.refundCeiling = [this](const Contract&, Tokens tokens) { debited -= tokens.value(); };
+            hooks.noteRequest = [](const std::string&) {};
+            hooks.takeRepeat = [this](const std::string&) { return repeatsLeft-- > 0; };
+            hooks.now = clock.hook();
+            return hooks;
+        }
+
+        FakeExchange& run(const std::string& path, const std::string& key = {})
+        {
+            RoutedRequest request;
+            request.callerId = "c1";
+            request.host = "a.example";
+            request.method = "POST";
+            request.path = request.target = path;
+            request.keyHash = key;
+            request.patience = 2500ms;
+            runner.run(request, exchange);
+            return exchange;
+        }
+
+        std::string header(size_t send, const std::string& name) const { return std::string(findHeader(targets.log.at(send).headers, name)); }
+
+        ManualClock clock;
+        ScriptedTargets targets { clock };
+        FakePools pools;
+        ClusterView view;
+        RequestHistory history { 100, clock.hook() };
+        MetricRegistry metrics;
+        FakeExchange exchange;
+        bool hasLease { true };
+        bool hasConfiguration { true };
+        int repeatsLeft { 10 };
+        int64_t debited { 0 };
+        RoutedRunner runner { RoutedLimits {}, testDialect(), view, pools, history, metrics, hooks(), 1 };
+    };
+
+    // Guards against a charge that runs twice, and a failure that sounds like "not run", after a connection broke.
+    TEST(RoutedRunnerTest, ChargeThatMayHaveRunIsNotSentAgain)
+    {
+        Bench bench;
+        bench.targets.script = { failWith(ErrorKind::TargetFailed, Ran::Unknown), answerWith(200, "paid") };
+        EXPECT_EQ(bench.run("/charge/1").status, 502);
+        EXPECT_EQ(bench.targets.log.size(), 1u);
+    }
+
+    // Guards against a charge that is given up although no byte of it was sent.
+    TEST(RoutedRunnerTest, UnsentChargeGoesToAnotherTarget)
+    {
+        Bench bench;
+        bench.targets.script = { failWith(ErrorKind::TargetFailed, Ran::No), answerWith(200, "paid") };
+        EXPECT_EQ(bench.run("/charge/1").status, 200);
+        EXPECT_EQ(bench.pools.outcomes, (std::vector { AttemptOutcome::Unreachable, AttemptOutcome::Completed }));
+        EXPECT_EQ(bench.pools.asks.at(1).excluded, std::vector { TargetId(1) });
+    }
+
+    // Guards against a refusal by the target that is answered as a failure, or sent to more targets than the route allows.
+    TEST(RoutedRunnerTest, RefusalOfTheTargetPromisesNotRun)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(503, "full", { { "Not-Run", "1" } }), answerWith(200, "paid") };
+        EXPECT_EQ(bench.run("/charge/1").status, 503);
+        EXPECT_EQ(bench.targets.log.size(), 1u);
+        EXPECT_EQ(bench.pools.outcomes, std::vector { AttemptOutcome::Refused });
+    }
+
+    // Guards against a request that fails because a target's address has a new owner.
+    TEST(RoutedRunnerTest, WrongTargetIsPassedOverWithinTheBudget)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(421, ""), answerWith(200, "paid") };
+        EXPECT_EQ(bench.run("/charge/1").status, 200);
+        Bench poor;
+        poor.repeatsLeft = 0;
+        poor.targets.script = { answerWith(421, ""), answerWith(200, "paid") };
+        EXPECT_EQ(poor.run("/charge/1").status, 503);
+    }
+
+    // Guards against a lookup that fails with its first target, more attempts than the route allows, and a spent budget.
+    TEST(RoutedRunnerTest, RepeatableRequestIsRepeatedWithinAttemptsAndBudget)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(500, "oops"), answerWith(200, "open") };
+        EXPECT_EQ(bench.run("/lookup/1").status, 200);
+        EXPECT_EQ(bench.pools.outcomes.front(), AttemptOutcome::Errored);
+        Bench twice;
+        twice.targets.script = { answerWith(500, "oops"), answerWith(500, "again"), answerWith(200, "open") };
+        EXPECT_EQ(twice.run("/lookup/1").status, 500);
+        EXPECT_EQ(twice.exchange.body, "again") << "the target's own failure is passed on";
+        EXPECT_EQ(twice.targets.log.size(), 2u);
+        Bench poor;
+        poor.repeatsLeft = 0;
+        poor.targets.script = { answerWith(500, "oops"), answerWith(200, "open") };
+        EXPECT_EQ(poor.run("/lookup/1").status, 500);
+    }
+
+    // Guards against bytes of a faulty target that reach a caller as its answer.
+    TEST(RoutedRunnerTest, UnsoundAnswerIsAFailure)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(200, "garbage", { { "Unsound", "1" } }) };
+        EXPECT_EQ(bench.run("/charge/1").status, 502);
+        EXPECT_EQ(bench.exchange.body.find("garbage"), std::string::npos);
+    }
+
+    // Guards against a stream that ends in the middle and looks complete.
+    TEST(RoutedRunnerTest, BrokenStreamIsCutOff)
+    {
+        Bench bench;
+        bench.targets.script = { streamOf({ event(1), tl::unexpected(makeError(ErrorKind::TargetFailed, "reset")) }), streamOf({ event(1) }) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.exchange.body, event(1));
+        EXPECT_TRUE(bench.exchange.isAborted);
+        EXPECT_FALSE(bench.exchange.isEnded);
+        EXPECT_EQ(bench.targets.log.size(), 1u);
+    }
+
+    // Guards against events that are lost or doubled where a stream goes on at another target.
+    TEST(RoutedRunnerTest, ResumableStreamGoesOnAtAnotherTarget)
+    {
+        Bench bench;
+        bench.targets.script = { streamOf({ event(1) + event(2) + "id: 3\nda", tl::unexpected(makeError(ErrorKind::TargetFailed, "reset")) }), streamOf({ event(2) + event(3), event(4) }) };
+        bench.run("/query/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3) + event(4));
+        EXPECT_TRUE(bench.exchange.isEnded);
+        EXPECT_EQ(bench.exchange.answers, 1);
+        EXPECT_EQ(bench.header(1, "After"), "2");
+        EXPECT_EQ(bench.header(1, "Instance"), "t2");
+    }
+
+    // Guards against targets that work on after their caller left.
+    TEST(RoutedRunnerTest, StreamIsCancelledWhenTheCallerLeaves)
+    {
+        Bench bench;
+        bench.exchange.leaveAfterWrites = 1;
+        bench.targets.script = { streamOf({ event(1), event(2), event(3) }) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.pools.outcomes, std::vector { AttemptOutcome::Cancelled });
+        EXPECT_LE(bench.exchange.writes, 2);
+    }
+
+    // Guards against a target that gets more time than is left, also when the request is sent once more.
+    TEST(RoutedRunnerTest, TargetsGetWhatIsLeft)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(500, "oops"), answerWith(200, "open") };
+        bench.targets.onRequest = [&] { bench.clock.now += 400ms; };
+        bench.run("/lookup/1");
+        EXPECT_EQ(bench.header(0, "Left-Ms"), "1200") << "the route's timeout is shorter than the caller's patience";
+        EXPECT_EQ(bench.header(1, "Left-Ms"), "800");
+    }
+
+    // Guards against unknown keys and paths that are answered as if they might work later, and the reverse.
+    TEST(RoutedRunnerTest, AdmissionAnswers)
+    {
+        EXPECT_EQ(Bench().run("/nowhere/").status, 404);
+        EXPECT_EQ(Bench().run("/private/1").status, 401);
+        EXPECT_EQ(Bench().run("/private/1", "wrong").status, 401);
+        Bench cutOff;
+        cutOff.hasLease = false;
+        EXPECT_EQ(cutOff.run("/private/1", "key").status, 503);
+        Bench starting;
+        starting.hasConfiguration = false;
+        EXPECT_EQ(starting.run("/charge/1").status, 503) << "a node that knows no document yet must not say that a route is missing";
+        Bench open;
+        open.hasLease = false;
+        open.targets.script = { answerWith(200, "paid") };
+        EXPECT_EQ(open.run("/charge/1").status, 200) << "requests without a key do not need the lease";
+    }
+
+    // Guards against a request that runs although its key was taken away while it waited.
+    TEST(RoutedRunnerTest, KeyTakenAwayWhileWaitingDoesNotRun)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(200, "open") };
+        bench.pools.onAcquire = [&] {
+            auto config = bench.view.config();
+            config.version = Version(2);
+            config.customers[CustomerId(4)].keyHashes.clear();
+            bench.apply(config);
+        };
+        EXPECT_EQ(bench.run("/private/1", "key").status, 401);
+        EXPECT_TRUE(bench.targets.log.empty());
+        EXPECT_EQ(bench.debited, 0) << "a request that did not run costs nothing";
+    }
+
+    // Guards against ceilings that are charged for requests that did not run, or not charged for those that did.
+    TEST(RoutedRunnerTest, CeilingsCountWhatRan)
+    {
+        Bench bench;
+        bench.targets.script = { answerWith(200, "open") };
+        EXPECT_EQ(bench.run("/private/1", "key").status, 200);
+        EXPECT_EQ(bench.debited, 200);
+        EXPECT_EQ(bench.header(0, "Customer"), "harbour");
+        Bench refused;
+        refused.pools.grants.clear();
+        EXPECT_EQ(refused.run("/private/1", "key").status, 503);
+        EXPECT_EQ(refused.debited, 0);
+    }
+
+}
+}
--- /dev/null
+++ b/tests/SlotSchedulerTest.cpp
@@ -0,0 +1,282 @@
+#include "briarhitch/sched/PoolScheduler.h"
+
+#include "sched/OutcomeHealth.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Instant start { 1h };
+
+    /** A pool of engines under the policy "slots", whose requests the test names by numbers. */
+    struct Pool {
+        explicit Pool(std::vector<uint32_t> slots, PoolKind kind = PoolKind::Model)
+        {
+            PoolSettings settings;
+            settings.policy = "slots";
+            settings.kind = kind;
+            scheduler = std::move(*makePoolScheduler(settings));
+            for (size_t i = 0; i < slots.size(); ++i) {
+                Target target;
+                target.id = TargetId(static_cast<uint32_t>(i + 1));
+                target.slots = slots[i];
+                target.tokensPerEvent = 5;
+                targets.push_back(target);
+            }
+            scheduler->setTargets(targets, now);
+        }
+
+        PoolRequest request(uint64_t id, int64_t prompt = 600, int64_t output = 100, Tier tier = Tier(1), Tier urgency = Tier(1)) const
+        {
+            PoolRequest request;
+            request.attempt = { RequestId(id), 1 };
+            request.customer = CustomerId(1);
+            request.kind = WorkKindId(1);
+            request.tier = tier;
+            request.urgency = urgency;
+            request.promptTokens = Tokens(prompt);
+            request.maxOutputTokens = Tokens(4000);
+            request.expectedOutputTokens = Tokens(output);
+            request.objective = now + 1s;
+            request.deadline = now + 4s;
+            request.answerDeadline = now + 15s;
+            request.gapObjective = 200ms;
+            return request;
+        }
+
+        void submit(const PoolRequest& request) { scheduler->submit(request, now); }
+        void submit(uint64_t id) { submit(request(id)); }
+
+        /** Takes the decisions since the last call into `granted` and `refused`. */
+        void take()
+        {
+            for (const auto& action : scheduler->takeActions()) {
+                if (const auto* grant = std::get_if<PoolGrant>(&action))
+                    granted[grant->attempt.request.value()] = grant->target.value();
+                else
+                    refused[std::get<PoolRefusal>(action).attempt.request.value()] = std::get<PoolRefusal>(action);
+            }
+        }
+
+        void finish(uint64_t id, AttemptOutcome outcome = AttemptOutcome::Completed, int64_t output = 100, Duration duration = 420ms)
+        {
+            scheduler->started({ RequestId(id), 1 }, 20ms, now);
+            scheduler->finished({ RequestId(id), 1 }, outcome, Tokens(600), Tokens(output), duration, now);
+            take();
+        }
+
+        /** Teaches the pool how fast a target is, in milliseconds for a token. */
+        void teach(uint32_t target, double msPerToken)
+        {
+            auto others = targets;
+            std::erase_if(others, [&](const Target& other) { return other.id != TargetId(target); });
+            scheduler->setTargets(others, now);
+            for (int i = 0; i < 30; ++i) {
+                uint64_t id = 100000 + target * 100 + static_cast<uint64_t>(i);
+                submit(request(id, 1000));
+                take();
+                scheduler->started({ RequestId(id), 1 }, fromSeconds((6 + 1000 * msPerToken * 0.0037) / 1000), now);
+                scheduler->finished({ RequestId(id), 1 }, AttemptOutcome::Completed, Tokens(1000), Tokens(205), fromSeconds((6 + 1000 * msPerToken * 0.0037 + 200 * msPerToken) / 1000), now);
+                take();
+            }
+            scheduler->setTargets(targets, now);
+        }
+
+        Instant now { start };
+        std::unique_ptr<PoolScheduler> scheduler;
+        std::vector<Target> targets;
+        std::map<uint64_t, uint32_t> granted;
+        std::map<uint64_t, PoolRefusal> refused;
+    };
+
+    // Guards against requests that queue at a target, where order and cancellation are lost.
+    TEST(SlotSchedulerTest, NeverGrantsMoreThanThereArePlaces)
+    {
+        Pool pool({ 2, 1 });
+        for (uint64_t id = 1; id <= 6; ++id)
+            pool.submit(id);
+        pool.take();
+        EXPECT_EQ(pool.granted.size(), 3u);
+        pool.finish(1);
+        EXPECT_EQ(pool.granted.size(), 4u);
+        EXPECT_TRUE(pool.granted.contains(4));
+    }
+
+    // Pattern: a flood of the least urgent work. Guards against urgent work that waits behind it.
+    TEST(SlotSchedulerTest, UrgentWorkOvertakesAWaitingFlood)
+    {
+        Pool pool({ 1 });
+        pool.submit(1);
+        for (uint64_t id = 10; id < 15; ++id)
+            pool.submit(pool.request(id, 600, 100, Tier(1), Tier(2)));
+        pool.submit(pool.request(20, 600, 100, Tier(1), Tier(0)));
+        pool.submit(pool.request(21, 600, 100, Tier(0), Tier(2)));
+        pool.take();
+        pool.finish(1);
+        EXPECT_TRUE(pool.granted.contains(21)) << "the customer's tier comes first";
+        pool.finish(21);
+        EXPECT_TRUE(pool.granted.contains(20)) << "within a tier the urgency of the kind";
+        pool.finish(20);
+        EXPECT_TRUE(pool.granted.contains(10));
+    }
+
+    // Pattern: load beyond capacity for seconds. Guards against late work that makes all work behind it late.
+    TEST(SlotSchedulerTest, WorkInTimeGoesBeforeWorkThatIsLateAnyway)
+    {
+        Pool pool({ 1 });
+        pool.submit(1);
+        pool.submit(pool.request(2, 600, 100, Tier(0), Tier(0)));
+        pool.take();
+        pool.now += 1500ms;
+        pool.scheduler->tick(pool.now);
+        pool.submit(pool.request(3, 600, 100, Tier(1), Tier(1)));
+        pool.take();
+        pool.finish(1);
+        EXPECT_TRUE(pool.granted.contains(3));
+        pool.finish(3);
+        EXPECT_TRUE(pool.granted.contains(2)) << "late work is still served when there is a place";
+    }
+
+    // Guards against requests that are held although they cannot start in time, and refusals without a time to come back.
+    TEST(SlotSchedulerTest, HopelessWorkIsRefusedAtOnce)
+    {
+        Pool pool({ 1 });
+        for (uint64_t id = 1; id <= 60; ++id)
+            pool.submit(id);
+        pool.take();
+        EXPECT_GT(pool.refused.size(), 30u);
+        EXPECT_TRUE(pool.refused.contains(60));
+        EXPECT_FALSE(pool.refused.contains(2));
+        EXPECT_EQ(pool.refused.at(60).kind, ErrorKind::DeadlineUnreachable);
+        EXPECT_GT(pool.refused.at(60).retryAfter, 0s);
+    }
+
+    // Guards against a queue in which a request stays beyond its deadline.
+    TEST(SlotSchedulerTest, WaitingWorkIsRefusedWhenItsTimeIsOver)
+    {
+        Pool pool({ 1 });
+        pool.submit(1);
+        pool.submit(2);
+        pool.now += 4s;
+        pool.scheduler->tick(pool.now);
+        pool.take();
+        EXPECT_TRUE(pool.refused.contains(2));
+    }
+
+    // Pattern: engines of one service differ in speed by a factor of five. Guards against long answers on engines that
+    // cannot end them before their deadline.
+    TEST(SlotSchedulerTest, LongAnswersGoToFastTargets)
+    {
+        Pool pool({ 9, 9 });
+        pool.teach(1, 11.8);
+        pool.teach(2, 2.3);
+        pool.submit(pool.request(1, 600, 2000));
+        pool.take();
+        EXPECT_EQ(pool.granted.at(1), 2u);
+    }
+
+    // Pattern: long prompts beside running answers. Guards against pauses beyond the objective on a slow engine while a
+    // faster one becomes free soon.
+    TEST(SlotSchedulerTest, LongPromptsWaitForATargetWhoseAnswersTheyDoNotDelay)
+    {
+        Pool pool({ 9, 1 });
+        pool.teach(1, 11.8);
+        pool.teach(2, 2.3);
+        pool.submit(pool.request(1, 600, 300));
+        pool.submit(pool.request(2, 300, 50));
+        pool.take();
+        ASSERT_EQ(pool.granted.at(1), 2u);
+        ASSERT_EQ(pool.granted.at(2), 1u);
+        pool.scheduler->started({ RequestId(2), 1 }, 20ms, pool.now);
+        pool.submit(pool.request(3, 8000, 100, Tier(0), Tier(0)));
+        pool.take();
+        EXPECT_FALSE(pool.granted.contains(3));
+        pool.finish(1);
+        EXPECT_EQ(pool.granted.at(3), 2u);
+    }
+
+    // Guards against a target that already had the request, or that leaves, being granted.
+    TEST(SlotSchedulerTest, ExcludedAndDrainingTargetsGetNothing)
+    {
+        Pool pool({ 1, 1, 1 });
+        auto request = pool.request(1);
+        request.excluded = { TargetId(1) };
+        pool.targets[1].state = TargetState::Draining;
+        pool.scheduler->setTargets(pool.targets, pool.now);
+        pool.submit(request);
+        pool.take();
+        EXPECT_EQ(pool.granted.at(1), 3u);
+        auto none = pool.request(2);
+        none.excluded = { TargetId(1), TargetId(3) };
+        pool.submit(none);
+        pool.take();
+        EXPECT_EQ(pool.refused.at(2).kind, ErrorKind::NoTarget);
+    }
+
+    // Guards against places that stay taken after a cancellation, a takeover or a target that left.
+    TEST(SlotSchedulerTest, PlacesComeBack)
+    {
+        Pool pool({ 1 });
+        pool.submit(1);
+        pool.submit(2);
+        pool.take();
+        pool.scheduler->cancel({ RequestId(1), 1 }, pool.now);
+        pool.take();
+        EXPECT_TRUE(pool.granted.contains(2));
+        pool.scheduler->restore(pool.request(3), TargetId(1), true, pool.now);
+        pool.finish(2);
+        pool.submit(4);
+        pool.take();
+        EXPECT_FALSE(pool.granted.contains(4)) << "the restored attempt has the place";
+        pool.finish(3);
+        EXPECT_TRUE(pool.granted.contains(4));
+        auto stats = pool.scheduler->stats();
+        EXPECT_EQ(stats.queued[1], 0u);
+        EXPECT_EQ(stats.running[1], 1u);
+        pool.scheduler->setTargets({}, pool.now);
+        pool.finish(4);
+        EXPECT_EQ(pool.scheduler->stats().running[1], 0u);
+    }
+
+    // Pattern: plain services fail a part of their requests by themselves. Guards against backing off all of them.
+    TEST(OutcomeHealthTest, UsualFailuresOfAllPeersDoNotBackOff)
+    {
+        OutcomeHealth health;
+        for (int i = 0; i < 1000; ++i) {
+            health.note(i % 7 == 0 ? OutcomeWeight::Error : OutcomeWeight::Good, 0.14, start + i * 10ms);
+            ASSERT_TRUE(health.allows(3, start + i * 10ms)) << i;
+        }
+    }
+
+    // Pattern: a target fails nearly half of its requests while its health check is good. Guards against going on with it.
+    TEST(OutcomeHealthTest, TargetThatFailsMoreThanItsPeersIsBackedOffAndProbed)
+    {
+        OutcomeHealth health;
+        int sent = 0;
+        while (!health.isBackedOff() && sent < 60)
+            health.note(++sent % 2 == 0 ? OutcomeWeight::Broken : OutcomeWeight::Good, 0.02, start);
+        ASSERT_TRUE(health.isBackedOff());
+        EXPECT_FALSE(health.allows(0, start));
+        EXPECT_TRUE(health.allows(0, health.probeAt()));
+        EXPECT_FALSE(health.allows(1, health.probeAt())) << "one probe at a time";
+        health.note(OutcomeWeight::Good, 0.02, health.probeAt());
+        EXPECT_TRUE(health.allows(3, health.probeAt()));
+    }
+
+    // Guards against a target that cannot be reached and keeps costing connection attempts.
+    TEST(OutcomeHealthTest, UnreachableTargetIsBackedOffAtOnce)
+    {
+        OutcomeHealth health;
+        health.note(OutcomeWeight::Unreachable, 0, start);
+        EXPECT_FALSE(health.allows(0, start));
+        auto first = health.probeAt();
+        health.note(OutcomeWeight::Unreachable, 0, first);
+        EXPECT_GT(health.probeAt() - first, first - start);
+        EXPECT_LE(health.probeAt() - first, 2s);
+    }
+
+}
+}
--- a/tests/StateMachineTest.cpp
+++ b/tests/StateMachineTest.cpp
@@ -256,5 +256,102 @@
         EXPECT_EQ(state.machine.takeSnapshot(), before);
     }
 
+    PutRoutingCommand routingChange(uint64_t version, const std::string& source, std::vector<RoutedCustomer> customers = {})
+    {
+        PutRoutingCommand command;
+        command.routing.version = Version(version);
+        command.routing.hasCustomers = !customers.empty();
+        command.routing.customers = std::move(customers);
+        command.source = source;
+        return command;
+    }
+
+    RoutedCustomer routedCustomer(const std::string& name, const std::string& key)
+    {
+        RoutedCustomer customer;
+        customer.name = name;
+        customer.keyHashes = { key };
+        customer.ceiling.tokensPerSecond = 1000;
+        return customer;
+    }
+
+    // Guards against an older document, or another one under the same number, that is put in force or read back.
+    TEST(StateMachineTest, HighestRoutingDocumentStaysInForce)
+    {
+        TestState state;
+        EXPECT_TRUE(state.apply(routingChange(5, "five")).accepted);
+        for (uint64_t version : { 5, 4, 1 }) {
+            auto again = state.apply(routingChange(version, "other"));
+            EXPECT_TRUE(again.accepted) << "a document that is sent again is acknowledged";
+            EXPECT_EQ(again.objectVersion, Version(5));
+        }
+        EXPECT_EQ(state.machine.routingSource(), "five");
+        EXPECT_TRUE(state.apply(routingChange(9, "nine")).accepted);
+        state.restart();
+        EXPECT_EQ(state.machine.routingSource(), "nine");
+        EXPECT_EQ(state.machine.config().routing.version, Version(9));
+        EXPECT_TRUE(state.apply(routingChange(8, "eight")).accepted);
+        EXPECT_EQ(state.machine.routingSource(), "nine");
+    }
+
+    // Guards against a key that works on after a document took it away, and ceilings that do not follow the document.
+    TEST(StateMachineTest, CustomersFollowTheRoutingDocument)
+    {
+        TestState state;
+        ASSERT_TRUE(state.apply(routingChange(1, "one", { routedCustomer("large", "k1"), routedCustomer("small", "k2") })).accepted);
+        ClusterView view;
+        HeartbeatReply reply;
+        state.machine.addChangesSince(view.config().version, reply);
+        view.apply(reply);
+        ASSERT_NE(view.findCustomerByKeyHash("k2"), nullptr);
+        EXPECT_EQ(view.findCustomerByKeyHash("k1")->ceiling.tokensPerSecond, 1000);
+        auto id = view.findCustomerByKeyHash("k1")->customer;
+        ASSERT_TRUE(state.apply(routingChange(2, "two", { routedCustomer("large", "k3") })).accepted);
+        HeartbeatReply next;
+        state.machine.addChangesSince(view.config().version, next);
+        EXPECT_FALSE(next.snapshot) << "a node that is one change behind gets a delta";
+        view.apply(next);
+        EXPECT_EQ(view.findCustomerByKeyHash("k1"), nullptr);
+        EXPECT_EQ(view.findCustomerByKeyHash("k2"), nullptr);
+        ASSERT_NE(view.findCustomerByKeyHash("k3"), nullptr);
+        EXPECT_EQ(view.findCustomerByKeyHash("k3")->customer, id);
+        EXPECT_EQ(view.config().routing.version, Version(2));
+    }
+
+    // Guards against targets that stay after discovery dropped them, or that discovery takes from an operator.
+    TEST(StateMachineTest, DiscoveredTargetsFollowTheList)
+    {
+        TestState state;
+        ASSERT_TRUE(state.apply(targetChange("own", 0, "own")).accepted);
+        auto listed = [](const std::string& name, TargetState targetState = TargetState::Active) {
+            Target target;
+            target.name = name;
+            target.serves = "pool";
+            target.host = "10.0.0.1";
+            target.port = 80;
+            target.state = targetState;
+            return target;
+        };
+        ReplaceDiscoveredCommand command { { listed("a"), listed("b"), listed("a"), listed("own") }, "fleet" };
+        ASSERT_TRUE(state.apply(command).accepted);
+        EXPECT_EQ(state.machine.config().targets.size(), 3u);
+        EXPECT_EQ(state.machine.findTarget("own")->host, "");
+        auto version = state.machine.config().version;
+        ASSERT_TRUE(state.apply(command).accepted);
+        EXPECT_EQ(state.machine.config().version, version) << "the same list changes nothing";
+        auto id = state.machine.findTarget("b")->id;
+        command.targets = { listed("b", TargetState::Draining) };
+        ASSERT_TRUE(state.apply(command).accepted);
+        EXPECT_EQ(state.machine.findTarget("a"), nullptr);
+        EXPECT_EQ(state.machine.findTarget("b")->id, id);
+        EXPECT_EQ(state.machine.findTarget("b")->state, TargetState::Draining);
+        command.targets = { listed("b") };
+        ASSERT_TRUE(state.apply(command).accepted);
+        EXPECT_EQ(state.machine.findTarget("b")->state, TargetState::Active) << "a restarted target keeps its name";
+        EXPECT_NE(state.machine.findTarget("own"), nullptr);
+        state.restart();
+        EXPECT_EQ(state.machine.config().targets.size(), 2u);
+    }
+
 }
 }
--- /dev/null
+++ b/tests/platform/PlatformTest.cpp
@@ -0,0 +1,168 @@
+#include "InstanceList.h"
+#include "RoutingCodec.h"
+#include "Wire.h"
+
+#include "briarhitch/core/Digest.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch::platform {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    std::string configText(const std::string& change = {}, const std::string& replacement = {})
+    {
+        std::string text = R"({"version":7,"routes":[
+            {"name":"r1","host":"Ficu.example","pathPrefix":"/pufi/","kind":"streaming","timeoutMs":12000,"targetLatencyMs":300,"priority":1,"service":"llm","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapTargetMs":250},
+            {"name":"r2","host":"ficu.example","pathPrefix":"/lohu/","kind":"unsafe","timeoutMs":1200,"targetLatencyMs":150,"priority":9,"trafficSplit":[{"service":"llm","weight":90},{"service":"shop","weight":10}]}],
+            "services":[{"name":"llm","healthPath":"/healthz","maxConnections":360,"engine":{"slots":12,"kvCapacityTokens":494091,"stride":6}},{"name":"shop","healthPath":"/healthz","maxConnections":96}],
+            "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,"headerTimeoutMs":3000,"idleTimeoutMs":15000},
+            "tenants":[{"name":"hule","apiKeys":["secret1","secret2"],"priority":1,"unit":"tokens","plainTokens":200,"ratePerS":256497,"burst":300000}]})";
+        if (!change.empty())
+            text.replace(text.find(change), change.size(), replacement);
+        return text;
+    }
+
+    // Guards against a field that is decoded into one that means something else.
+    TEST(RoutingCodecTest, DocumentIsDecodedIntoTheProductsTerms)
+    {
+        auto routing = decodeRouting(configText());
+        ASSERT_TRUE(routing) << routing.error().message;
+        EXPECT_EQ(routing->version, Version(7));
+        const auto& stream = routing->routes.at(0);
+        EXPECT_EQ(stream.host, "ficu.example");
+        EXPECT_EQ(stream.repeat, RepeatKind::Stream);
+        EXPECT_EQ(stream.objectiveMs, 300u);
+        EXPECT_EQ(stream.startTimeoutMs, 2000u);
+        EXPECT_EQ(stream.gapObjectiveMs, 250u);
+        EXPECT_TRUE(stream.isResumable);
+        EXPECT_FALSE(stream.isPublic);
+        EXPECT_EQ(routing->routes.at(1).tier, Tier(3)) << "ranks beyond the least urgent tier are that tier";
+        EXPECT_EQ(routing->routes.at(1).services.size(), 2u);
+        EXPECT_TRUE(routing->services.at(0).isModel);
+        EXPECT_EQ(routing->services.at(0).tokensPerEvent, 6u);
+        EXPECT_FALSE(routing->services.at(1).isModel);
+        const auto& customer = routing->customers.at(0);
+        EXPECT_EQ(customer.keyHashes.at(1), sha256Hex("secret2"));
+        EXPECT_EQ(customer.ceiling.tokensPerSecond, 256497);
+        EXPECT_EQ(customer.ceiling.requestsPerSecond, 0);
+        EXPECT_EQ(customer.ceiling.burst, 300000);
+        EXPECT_EQ(customer.plainTokens, 200);
+    }
+
+    // Guards against an invalid document that is acknowledged.
+    TEST(RoutingCodecTest, InvalidDocumentsAreRefused)
+    {
+        for (auto [change, replacement] : std::vector<std::pair<std::string, std::string>> {
+                 { R"("tenants")", "" },
+                 { R"("service":"llm")", R"("service":"gone")" },
+                 { R"("timeoutMs":1200)", R"("timeoutMs":0)" },
+                 { R"("weight":90)", R"("weight":"many")" },
+                 { R"("version":7)", R"("version":-7)" },
+                 { R"("version":7,)", "" },
+                 { R"("kind":"unsafe")", R"("kind":"odd")" },
+                 { R"(/lohu/)", "/lohu" },
+                 { R"("host":"ficu.example","pathPrefix":"/lohu/")", R"("host":"ficu.example","pathPrefix":"/pufi/")" },
+             }) {
+            EXPECT_FALSE(decodeRouting(configText(change, replacement))) << change;
+        }
+        EXPECT_FALSE(decodeRouting(configText().substr(0, 500)));
+        EXPECT_FALSE(decodeRouting(""));
+    }
+
+    // Guards against an entry of another writer that names a server to use, or hides the others.
+    TEST(InstanceListTest, UnreadableEntriesNameNoServer)
+    {
+        auto routing = *decodeRouting(configText());
+        auto entry = [](const std::string& id, const std::string& more) {
+            return R"({"service":"llm","address":"10.128.0.9:8080","zone":"a","slots":12,"state":"ready","id":")" + id + "\"" + more + "}";
+        };
+        std::string body = R"({"instances":[)" + entry("i-1", "") + "," + entry("i-2", R"(,"state":"draining")") + "," + entry("i-3", R"(,"state":"odd")") + ","
+            + entry("i-4", R"(,"service":"gone")") + "," + entry("i-5", R"(,"address":7)") + "," + entry("", "") + R"(,7,"x",{}],"next":"p-50"})";
+        auto page = decodeInstances(body, routing);
+        ASSERT_TRUE(page);
+        ASSERT_EQ(page->targets.size(), 2u);
+        EXPECT_EQ(page->targets[0].name, "i-1");
+        EXPECT_EQ(page->targets[0].kind, TargetKind::Engine);
+        EXPECT_EQ(page->targets[0].memoryTokens, 494091);
+        EXPECT_EQ(page->targets[1].state, TargetState::Draining);
+        EXPECT_EQ(page->next, "p-50");
+        EXPECT_FALSE(decodeInstances("no list", routing));
+        EXPECT_FALSE(decodeInstances(R"({"instances":7})", routing));
+    }
+
+    HttpRequest clientRequest()
+    {
+        HttpRequest http;
+        http.method = "POST";
+        http.path = "/lohu/2f";
+        http.query = "q=1";
+        http.body = "body";
+        http.headers = { { "Host", "Ficu.example:80" }, { "Briarhitch-Request-Id", "9c41" }, { "Briarhitch-Token-Count", "1460,80" },
+            { "Briarhitch-Prefix-Hash", "5c1e07a2:800,91bd3f06:410" }, { "Briarhitch-Deadline-Ms", "15000" }, { "Briarhitch-Length-Hint", "60" },
+            { "X-Api-Key", "secret1" }, { "Connection", "keep-alive, X-Hop" }, { "X-Hop", "1" }, { "X-Other", "2" }, { "Content-Length", "4" },
+            { "Briarhitch-Tenant", "forged" }, { "briarhitch-hold", "forged" }, { "Briarhitch-Pin-Ms", "1" }, { "Kv-From", "forged" }, { "Last-Event-Id", "5" } };
+        return http;
+    }
+
+    // Guards against headers that only the system may set, and keys, reaching a server as the client sent them.
+    TEST(WireTest, OwnedHeadersAreNotPassedOn)
+    {
+        auto request = decodeRequest(clientRequest());
+        std::vector<std::string> names;
+        for (const auto& [name, value] : request.headers)
+            names.push_back(name);
+        EXPECT_EQ(names, (std::vector<std::string> { "Briarhitch-Request-Id", "Briarhitch-Token-Count", "Briarhitch-Prefix-Hash", "Briarhitch-Length-Hint", "X-Other" }));
+        EXPECT_EQ(request.host, "ficu.example");
+        EXPECT_EQ(request.target, "/lohu/2f?q=1");
+        EXPECT_EQ(request.keyHash, sha256Hex("secret1"));
+        EXPECT_EQ(request.patience, 15000ms);
+        EXPECT_EQ(request.promptTokens, Tokens(1460));
+        EXPECT_EQ(request.maxOutputTokens, Tokens(80));
+        EXPECT_EQ(request.expectedOutputTokens, Tokens(60));
+        ASSERT_EQ(request.prefix.size(), 2u);
+        EXPECT_EQ(request.prefix[0].id, 0x5c1e07a2u);
+        EXPECT_EQ(request.lastEventId, 5u);
+    }
+
+    // Guards against answers that are not the server's to this request, and promises that no server gave.
+    TEST(WireTest, AnswersAreJudged)
+    {
+        auto dialect = serverDialect();
+        auto request = decodeRequest(clientRequest());
+        auto judge = [&](int status, HttpHeaders headers) { return dialect.judge(request, status, headers); };
+        HttpHeaders good { { "Briarhitch-Response-Stamp", "s" }, { "Briarhitch-Request-Id", "9c41" } };
+        EXPECT_EQ(judge(200, good), AnswerKind::Genuine);
+        EXPECT_EQ(judge(500, good), AnswerKind::Genuine);
+        EXPECT_EQ(judge(503, good), AnswerKind::Unsound) << "no server has promised that it did not run";
+        EXPECT_EQ(judge(503, { { "Briarhitch-Not-Run", "1" } }), AnswerKind::NotRun);
+        EXPECT_EQ(judge(421, {}), AnswerKind::WrongTarget);
+        EXPECT_EQ(judge(200, { { "Briarhitch-Request-Id", "9c41" } }), AnswerKind::Unsound);
+        EXPECT_EQ(judge(200, { { "Briarhitch-Response-Stamp", "s" }, { "Briarhitch-Request-Id", "other" } }), AnswerKind::Unsound);
+        auto encoded = good;
+        encoded.emplace_back("Content-Encoding", "gzip");
+        EXPECT_EQ(judge(200, encoded), AnswerKind::Unsound);
+        EXPECT_TRUE(dialect.isForeign(request, { { "Briarhitch-Request-Id", "other" } }));
+        EXPECT_FALSE(dialect.isForeign(request, good));
+    }
+
+    // Guards against a server that is not told whom it is for, how long it has, and where a stream goes on.
+    TEST(WireTest, ServersAreToldTheTerms)
+    {
+        auto dialect = serverDialect();
+        auto request = decodeRequest(clientRequest());
+        Target target;
+        target.name = "i-7f";
+        auto headers = dialect.headersFor({ request, target, "hule", 1234ms, 7 });
+        EXPECT_EQ(findHeader(headers, "Briarhitch-Deadline-Ms"), "1234");
+        EXPECT_EQ(findHeader(headers, "Briarhitch-Expect-Instance"), "i-7f");
+        EXPECT_EQ(findHeader(headers, "Briarhitch-Tenant"), "hule");
+        EXPECT_EQ(findHeader(headers, "Last-Event-Id"), "7");
+        auto error = makeError(ErrorKind::Shed, "");
+        error.retryAfter = 1250ms;
+        EXPECT_EQ(findHeader(dialect.refusalHeaders(error), "Retry-After"), "1.250");
+    }
+
+}
+}
