--- a/src/sched/CeilingBuckets.cpp
+++ b/src/sched/CeilingBuckets.cpp
@@ -95,8 +95,10 @@
     auto it = accounts_.find(customer);
     if (it == accounts_.end())
         return;
-    it->second.tokens.fill(now);
-    it->second.tokens.level -= static_cast<double>(tokens.value());
+    auto& bucket = it->second.tokens;
+    bucket.fill(now);
+    // What was used alone was within the rate of its time; it takes away what was saved up here meanwhile, and no more.
+    bucket.level = std::max(std::min(bucket.level, 0.0), bucket.level - static_cast<double>(tokens.value()));
 }
 
 }
--- a/src/sched/OutcomeHealth.cpp
+++ b/src/sched/OutcomeHealth.cpp
@@ -13,8 +13,6 @@
     // Ordinary services fail some of their requests, each of them alike; only more than that speaks against one.
     constexpr double failuresAllowed = 0.3;
     constexpr double peerFactor = 2;
-    // A connection that cannot be opened says more than one bad answer.
-    constexpr double unreachableWeight = 3;
     constexpr Duration firstBackoff = 300ms;
     constexpr Duration longestBackoff = 2s;
     constexpr int mostDoublings = 3;
@@ -31,10 +29,16 @@
         backoffs_ = 0;
         return;
     }
-    double weight = outcome == OutcomeWeight::Unreachable ? std::min(1.0, unreachableWeight * gain) : gain;
-    failures_ += weight * (1 - failures_);
-    // A failed probe keeps the target backed off, whatever its ratio.
-    if (backoffs_ > 0 ? now >= probeAt_ : failures_ > failuresAllowed + peerFactor * peerFailures)
+    failures_ += gain * (1 - failures_);
+    // Failures of work sent before the back-off began belong to the same incident; a failed probe prolongs it.
+    if (backoffs_ > 0) {
+        if (now >= probeAt_)
+            backOff(now);
+        return;
+    }
+    // A target that cannot be reached is of no use, however its peers do.
+    bool isWorse = failures_ > failuresAllowed + peerFactor * peerFailures;
+    if (outcome == OutcomeWeight::Unreachable || isWorse)
         backOff(now);
 }
 
--- a/src/sched/OutcomeHealth.h
+++ b/src/sched/OutcomeHealth.h
@@ -18,7 +18,7 @@
 /** Judges a target by the outcomes of its attempts against those of its peers, and lets single requests probe it. */
 class OutcomeHealth {
 public:
-    /** `peerFailures`: part of the pool's attempts that failed lately, 0 to 1. */
+    /** `peerFailures`: part of the pool's attempts that targets answered with errors lately, 0 to 1. */
     void note(OutcomeWeight outcome, double peerFailures, Instant now);
     /** Whether the target may get one more request while it has `running`. */
     [[nodiscard]] bool allows(uint32_t running, Instant now) const;
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -325,7 +325,9 @@
 
 void SlotScheduler::noteOutcome(SlotTarget& target, OutcomeWeight outcome, Instant now)
 {
-    peerFailures_ += peerGain * ((outcome == OutcomeWeight::Good ? 0 : 1) - peerFailures_);
+    // What one target loses by itself must not excuse the others.
+    if (outcome == OutcomeWeight::Good || outcome == OutcomeWeight::Error)
+        peerFailures_ += peerGain * ((outcome == OutcomeWeight::Good ? 0 : 1) - peerFailures_);
     target.health.note(outcome, peerFailures_, now);
 }
 
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -278,5 +278,36 @@
         EXPECT_LE(health.probeAt() - first, 2s);
     }
 
+    // Pattern: a quarter of the targets crash at once. Guards against going on to dial them because so many are down.
+    TEST(OutcomeHealthTest, ManyCrashedPeersDoNotExcuseATarget)
+    {
+        OutcomeHealth health;
+        health.note(OutcomeWeight::Unreachable, 0.4, start);
+        EXPECT_FALSE(health.allows(0, start));
+    }
+
+    // The same, seen at the pool: what is sent to crashed targets stays a small part.
+    TEST(SlotSchedulerTest, CrashedTargetsGetOnlyProbes)
+    {
+        Pool pool({ 9, 9, 9, 9 });
+        int toCrashed = 0;
+        int toOthers = 0;
+        for (uint64_t id = 1; id <= 400; ++id) {
+            pool.now += 5ms;
+            pool.scheduler->tick(pool.now);
+            pool.submit(id);
+            pool.take();
+            ASSERT_TRUE(pool.granted.contains(id));
+            bool isCrashed = pool.granted.at(id) <= 2;
+            ++(isCrashed ? toCrashed : toOthers);
+            if (isCrashed)
+                pool.scheduler->finished({ RequestId(id), 1 }, AttemptOutcome::Unreachable, Tokens(), Tokens(), 1ms, pool.now);
+            else
+                pool.finish(id);
+        }
+        EXPECT_LE(toCrashed, 12);
+        EXPECT_GE(toOthers, 388);
+    }
+
 }
 }
