Move long streams to faster engines

Ruled out: better guesses of the length (callers' estimates deviate by a factor of two), breaking such streams off. Change: after 45% of its time a stream asks the pool's owner for a place on a target that is at least 1.5 times as fast, stops at its target and goes on there from its memory; if it cannot move, it goes on where it was. Targets of the entry's zone go before equal ones elsewhere.

--- a/include/briarhitch/core/Log.h
+++ b/include/briarhitch/core/Log.h
@@ -27,6 +27,9 @@
  */
 void setUpLogging(LogLevel minimum, const std::string& node = {});
 
+/** Sends the log of a command line tool to standard error. */
+void setUpToolLogging(LogLevel minimum);
+
 /** The log of one part of the system; every line names the part. Never pass keys or prompts. */
 class Log {
 public:
--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -4,6 +4,7 @@
 #include "briarhitch/core/Error.h"
 #include "briarhitch/core/Ids.h"
 #include "briarhitch/core/Units.h"
+#include "briarhitch/http/HttpClient.h"
 #include "briarhitch/http/HttpServer.h"
 #include "briarhitch/model/Target.h"
 
@@ -56,6 +57,18 @@
     Duration timeLeft;
     /** Continue a stream after this event. */
     std::optional<uint64_t> resumeAfter;
+    /** Where the memory of the run that goes on is, as moveResult() named it; empty for a new run. */
+    std::string continueFrom;
+};
+
+/** What a target said to a call that moves a running generation. */
+struct MoveResult {
+    /** The run has stopped at its target, and its memory is there or at the destination. */
+    bool hasStopped { false };
+    /** The destination has the memory. */
+    bool hasArrived { false };
+    /** Names the memory for the request that goes on. */
+    std::string continueFrom;
 };
 
 enum class AnswerKind : uint8_t {
@@ -83,6 +96,9 @@
     /** Whether an answer belongs to another request on the same connection. */
     std::function<bool(const RoutedRequest&, const HttpHeaders&)> isForeign;
     std::function<std::optional<StatedLoad>(const HttpHeaders&)> loadOf;
+    /** The call to `from` that stops a running request there and sends its memory to `to`. */
+    std::function<HttpCallSettings(const RoutedRequest&, const Target& from, const Target& to)> moveCall;
+    std::function<MoveResult(const Target& from, int status, const std::string& body)> moveResult;
     /** Headers of a refusal, among them when to come back. */
     std::function<HttpHeaders(const Error&)> refusalHeaders;
 };
--- a/include/briarhitch/entry/RoutedRunner.h
+++ b/include/briarhitch/entry/RoutedRunner.h
@@ -24,6 +24,13 @@
     Duration stallTimeout { std::chrono::milliseconds(1200) };
     /** Grants in a row whose target could not be reached or was another one. */
     uint32_t maxUnsentGrants { 4 };
+    /** A stream that runs for this part of its time is moved to a faster target, if there is one. */
+    double moveAfterPart { 0.45 };
+    /** For a place on a faster target, and for the call that moves the run; the stream pauses meanwhile. */
+    Duration moveWait { std::chrono::milliseconds(40) };
+    /** Between two tries to find such a place. */
+    Duration movePause { std::chrono::milliseconds(400) };
+    Duration moveTimeout { std::chrono::milliseconds(500) };
 };
 
 /** What a runner needs from the rest of the node. All must be set. */
--- a/include/briarhitch/model/Routing.h
+++ b/include/briarhitch/model/Routing.h
@@ -80,13 +80,15 @@
     int64_t memoryTokens { 0 };
     /** Tokens in one event of an engine's stream. */
     uint32_t tokensPerEvent { 1 };
+    /** Whether engines hand a running generation over to one another. */
+    bool canMove { false };
 
     bool operator==(const RoutedService&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(name, healthPath, maxConnections, isModel, memoryTokens, tokensPerEvent);
+        visit(name, healthPath, maxConnections, isModel, memoryTokens, tokensPerEvent, canMove);
     }
 };
 
--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -36,6 +36,10 @@
     Duration gapObjective { 0 };
     /** Urgency of its kind among requests of one tier. */
     Tier urgency;
+    /** The request runs there and is to move to a faster target; none for a request that has not begun. */
+    TargetId movesFrom;
+    /** Availability zone of the entry. */
+    std::string zone;
     /** Targets that had the request. */
     std::vector<TargetId> excluded;
     /** Stable hash of customer and idempotency key; zero if there is none. */
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -157,12 +157,16 @@
     uint32_t gapObjectiveMs { 0 };
     /** Urgency of its kind among requests of one tier. */
     Tier urgency;
+    /** The request runs there and is to move to a faster target; none for a request that has not begun. */
+    TargetId movesFrom;
+    /** Availability zone of the entry. */
+    std::string zone;
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, repeatKey, expectedOutputTokens,
-            objectiveMs, answerMs, gapObjectiveMs, urgency);
+            objectiveMs, answerMs, gapObjectiveMs, urgency, movesFrom, zone);
     }
 };
 
--- a/src/core/Log.cpp
+++ b/src/core/Log.cpp
@@ -5,6 +5,7 @@
 
 #include <functional>
 #include <log4cplus/appender.h>
+#include <log4cplus/consoleappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/spi/loggingevent.h>
@@ -88,6 +89,15 @@
     root.setLogLevel(toLibraryLevel(minimum));
 }
 
+void setUpToolLogging(LogLevel minimum)
+{
+    initializeOnce();
+    auto root = log4cplus::Logger::getRoot();
+    root.removeAllAppenders();
+    root.addAppender(log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true)));
+    root.setLogLevel(toLibraryLevel(minimum));
+}
+
 struct Log::Impl {
     std::string part;
     log4cplus::Logger logger;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -242,6 +242,7 @@
 void PoolClient::sendAsk(const Pending& pending)
 {
     auto ask = pending.ask;
+    ask.zone = settings_.zone;
     ask.deadlineMs = msLeft(pending.deadline, now_());
     postToOwner(ask.pool, MessageType::Ask, ask);
 }
@@ -420,6 +421,7 @@
 void PoolClient::submitSolo(Pending& pending)
 {
     pending.isSolo = true;
+    pending.ask.zone = settings_.zone;
     auto pool = pending.ask.pool;
     soloAttempts_.insert(pending.ask.attempt);
     soloScheduler(pool).submit(toPoolRequest(pending.ask, pending.deadline, now_()), now_());
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -20,6 +20,8 @@
     request.answerDeadline = std::max<Instant>(deadline, now + std::chrono::milliseconds(ask.answerMs));
     request.gapObjective = std::chrono::milliseconds(ask.gapObjectiveMs);
     request.urgency = ask.urgency;
+    request.movesFrom = ask.movesFrom;
+    request.zone = ask.zone;
     request.excluded = ask.excluded;
     request.repeatKey = ask.repeatKey;
     return request;
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -265,7 +265,7 @@
     settings.target = request_.target;
     settings.headers = request_.headers;
     settings.headers.emplace_back("Host", request_.host);
-    AttemptTerms terms { request_, target, contract_ ? contract_->name : std::string(), timeLeft(), lastEventId_ };
+    AttemptTerms terms { request_, target, contract_ ? contract_->name : std::string(), timeLeft(), lastEventId_, std::exchange(continueFrom_, {}) };
     for (auto& header : runner_.dialect.headersFor(terms))
         settings.headers.push_back(std::move(header));
     settings.body = request_.body;
@@ -283,6 +283,7 @@
     note("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) } });
     excluded_.push_back(target.id);
     grant_ = grant;
+    target_ = target;
     isGrantHeld_ = true;
     sentAt_ = now();
     events_ = 0;
@@ -377,6 +378,8 @@
             if (watch_->isGone)
                 return callerLeft();
             answer.cancel();
+            if (movedTo_)
+                return continueElsewhere();
             return failed(part.error(), AttemptOutcome::Failed);
         }
         if (!*part)
@@ -387,10 +390,81 @@
                 return callerLeft();
             }
         }
+        if (!movedTo_ && shouldMove())
+            moveRun();
+    }
+    if (movedTo_) {
+        // The answer was complete before the run could be stopped.
+        runner_.pools.release(*std::exchange(movedTo_, std::nullopt));
+        continueFrom_.clear();
     }
     return endStream(splitter.pending());
 }
 
+bool RoutedRun::shouldMove() const
+{
+    auto whole = deadline_ - begun_;
+    return service_->canMove && hasFirstEvent_ && now() >= nextMoveAt_ && now() - sentAt_ >= fromSeconds(runner_.limits.moveAfterPart * toSeconds(whole))
+        && timeLeft() >= fromSeconds((1 - runner_.limits.moveAfterPart) / 2 * toSeconds(whole));
+}
+
+bool RoutedRun::moveRun()
+{
+    nextMoveAt_ = now() + runner_.limits.movePause;
+    ++attempt_.number;
+    auto ask = makeAsk(grant_.pool);
+    ask.movesFrom = target_.id;
+    ask.deadlineMs = clampMs(runner_.limits.moveWait);
+    auto grant = runner_.pools.acquire(ask, now() + runner_.limits.moveWait);
+    if (!grant) {
+        note("not moved", grant.error().message);
+        return false;
+    }
+    auto found = runner_.view.config().targets.find(grant->target);
+    bool isUsable = found != runner_.view.config().targets.end() && !sendingProblem(*grant) && runner_.hooks.takeRepeat(service_->name);
+    if (!isUsable) {
+        runner_.pools.release(*grant);
+        return false;
+    }
+    Target destination = found->second;
+    auto call = runner_.dialect.moveCall(request_, target_, destination);
+    call.connectTimeout = runner_.limits.connectTimeout;
+    call.headerTimeout = runner_.limits.moveTimeout;
+    call.isResendAllowed = false;
+    auto answer = runner_.hooks.start(call);
+    auto body = answer ? (*answer)->readAll(runner_.limits.moveTimeout) : Result<std::string>(tl::unexpected(answer.error()));
+    auto result = body ? runner_.dialect.moveResult(target_, (*answer)->status(), *body) : MoveResult {};
+    note(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "events", static_cast<int64_t>(events_) } });
+    count("routed_moves_total", "result", result.hasArrived ? "arrived" : result.hasStopped ? "stopped"
+                                                                                            : "none");
+    if (!result.hasArrived) {
+        runner_.pools.release(*grant);
+        // Its memory has stayed where it was, and so it goes on there.
+        if (result.hasStopped) {
+            movedTo_ = grant_;
+            continueFrom_ = result.continueFrom;
+        }
+        return result.hasStopped;
+    }
+    movedTo_ = *grant;
+    continueFrom_ = result.continueFrom;
+    return true;
+}
+
+std::optional<RoutedRun::Failure> RoutedRun::continueElsewhere()
+{
+    auto grant = *std::exchange(movedTo_, std::nullopt);
+    // The place that the run leaves is free, though its answer is not complete.
+    if (grant.attempt != grant_.attempt)
+        finishAttempt(AttemptOutcome::Cancelled);
+    auto target = runner_.view.config().targets.find(grant.target);
+    if (target == runner_.view.config().targets.end()) {
+        runner_.pools.release(grant);
+        return Failure { makeError(ErrorKind::TargetFailed, "the target of the moved run is gone") };
+    }
+    return dispatch(grant, Target(target->second));
+}
+
 bool RoutedRun::relayEvent(const HttpCall& answer, const StreamEvent& event)
 {
     // A target that continues a stream may begin with events that the caller has.
@@ -449,7 +523,7 @@
     isGrantHeld_ = false;
     Finished finished;
     finished.pool = grant_.pool;
-    finished.attempt = attempt_;
+    finished.attempt = grant_.attempt;
     finished.outcome = outcome;
     finished.promptTokens = request_.promptTokens.value_or(Tokens());
     finished.outputTokens = Tokens(static_cast<int64_t>(events_ * service_->tokensPerEvent));
@@ -488,7 +562,7 @@
 {
     hasFirstEvent_ = true;
     ran_ = Ran::Yes;
-    runner_.pools.started({ grant_.pool, attempt_, clampMs(now() - sentAt_) });
+    runner_.pools.started({ grant_.pool, grant_.attempt, clampMs(now() - sentAt_) });
     if (!isStreamBegun_) {
         firstEventAt_ = now();
         runner_.metrics.observe("routed_first_event_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - begun_));
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -48,6 +48,11 @@
     std::optional<Failure> takeAnswer(const std::shared_ptr<HttpCall>& call);
     std::optional<Failure> relayWhole(HttpCall& answer);
     std::optional<Failure> relayStream(HttpCall& answer);
+    /** Whether the stream may not end in time where it runs. */
+    [[nodiscard]] bool shouldMove() const;
+    /** Stops the run and has its memory sent to a faster target; true if it is to go on elsewhere. */
+    bool moveRun();
+    std::optional<Failure> continueElsewhere();
     /** False if the caller has left. */
     bool relayEvent(const HttpCall& answer, const StreamEvent& event);
     std::optional<Failure> endStream(const std::string& rest);
@@ -103,6 +108,12 @@
     bool isStreamBegun_ { false };
     std::optional<uint64_t> lastEventId_;
     uint64_t events_ { 0 };
+    /** The target that the present attempt runs on. */
+    Target target_;
+    Instant nextMoveAt_ {};
+    /** The run has stopped at its target, and this grant's target goes on. */
+    std::optional<Grant> movedTo_;
+    std::string continueFrom_;
     std::string outcome_;
     bool hasFailed_ { false };
     bool isLate_ { false };
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -32,6 +32,11 @@
     /** A placement with no more than this loss is taken at once. */
     constexpr double acceptedLoss = 0.05;
     constexpr double acceptedEndRisk = 0.3;
+    /** Among targets of about the same speed: for a full one, and for one in another zone. */
+    constexpr double fillPenalty = 0.2;
+    constexpr double otherZonePenalty = 0.1;
+    /** A running request moves only to a target that is faster by this factor. */
+    constexpr double leastSpeedUp = 1.5;
     /** Part of its objective that any request may wait for a good place. */
     constexpr double fairWaitPart = 0.5;
     /** Requests of the queue that are looked at in one pass; those behind them get the next places. */
@@ -159,6 +164,9 @@
     const auto& request = record.request;
     bool isLate = now > latestGoodStart(record);
     // Late work before work in time would make that late too, and under load everything.
+    // What is done already is lost if a move comes too late, so it goes first; there are few of them.
+    if (request.movesFrom.isValid())
+        return { false, 0, 0, 0 };
     return { isLate, request.tier.value(), request.urgency.value(), record.arrival };
 }
 
@@ -237,7 +245,7 @@
         return;
     }
     double wait = waitMs(record.rank);
-    double least = bestFirstTokenMs(record);
+    double least = record.request.movesFrom.isValid() ? 0 : bestFirstTokenMs(record);
     if (wait * hopelessFactor + least > toMsExact(record.request.deadline - now) || queue_.size() >= settings_.maxQueued) {
         refuse(attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
         return;
@@ -453,8 +461,24 @@
     }
 }
 
+SlotTarget* SlotScheduler::chooseFaster(const Record& record, Instant now)
+{
+    auto from = targets_.find(record.request.movesFrom);
+    if (from == targets_.end())
+        return nullptr;
+    SlotTarget* best = nullptr;
+    for (auto& [id, target] : targets_) {
+        bool isFaster = workMsOf(target) * leastSpeedUp <= workMsOf(from->second);
+        if (isFaster && target.hasPlace(now) && mayUse(record, target) && (!best || workMsOf(target) < workMsOf(*best)))
+            best = &target;
+    }
+    return best;
+}
+
 SlotTarget* SlotScheduler::choose(const Record& record, Instant now)
 {
+    if (record.request.movesFrom.isValid())
+        return chooseFaster(record, now);
     SlotTarget* best = nullptr;
     Placement bestPlacement;
     double needed = static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
@@ -466,7 +490,9 @@
             continue;
         auto placement = placementOn(record, target, now);
         // Among equal speeds the emptier one, so that answers disturb each other less.
-        placement.durationMs *= 1 + 0.2 * target.running / target.slots();
+        placement.durationMs *= 1 + fillPenalty * target.running / target.slots();
+        if (!record.request.zone.empty() && record.request.zone != target.target.zone)
+            placement.durationMs *= 1 + otherZonePenalty;
         bool isBetter = !best || placement.loss < bestPlacement.loss - acceptedLoss
             || (placement.loss < bestPlacement.loss + acceptedLoss && placement.durationMs < bestPlacement.durationMs);
         if (isBetter) {
@@ -521,7 +547,8 @@
     for (const auto& [rank, attempt] : queue_) {
         const auto& record = *records_.at(attempt);
         double wait = capacity_ > 0 ? ahead / capacity_ : 0;
-        if (wait * hopelessFactor + bestFirstTokenMs(record) > toMsExact(record.request.deadline - now))
+        double least = record.request.movesFrom.isValid() ? 0 : bestFirstTokenMs(record);
+        if (wait * hopelessFactor + least > toMsExact(record.request.deadline - now))
             hopeless.emplace_back(attempt, wait);
         else
             ahead += costMs(record);
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -95,6 +95,8 @@
     /** Fills free places from the queue. */
     void dispatch(Instant now);
     SlotTarget* choose(const Record& record, Instant now);
+    /** A free place on a target that is much faster than the one where the request runs. */
+    SlotTarget* chooseFaster(const Record& record, Instant now);
     void rerank(Instant now);
     void refuseHopeless(Instant now);
     void updateCapacity();
--- a/tests/RaftScheduleTest.cpp
+++ b/tests/RaftScheduleTest.cpp
@@ -113,6 +113,28 @@
         expectSafe(options, 100000, 1500);
     }
 
+    // Pattern: a fleet that forms itself from three seeds, whose nodes crash, stay away, lose their disks, two at once, and
+    // come back. Guards against a second group, a voter that forgets, and a removed voter that still counts.
+    class SelfFormedGroup : public testing::TestWithParam<uint64_t> {
+    };
+
+    TEST_P(SelfFormedGroup, StaysOneGroup)
+    {
+        constexpr uint64_t schedules = 2600;
+        Options options;
+        options.targetVoters = 5;
+        options.spares = 3;
+        options.membershipChanges = 0;
+        options.disksLostAtOnce = 2;
+        options.longestDown = 3500ms;
+        options.length = 8s;
+        auto reached = expectSafe(options, 1000000 + GetParam() * schedules, schedules);
+        EXPECT_GT(reached["membership changes"], 4 * schedules);
+        EXPECT_GT(reached["lost disks"], schedules / 20);
+        EXPECT_GT(reached["elections"], schedules);
+    }
+    INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, SelfFormedGroup, testing::Range<uint64_t>(1, 5));
+
     TEST(RaftScheduleTest, OneAndTwoVotersStaySafe)
     {
         Options options;
--- a/tests/RoutedRunnerTest.cpp
+++ b/tests/RoutedRunnerTest.cpp
@@ -23,6 +23,8 @@
         TargetDialect dialect;
         dialect.headersFor = [](const AttemptTerms& terms) {
             HttpHeaders headers { { "Left-Ms", std::to_string(toMs(terms.timeLeft)) }, { "Instance", terms.target.name }, { "Customer", terms.customer } };
+            if (!terms.continueFrom.empty())
+                headers.emplace_back("From", terms.continueFrom);
             if (terms.resumeAfter)
                 headers.emplace_back("After", std::to_string(*terms.resumeAfter));
             return headers;
@@ -35,6 +37,15 @@
             return findHeader(headers, "Unsound").empty() ? AnswerKind::Genuine : AnswerKind::Unsound;
         };
         dialect.isForeign = [](const RoutedRequest&, const HttpHeaders&) { return false; };
+        dialect.moveCall = [](const RoutedRequest& request, const Target& from, const Target& to) {
+            HttpCallSettings call;
+            call.method = "POST";
+            call.target = "/move/" + request.callerId + "/" + from.name + "/" + to.name;
+            return call;
+        };
+        dialect.moveResult = [](const Target& from, int status, const std::string& body) {
+            return MoveResult { status == 200 || status == 503, status == 200, from.name + "/" + body };
+        };
         dialect.loadOf = [](const HttpHeaders&) { return std::optional<StatedLoad>(); };
         dialect.refusalHeaders = [](const Error&) { return HttpHeaders(); };
         return dialect;
@@ -53,7 +64,7 @@
                 config.targets[target.id] = target;
             }
             config.routing.version = Version(1);
-            config.routing.services = { { "shop", "", 0, false, 0, 1 }, { "engines", "", 0, true, 0, 5 } };
+            config.routing.services = { { "shop", "", 0, false, 0, 1 }, { "engines", "", 0, true, 0, 5, true } };
             addRoute(config, "/charge/", RepeatKind::AtMostOnce, "shop", 1);
             addRoute(config, "/lookup/", RepeatKind::Repeatable, "shop", 2);
             addRoute(config, "/plan/", RepeatKind::Stream, "engines", 1);
@@ -307,5 +318,69 @@
         EXPECT_EQ(refused.debited, 0);
     }
 
+    /** A stream whose second event comes after this part of its time. */
+    void letTimePassAfterFirstEvent(Bench& bench, Duration time)
+    {
+        bench.exchange.onWrite = [&bench, time] {
+            if (bench.exchange.writes == 1)
+                bench.clock.now += time;
+        };
+    }
+
+    // Pattern: a long answer on a slow engine. Guards against a run that is moved and loses events, or has none of its memory.
+    TEST(RoutedRunnerTest, LongStreamMovesToAFasterTarget)
+    {
+        Bench bench;
+        letTimePassAfterFirstEvent(bench, 600ms);
+        bench.targets.script = { streamOf({ event(1), event(2), tl::unexpected(makeError(ErrorKind::TargetFailed, "closed")) }), answerWith(200, "h7"),
+            streamOf({ event(3), event(4) }) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3) + event(4));
+        EXPECT_TRUE(bench.exchange.isEnded);
+        ASSERT_EQ(bench.targets.log.size(), 3u);
+        EXPECT_EQ(bench.targets.log[1].target, "/move/c1/t1/t2");
+        EXPECT_EQ(bench.pools.asks.at(1).movesFrom, TargetId(1));
+        EXPECT_EQ(bench.header(2, "From"), "t1/h7");
+        EXPECT_EQ(bench.header(2, "After"), "2");
+        EXPECT_EQ(bench.header(2, "Instance"), "t2");
+        EXPECT_EQ(bench.pools.outcomes, (std::vector { AttemptOutcome::Cancelled, AttemptOutcome::Completed }));
+    }
+
+    // Guards against a run that is stopped for a move and then given up, although its target still has its memory.
+    TEST(RoutedRunnerTest, StoppedRunGoesOnWhereItWasIfItCannotMove)
+    {
+        Bench bench;
+        letTimePassAfterFirstEvent(bench, 600ms);
+        bench.targets.script = { streamOf({ event(1), event(2), tl::unexpected(makeError(ErrorKind::TargetFailed, "closed")) }), answerWith(503, "h7"),
+            streamOf({ event(3) }) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3));
+        EXPECT_EQ(bench.header(2, "Instance"), "t1");
+        EXPECT_EQ(bench.header(2, "From"), "t1/h7");
+        EXPECT_EQ(bench.pools.released, 1);
+    }
+
+    // Guards against a stream that suffers because no faster target has a place, or the move fails.
+    TEST(RoutedRunnerTest, StreamGoesOnWhenItIsNotMoved)
+    {
+        Bench bench;
+        letTimePassAfterFirstEvent(bench, 600ms);
+        bench.pools.grants = { TargetId(1) };
+        bench.targets.script = { streamOf({ event(1), event(2), event(3) }) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3));
+        Bench failing;
+        letTimePassAfterFirstEvent(failing, 600ms);
+        failing.targets.script = { streamOf({ event(1), event(2), event(3) }), answerWith(404, "") };
+        failing.run("/plan/1");
+        EXPECT_EQ(failing.exchange.body, event(1) + event(2) + event(3));
+        EXPECT_TRUE(failing.exchange.isEnded);
+        EXPECT_EQ(failing.pools.released, 1);
+        Bench early;
+        early.targets.script = { streamOf({ event(1), event(2) }) };
+        early.run("/plan/1");
+        EXPECT_EQ(early.targets.log.size(), 1u);
+    }
+
 }
 }
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -241,6 +241,36 @@
         EXPECT_EQ(pool.scheduler->stats().running[1], 0u);
     }
 
+    // Pattern: a long answer on a slow engine. Guards against moves to targets that are no faster, or that wait in line.
+    TEST(SlotSchedulerTest, RunsMoveToMuchFasterTargetsOnlyAndFirst)
+    {
+        Pool pool({ 9, 1 });
+        pool.teach(1, 11.8);
+        pool.teach(2, 2.3);
+        auto move = pool.request(1);
+        move.movesFrom = TargetId(2);
+        move.deadline = pool.now + 40ms;
+        pool.submit(move);
+        pool.take();
+        EXPECT_FALSE(pool.granted.contains(1)) << "there is nothing faster";
+        pool.now += 50ms;
+        pool.scheduler->tick(pool.now);
+        pool.take();
+        EXPECT_TRUE(pool.refused.contains(1));
+        pool.submit(pool.request(2, 600, 2000));
+        pool.take();
+        ASSERT_EQ(pool.granted.at(2), 2u);
+        pool.submit(pool.request(3, 600, 2000, Tier(0), Tier(0)));
+        auto next = pool.request(4);
+        next.movesFrom = TargetId(1);
+        next.deadline = pool.now + 40ms;
+        pool.submit(next);
+        pool.take();
+        EXPECT_FALSE(pool.granted.contains(4));
+        pool.finish(2);
+        EXPECT_EQ(pool.granted.at(4), 2u);
+    }
+
     // Pattern: plain services fail a part of their requests by themselves. Guards against backing off all of them.
     TEST(OutcomeHealthTest, UsualFailuresOfAllPeersDoNotBackOff)
     {
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -154,11 +154,12 @@
         auto request = decodeRequest(clientRequest());
         Target target;
         target.name = "i-7f";
-        auto headers = dialect.headersFor({ request, target, "hule", 1234ms, 7 });
+        auto headers = dialect.headersFor({ request, target, "hule", 1234ms, 7, "10.0.0.1:80/h7" });
         EXPECT_EQ(findHeader(headers, "Briarhitch-Deadline-Ms"), "1234");
         EXPECT_EQ(findHeader(headers, "Briarhitch-Expect-Instance"), "i-7f");
         EXPECT_EQ(findHeader(headers, "Briarhitch-Tenant"), "hule");
         EXPECT_EQ(findHeader(headers, "Last-Event-Id"), "7");
+        EXPECT_EQ(findHeader(headers, "Kv-From"), "10.0.0.1:80/h7");
         auto error = makeError(ErrorKind::Shed, "");
         error.retryAfter = 1250ms;
         EXPECT_EQ(findHeader(dialect.refusalHeaders(error), "Retry-After"), "1.250");
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -203,6 +203,8 @@
             return false;
         body += part;
         ++writes;
+        if (onWrite)
+            onWrite();
         if (writes == leaveAfterWrites)
             leave();
         return true;
@@ -233,6 +235,7 @@
     bool isAborted { false };
     bool isGone { false };
     std::function<void()> hook;
+    std::function<void()> onWrite;
 };
 
 /** Grants the targets of a list in turn. */
--- a/tests/support/RaftSimulation.h
+++ b/tests/support/RaftSimulation.h
@@ -13,6 +13,12 @@
     uint64_t seed { 1 };
     RaftFaults faults;
     uint32_t voters { 3 };
+    /** The group keeps this many voters by itself; the first `voters` nodes found it, and all other nodes ask to join. */
+    uint32_t targetVoters { 0 };
+    /** Nodes beyond the first voters. */
+    uint32_t spares { 1 };
+    /** Voters whose disks are lost in the same moment, if all are whole. */
+    uint32_t disksLostAtOnce { 1 };
     /** Relative weights of the faults; zero leaves one out. */
     uint32_t partitions { 3 };
     uint32_t crashes { 3 };
@@ -50,8 +56,8 @@
         : options_(options)
         , random_(options.seed)
     {
-        // One spare node beyond the voters, for membership changes.
-        for (uint32_t id = 1; id <= options_.voters + 1; ++id) {
+        // Spare nodes beyond the voters, for membership changes.
+        for (uint32_t id = 1; id <= options_.voters + options_.spares; ++id) {
             auto& node = nodes_[id];
             node.id = id;
             node.rate = 1 + options_.clockSpread * (random_.unit() - 0.5);
@@ -121,6 +127,8 @@
         uint64_t checkedLeaderTerm { 0 };
         /** The term in which it was the leader before the current step. */
         uint64_t ledTerm { 0 };
+        /** It started with an empty disk after the first start of all. */
+        bool isReplaced { false };
     };
 
     struct Committed {
@@ -215,6 +223,8 @@
         settings.core.maxInFlight = 3;
         settings.core.snapshotChunkBytes = 16;
         settings.core.faults = options_.faults;
+        settings.core.targetVoters = options_.targetVoters;
+        settings.core.mayFound = !node.isReplaced;
         settings.store.folder = "data";
         settings.store.segmentBytes = 300;
         settings.snapshotEveryEntries = 12;
@@ -377,6 +387,13 @@
             return;
         ++reached_["lost disks"];
         wipe(node);
+        // In a group that keeps itself 2n + 1 voters bear the loss of n disks.
+        const auto members = leader->replica ? leader->replica->core().log().membership().members : std::vector<Member>();
+        for (uint32_t lost = 1; lost < options_.disksLostAtOnce && members.size() >= options_.targetVoters; ++lost) {
+            auto& other = nodes_[members[random_.below(members.size())].node.value()];
+            if (&other != leader && &other != &node)
+                wipe(other);
+        }
     }
 
     bool isWhole(const Membership& membership)
@@ -394,6 +411,7 @@
         if (node.replica)
             crash(node);
         node.files = std::make_unique<MemoryFileSystem>();
+        node.isReplaced = true;
     }
 
     void changeMembership(Node& node)
--- a/tools/ctl/CtlCommands.cpp
+++ b/tools/ctl/CtlCommands.cpp
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Random.h"
 #include "ctl/CtlPrinter.h"
+#include "ctl/LogExplainer.h"
 
 #include <cstdio>
 #include <fstream>
@@ -127,8 +128,13 @@
 
 CtlExit CtlCommands::explain(const Words& words)
 {
+    if (words.size() == 2 && !options_.logs.empty()) {
+        auto account = explainFromLogs(words[1], options_.logs);
+        (account ? std::cout : std::cerr) << (account ? *account : account.error().message + "\n");
+        return account ? CtlExit::Good : CtlExit::Refused;
+    }
     if (words.size() != 2 || options_.entry.empty())
-        return wrongUsage("explain needs a REQUEST_ID and --entry HOST:PORT");
+        return wrongUsage("explain needs a REQUEST_ID and --entry HOST:PORT or --logs FILE,FILE");
     auto answer = client_.sendTo(options_.entry, "GET", "/debug/requests/" + words[1], {});
     return report(answer, [](const Json& json) { return json.dump(2, ' ', false, Json::error_handler_t::replace) + "\n"; });
 }
--- a/tools/ctl/CtlMain.cpp
+++ b/tools/ctl/CtlMain.cpp
@@ -17,6 +17,7 @@
 ABSL_FLAG(int64_t, expected_version, -1, "version of the object that the change is based on, 0 to create it; -1 takes the present one");
 ABSL_FLAG(std::string, file, "", "file with a contract or a target in JSON; - for standard input");
 ABSL_FLAG(std::string, entry, "", "HOST:PORT of an entry, for explain");
+ABSL_FLAG(std::vector<std::string>, logs, {}, "log files of entries and control processes, for explain");
 ABSL_FLAG(double, wait_s, 5, "time to wait for a change to be in force on all nodes, 0 to 30 s");
 ABSL_FLAG(double, timeout_s, 10, "time to look for a leader, in seconds");
 
@@ -38,7 +39,8 @@
                                "  change show CHANGE_ID              the answer that a change got\n"
                                "  voter add|remove NODE             change the members of the control log\n"
                                "  status                             leader, nodes, pools, repairs under way\n"
-                               "  explain REQUEST_ID --entry HOST:PORT   why a request was routed, delayed or refused\n\n"
+                               "  explain REQUEST_ID --entry HOST:PORT   why a request was routed, delayed or refused\n"
+                               "  explain REQUEST_ID --logs FILE,FILE    the same from the logs of several processes\n\n"
                                "A change prints its id first. If the answer is lost, send the same command with --change_id ID:\n"
                                "it is applied at most once.\n"
                                "exit codes: 0 done, and in force on every node; 1 refused; 2 wrong usage; 3 no voter answered,\n"
@@ -53,6 +55,7 @@
         options.changeId = absl::GetFlag(FLAGS_change_id);
         options.file = absl::GetFlag(FLAGS_file);
         options.entry = absl::GetFlag(FLAGS_entry);
+        options.logs = absl::GetFlag(FLAGS_logs);
         options.waitSeconds = absl::GetFlag(FLAGS_wait_s);
         options.timeoutSeconds = absl::GetFlag(FLAGS_timeout_s);
         if (auto version = absl::GetFlag(FLAGS_expected_version); version >= 0)
@@ -95,7 +98,7 @@
     usage.contains_help_flags = usage.contains_helpshort_flags;
     absl::SetFlagsUsageConfig(usage);
     auto arguments = absl::ParseCommandLine(argc, argv);
-    briarhitch::setUpLogging(briarhitch::LogLevel::Warning);
+    briarhitch::setUpToolLogging(briarhitch::LogLevel::Warning);
     std::vector<std::string> words(arguments.begin() + 1, arguments.end());
     briarhitch::runMain(words);
 }
--- a/tools/ctl/CtlOptions.h
+++ b/tools/ctl/CtlOptions.h
@@ -24,6 +24,8 @@
     std::string file;
     /** Callers' address of an entry, HOST:PORT; for explain. */
     std::string entry;
+    /** Log files of several processes; for explain. */
+    std::vector<std::string> logs;
     /** Time to wait for a change to be in force, in seconds. */
     double waitSeconds { 5 };
     /** Time to look for a leader, in seconds. */
--- a/tools/measure_log/MeasureLogMain.cpp
+++ b/tools/measure_log/MeasureLogMain.cpp
@@ -160,7 +160,7 @@
         std::fprintf(stderr, "usage: %s FOLDER\n", argv[0]);
         return 2;
     }
-    briarhitch::setUpLogging(briarhitch::LogLevel::Warning);
+    briarhitch::setUpToolLogging(briarhitch::LogLevel::Warning);
     std::string folder = std::string(argv[1]) + "/briarhitch-measure-log";
     briarhitch::measureSyncs(folder);
     briarhitch::measureTurns("proposing fibers", { 1, 8, 64 }, [&](uint64_t fibers) { return briarhitch::proposalsPerSecond(folder, fibers); });
