Test the platform's programs as real processes against an own stand-in

A fleet forms itself from three seeds, takes and keeps the document, serves with its pools' owner killed, and a front drains on SIGTERM.

--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -4,6 +4,11 @@
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 
+#include "runtime/FiberWaiter.h"
+#include "runtime/TcpListener.h"
+
+#include <array>
+#include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
 namespace briarhitch {
@@ -153,5 +158,50 @@
         });
     }
 
+    // Guards against callers that are cut off, or stay, when a node is about to end: readiness checks take a while to notice.
+    TEST_F(HttpTest, AnnouncedCloseIsInEveryAnswerWhileTheServerGoesOn)
+    {
+        auto answer = [](const HttpRequest&, HttpExchange& exchange) { exchange.send(200, {}, "ok"); };
+        run(answer, [&] {
+            ASSERT_TRUE(fetch(client_, to("GET", "/")));
+            server_->announceClose();
+            for (int i = 0; i < 2; ++i) {
+                auto closing = fetch(client_, to("GET", "/"));
+                ASSERT_TRUE(closing) << closing.error().message;
+                EXPECT_EQ(findHeader(closing->headers, "Connection"), "close");
+                EXPECT_EQ(closing->body, "ok");
+            }
+        });
+    }
+
+    // Guards against a late answer to an earlier request that is taken for the answer to this one.
+    TEST_F(HttpTest, AnswersToOtherRequestsAreSkipped)
+    {
+        auto listening = TcpListener::listen(loop_, "127.0.0.1", 0);
+        ASSERT_TRUE(listening);
+        (*listening)->start([this](boost::asio::ip::tcp::socket socket) {
+            auto open = std::make_shared<boost::asio::ip::tcp::socket>(std::move(socket));
+            loop_.spawn([open] {
+                std::array<char, 4096> bytes {};
+                awaitIo([&](auto handler) { open->async_read_some(boost::asio::buffer(bytes), handler); });
+                const std::string answers = "HTTP/1.1 200 OK\r\nId: earlier\r\nContent-Length: 3\r\n\r\nold"
+                                            "HTTP/1.1 200 OK\r\nId: mine\r\nContent-Length: 3\r\n\r\nnew";
+                awaitIo([&](auto handler) { boost::asio::async_write(*open, boost::asio::buffer(answers), handler); });
+            });
+        });
+        loop_.spawn([&] {
+            HttpCallSettings call;
+            call.host = "127.0.0.1";
+            call.port = (*listening)->port();
+            call.headerTimeout = 5s;
+            call.isForeign = [](const HttpHeaders& headers) { return findHeader(headers, "Id") != "mine"; };
+            auto answer = fetch(client_, call);
+            EXPECT_TRUE(answer);
+            EXPECT_EQ(answer ? answer->body : "", "new");
+            loop_.stop();
+        });
+        loop_.run();
+    }
+
 }
 }
--- /dev/null
+++ b/tests/platform/TemplatesTest.cpp
@@ -0,0 +1,88 @@
+#include "briarhitch/entry/EntrySettings.h"
+#include "briarhitch/settings/ControlSettings.h"
+
+#include <fstream>
+#include <gtest/gtest.h>
+#include <map>
+#include <regex>
+#include <sstream>
+
+namespace briarhitch::platform {
+namespace {
+
+    std::string replaceAll(std::string text, const std::string& from, const std::string& to)
+    {
+        for (auto at = text.find(from); at != std::string::npos; at = text.find(from, at + to.size()))
+            text.replace(at, from.size(), to);
+        return text;
+    }
+
+    /** Renders a template as the platform does, for plain values and for sections that are rendered once. */
+    std::string render(const std::string& file, const std::map<std::string, std::string>& json)
+    {
+        std::ifstream input(std::string(BRIARHITCH_SOURCE_DIR) + "/deploy/" + file);
+        std::ostringstream all;
+        all << input.rdbuf();
+        auto text = all.str();
+        std::smatch section;
+        const std::regex once(R"(\{\{#([A-Za-z.]+)\}\}([^]*?)\{\{/\1\}\})");
+        while (std::regex_search(text, section, once)) {
+            auto value = json.find(section[1]);
+            auto body = value == json.end() ? "" : replaceAll(section[2], "{{.}}", value->second);
+            text.replace(static_cast<size_t>(section.position(0)), static_cast<size_t>(section.length(0)), body);
+        }
+        const std::regex absent(R"(\{\{\^([A-Za-z.]+)\}\}([^]*?)\{\{/\1\}\})");
+        while (std::regex_search(text, section, absent))
+            text.replace(static_cast<size_t>(section.position(0)), static_cast<size_t>(section.length(0)), json.contains(section[1]) ? "" : section[2].str());
+        for (const auto& [name, value] : json) {
+            for (const auto* end : { "|json}}", "}}" }) {
+                std::string placeholder = "{{";
+                placeholder.append(name).append(end);
+                text = replaceAll(text, placeholder, value);
+            }
+        }
+        EXPECT_EQ(text.find("{{"), std::string::npos) << text;
+        return text;
+    }
+
+    std::map<std::string, std::string> fields()
+    {
+        return { { "seeds", R"(["10.1.0.17:8229","10.2.0.7:8229","10.3.0.36:8229"])" }, { "portRange.0", "7600" }, { "portRange.1", "7615" },
+            { "zone", R"("duluth")" }, { "ip", R"("10.1.0.17")" }, { "listen.front", R"("10.1.0.17:8221")" }, { "listen.ready", R"("10.1.0.17:8224")" },
+            { "listen.control", R"("10.1.0.17:8229")" }, { "bounds.retryBudgetRatio", "0.2" }, { "bounds.budgetSlack", "58" }, { "bounds.budgetWindowS", "10" },
+            { "bounds.quotaOver", "0.1" }, { "bounds.quotaSlack", "140000" }, { "bounds.quotaWindowS", "8" }, { "tolerate.machines", "2" },
+            { "bootstrap", "true" }, { "dataDir", R"("/data/control")" } };
+    }
+
+    // Guards against a template that the product's own checks refuse, on a deployment with or without optional bounds.
+    TEST(TemplatesTest, RenderedSettingsAreGood)
+    {
+        auto some = fields();
+        auto front = EntrySettings::fromText(render("front.json.in", some), "front");
+        ASSERT_TRUE(front) << front.error().message;
+        EXPECT_EQ(addressOfNode(front->node), "10.1.0.17");
+        EXPECT_EQ(front->controlVoters.at(2), (HostPort { "10.3.0.36", 7600 }));
+        EXPECT_EQ(front->http.port, 8221);
+        EXPECT_EQ(front->ready->port, 8224);
+        EXPECT_EQ(front->routed.repeats.slack, 58);
+        EXPECT_EQ(front->ceilingTolerance.slack, 140000);
+        auto pools = EntrySettings::fromText(render("pools.json.in", some), "pools");
+        ASSERT_TRUE(pools) << pools.error().message;
+        EXPECT_FALSE(pools->servesCallers);
+        EXPECT_TRUE(pools->prefersPools);
+        auto control = ControlSettings::fromText(render("control.json.in", some), "control");
+        ASSERT_TRUE(control) << control.error().message;
+        EXPECT_EQ(control->fleet->targetVoters, 5u);
+        EXPECT_TRUE(control->fleet->mayFound);
+        EXPECT_EQ(control->findVoter(nodeIdOfAddress("10.9.9.9"))->adminPort, 8229);
+        for (const auto* name : { "bounds.retryBudgetRatio", "bounds.budgetSlack", "bounds.budgetWindowS", "bounds.quotaOver", "bounds.quotaSlack", "bounds.quotaWindowS" })
+            some.erase(name);
+        some["tolerate.machines"] = "0";
+        some["bootstrap"] = "false";
+        EXPECT_TRUE(EntrySettings::fromText(render("front.json.in", some), "front"));
+        EXPECT_TRUE(EntrySettings::fromText(render("pools.json.in", some), "pools"));
+        EXPECT_TRUE(ControlSettings::fromText(render("control.json.in", some), "control"));
+    }
+
+}
+}
--- /dev/null
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -0,0 +1,255 @@
+#include "briarhitch/http/HttpClient.h"
+#include "briarhitch/http/HttpServer.h"
+#include "briarhitch/runtime/Loop.h"
+#include "process/ChildProcess.h"
+
+#include <atomic>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <thread>
+#include <unistd.h>
+
+namespace briarhitch::platform {
+namespace {
+
+    using namespace std::chrono_literals;
+    using Json = nlohmann::json;
+
+    constexpr uint16_t adminPort = 18300;
+    constexpr uint16_t linkPort = 18301;
+    constexpr uint16_t poolLinkPort = 18302;
+    constexpr uint16_t callerPort = 18303;
+    constexpr uint16_t readyPort = 18304;
+    constexpr uint16_t platformPort = 18305;
+
+    std::string eventText(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+
+    /** The platform's list of servers and one server of each service, in a thread that ends with the process. */
+    class StandInPlatform {
+    public:
+        explicit StandInPlatform(const std::string& host)
+            : host_(host)
+        {
+            std::thread([this] { serve(); }).detach();
+            while (!isServing_)
+                std::this_thread::yield();
+        }
+
+        std::atomic<int> charges { 0 };
+
+    private:
+        void serve()
+        {
+            Loop loop;
+            HttpServerSettings settings;
+            settings.host = host_;
+            settings.port = platformPort;
+            std::unique_ptr<HttpServer> server;
+            loop.spawn([&] {
+                auto listening = HttpServer::listen(loop, settings, [this](const HttpRequest& request, HttpExchange& exchange) { answer(request, exchange); });
+                ASSERT_TRUE(listening) << listening.error().message;
+                server = std::move(*listening);
+                isServing_ = true;
+            });
+            loop.run();
+        }
+
+        void answer(const HttpRequest& request, HttpExchange& exchange)
+        {
+            if (request.path == "/instances") {
+                Json list { { "instances", Json::array() }, { "next", nullptr } };
+                for (const auto* service : { "llm", "shop" })
+                    list["instances"].push_back({ { "id", std::string("i-") + service }, { "service", service }, { "address", host_ + ":" + std::to_string(platformPort) }, { "zone", "a" }, { "slots", 4 }, { "state", "ready" } });
+                exchange.send(200, { { "Content-Type", "application/json" } }, list.dump());
+                return;
+            }
+            HttpHeaders headers { { "Briarhitch-Request-Id", std::string(request.header("Briarhitch-Request-Id")) }, { "Briarhitch-Response-Stamp", "s" } };
+            if (request.path.starts_with("/charge/")) {
+                ++charges;
+                exchange.send(200, headers, "paid by " + std::string(request.header("Briarhitch-Tenant")));
+                return;
+            }
+            headers.emplace_back("Content-Type", "text/event-stream");
+            exchange.beginStream(200, headers);
+            for (int id = 1; id <= 3; ++id)
+                exchange.write(eventText(id));
+            exchange.endStream();
+        }
+
+        std::string host_;
+        std::atomic<bool> isServing_ { false };
+    };
+
+    class PlatformFleetTest : public testing::Test {
+    protected:
+        PlatformFleetTest()
+            : network_("127." + std::to_string(10 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 200) + ".")
+            , platform_(*new StandInPlatform(host(50)))
+        {
+            auto pattern = (std::filesystem::temp_directory_path() / "briarhitch-platform-XXXXXX").string();
+            folder_ = mkdtemp(pattern.data());
+        }
+        ~PlatformFleetTest() override
+        {
+            for (auto& [name, process] : processes_) {
+                process->kill();
+                if (HasFailure())
+                    std::cout << "log of " << name << ":\n"
+                              << process->log() << "\n";
+            }
+            std::error_code ignored;
+            std::filesystem::remove_all(folder_, ignored);
+        }
+
+        [[nodiscard]] std::string host(int number) const { return network_ + std::to_string(number); }
+        [[nodiscard]] std::string address(int number, uint16_t port) const { return host(number) + ":" + std::to_string(port); }
+
+        [[nodiscard]] Json fleet() const
+        {
+            return { { "seeds", { address(1, adminPort), address(2, adminPort), address(3, adminPort) } }, { "link_port", linkPort } };
+        }
+
+        ChildProcess& start(const std::string& name, const std::string& program, const Json& settings, const std::vector<std::string>& more = {})
+        {
+            auto path = folder_ + "/" + name + ".json";
+            std::ofstream(path) << settings.dump(2);
+            std::vector<std::string> arguments { "--config=" + path };
+            arguments.insert(arguments.end(), more.begin(), more.end());
+            auto& process = processes_[name];
+            process = std::make_unique<ChildProcess>(std::string(BRIARHITCH_BIN_DIR) + "/" + program, arguments, folder_ + "/" + name + ".log");
+            return *process;
+        }
+
+        ChildProcess& startControl(int number, bool mayFound)
+        {
+            auto settings = Json { { "fleet", fleet() }, { "link", { { "host", host(number) }, { "port", linkPort } } }, { "admin", { { "address", address(number, adminPort) } } },
+                { "data_folder", folder_ + "/data-" + std::to_string(number) }, { "fleet_key", "fleet key of the tests" } };
+            settings["fleet"]["may_found"] = mayFound;
+            return start("control-" + std::to_string(number), "briarhitch-platform-control", settings, { "--instances=" + address(50, platformPort) });
+        }
+
+        ChildProcess& startPools(int number)
+        {
+            return start("pools-" + std::to_string(number), "briarhitch-platform-entry", { { "fleet", fleet() }, { "region", "fleet" }, { "zone", "a" }, { "serves_callers", false }, { "prefers_pools", true }, { "link", { { "host", host(number) }, { "port", poolLinkPort } } }, { "fleet_key", "fleet key of the tests" }, { "policy", { { "name", "slots" } } } });
+        }
+
+        ChildProcess& startFront(int number)
+        {
+            return start("front-" + std::to_string(number), "briarhitch-platform-entry",
+                { { "fleet", fleet() }, { "region", "fleet" }, { "zone", "a" }, { "http", { { "address", address(number, callerPort) } } }, { "ready", { { "address", address(number, readyPort) } } },
+                    { "link", { { "host", host(number) }, { "port", linkPort } } }, { "fleet_key", "fleet key of the tests" }, { "policy", { { "name", "slots" } } },
+                    { "limits", { { "heartbeat_interval_ms", 100 }, { "solo_after_ms", 150 }, { "lame_duck_ms", 300 }, { "drain_timeout_ms", 5000 }, { "handover_timeout_ms", 100 } } } });
+        }
+
+        static Json document(uint64_t version)
+        {
+            auto route = [](const std::string& prefix, const std::string& kind, const std::string& service) {
+                return Json { { "name", prefix }, { "host", "a.example" }, { "pathPrefix", prefix }, { "kind", kind }, { "timeoutMs", 20000 }, { "targetLatencyMs", 1000 }, { "service", service } };
+            };
+            return { { "version", version }, { "routes", { route("/charge/", "unsafe", "shop"), route("/plan/", "streaming", "llm") } },
+                { "services", { { { "name", "shop" } }, { { "name", "llm" }, { "engine", { { "slots", 4 } } } } } },
+                { "tenants", { { { "name", "harbour" }, { "apiKeys", { "key" } } } } } };
+        }
+
+        HttpAnswer call(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
+        {
+            HttpAnswer result;
+            loop_.spawn([&] {
+                HttpCallSettings settings;
+                settings.host = host;
+                settings.port = port;
+                settings.method = method;
+                settings.target = path;
+                settings.body = body;
+                settings.headers = headers;
+                settings.headerTimeout = 30s;
+                settings.isReuseAllowed = false;
+                if (auto answer = fetch(client_, settings))
+                    result = *answer;
+                loop_.stop();
+            });
+            loop_.run();
+            return result;
+        }
+
+        HttpAnswer request(const std::string& path, const std::string& id, const std::string& key = "key")
+        {
+            return call(host(20), callerPort, "POST", path, "body", { { "Host", "a.example" }, { "Briarhitch-Request-Id", id }, { "X-Api-Key", key }, { "Briarhitch-Deadline-Ms", "20000" } });
+        }
+
+        /** Asks a control process, and the one that it names. */
+        HttpAnswer operate(int number, const std::string& method, const std::string& body = {})
+        {
+            auto answer = call(host(number), adminPort, method, "/v1/config", body);
+            if (answer.status != 307)
+                return answer;
+            std::string location(findHeader(answer.headers, "Location"));
+            auto begin = location.find("//") + 2;
+            return call(location.substr(begin, location.find(':', begin) - begin), adminPort, method, "/v1/config", body);
+        }
+
+        static void waitUntil(const std::string& what, const std::function<bool()>& condition)
+        {
+            auto end = std::chrono::steady_clock::now() + 60s;
+            while (!condition()) {
+                ASSERT_LT(std::chrono::steady_clock::now(), end) << "waited for " << what;
+                std::this_thread::sleep_for(20ms);
+            }
+        }
+
+        std::string network_;
+        /** Its thread uses it as long as the process runs. */
+        StandInPlatform& platform_;
+        Loop loop_;
+        HttpClient client_ { loop_ };
+        std::string folder_;
+        std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
+    };
+
+    // Guards against a fleet that does not form itself from its seeds, loses a document, or does not serve with an owner killed;
+    // and against callers that are cut off when a front is told to end.
+    TEST_F(PlatformFleetTest, FormsServesSurvivesAndDrains)
+    {
+        startFront(20);
+        startPools(4);
+        startControl(4, true);
+        for (int number : { 3, 1, 2 })
+            startControl(number, true);
+        EXPECT_NE(call(host(20), readyPort, "GET", "/v1/ready").status, 200);
+        waitUntil("a leader that takes the document", [&] { return operate(1, "PUT", document(7).dump()).status == 200; });
+        EXPECT_EQ(operate(1, "PUT", R"({"version":)").status, 400);
+        waitUntil("an older document to be acknowledged by a process that is no seed", [&] { return operate(4, "PUT", document(5).dump()).status == 200; });
+        waitUntil("the document, read from a process that is no seed", [&] { return operate(4, "GET").body == document(7).dump(); });
+        waitUntil("the front to be ready", [&] { return call(host(20), readyPort, "GET", "/v1/ready").status == 200; });
+        waitUntil("a target", [&] { return request("/plan/1", "a0").status == 200; });
+
+        auto charge = request("/charge/1", "a1");
+        EXPECT_EQ(charge.status, 200);
+        EXPECT_EQ(charge.body, "paid by harbour");
+        EXPECT_EQ(findHeader(charge.headers, "Briarhitch-Response-Stamp"), "s");
+        EXPECT_EQ(platform_.charges, 1);
+        EXPECT_EQ(request("/plan/1", "a2").body, eventText(1) + eventText(2) + eventText(3));
+        EXPECT_EQ(request("/plan/1", "a3", "wrong key").status, 401);
+        EXPECT_EQ(request("/none/1", "a4").status, 404);
+
+        processes_.at("pools-4")->kill();
+        EXPECT_EQ(request("/charge/2", "a5").status, 200) << "the entry chooses by itself";
+        processes_.at("control-1")->kill();
+        startControl(1, false);
+        waitUntil("a leader", [&] { return operate(2, "PUT", document(9).dump()).status == 200; });
+        waitUntil("the new document on the process that came back", [&] { return operate(1, "GET").body == document(9).dump(); });
+
+        processes_.at("front-20")->signal(SIGTERM);
+        waitUntil("the front to say that it is not ready", [&] { return call(host(20), readyPort, "GET", "/v1/ready").status != 200; });
+        EXPECT_EQ(processes_.at("front-20")->waitExit(30s), 0);
+        for (const auto& [name, process] : processes_) {
+            EXPECT_EQ(process->log().find("\"key\""), std::string::npos) << name;
+            EXPECT_EQ(process->log().find("body"), std::string::npos) << name << ": no prompt stands in a log";
+        }
+    }
+
+}
+}
