--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -82,20 +82,12 @@
     Unsound,
 };
 
-/** Load that a target states with an answer. */
-struct StatedLoad {
-    uint32_t running { 0 };
-    uint32_t waiting { 0 };
-    uint32_t slots { 0 };
-};
-
 /** How a deployment's targets are spoken to; headers only, no decisions. All hooks must be set. */
 struct TargetDialect {
     std::function<HttpHeaders(const AttemptTerms&)> headersFor;
     std::function<AnswerKind(const RoutedRequest&, int status, const HttpHeaders&)> judge;
     /** Whether an answer belongs to another request on the same connection. */
     std::function<bool(const RoutedRequest&, const HttpHeaders&)> isForeign;
-    std::function<std::optional<StatedLoad>(const HttpHeaders&)> loadOf;
     /** The call to `from` that stops a running request there and sends its memory to `to`. */
     std::function<HttpCallSettings(const RoutedRequest&, const Target& from, const Target& to)> moveCall;
     std::function<MoveResult(const Target& from, int status, const std::string& body)> moveResult;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -8,6 +8,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 namespace briarhitch {
 
@@ -421,7 +422,7 @@
         if (part < static_cast<double>(stableHash(target.name, settings_.self.value())) / hashRange)
             continue;
         targets.push_back(target);
-        targets.back().slots = std::max(1U, static_cast<uint32_t>(part + 0.5));
+        targets.back().slots = std::max(1U, static_cast<uint32_t>(std::lround(part)));
     }
     scheduler.setTargets(targets, now_());
 }
--- a/tests/RoutedRunnerTest.cpp
+++ b/tests/RoutedRunnerTest.cpp
@@ -46,7 +46,6 @@
         dialect.moveResult = [](const Target& from, int status, const std::string& body) {
             return MoveResult { status == 200 || status == 503, status == 200, from.name + "/" + body };
         };
-        dialect.loadOf = [](const HttpHeaders&) { return std::optional<StatedLoad>(); };
         dialect.refusalHeaders = [](const Error&) { return HttpHeaders(); };
         return dialect;
     }
