--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -131,7 +131,7 @@
     {
         auto dialect = serverDialect();
         auto request = decodeRequest(clientRequest());
-        auto judge = [&](int status, HttpHeaders headers) { return dialect.judge(request, status, headers); };
+        auto judge = [&](int status, const HttpHeaders& headers) { return dialect.judge(request, status, headers); };
         HttpHeaders good { { "Briarhitch-Response-Stamp", "s" }, { "Briarhitch-Request-Id", "9c41" } };
         EXPECT_EQ(judge(200, good), AnswerKind::Genuine);
         EXPECT_EQ(judge(500, good), AnswerKind::Genuine);
