Under slots, keep a share for less urgent kinds and recognize callers who come back

The order of waiting is strict by urgency, and callers who had been refused came back as if they had just asked, so that they took places of requests that could be in time.

Changes: - UrgencyShares: an urgency whose requests get a place in time less than half as often as more urgent ones is owed the next places, up to a twentieth of the pool's work. - RefusedCallers: a request for work that the pool refused within 10 s keeps the objective of its first try. - GrantParts: predicted waits, and with them refusals and Retry-After, count what arrives later and overtakes. - A repeat after the objective asks with 1 ms instead of 0, which means none.

--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -203,7 +203,9 @@
     ask.expectedOutputTokens = request_.expectedOutputTokens.value_or(Tokens());
     ask.prefix = prefixBlocks(request_.prefix);
     ask.deadlineMs = clampMs((isStreamBegun_ ? deadline_ : startDeadline_) - now());
-    ask.objectiveMs = clampMs(begun_ + std::chrono::milliseconds(route_->objectiveMs) - now());
+    // Zero means none: what is begun goes on in time, since its caller waits for the rest.
+    if (!isStreamBegun_ && route_->objectiveMs > 0)
+        ask.objectiveMs = std::max(1U, clampMs(begun_ + std::chrono::milliseconds(route_->objectiveMs) - now()));
     ask.answerMs = clampMs(timeLeft());
     ask.gapObjectiveMs = route_->gapObjectiveMs;
     ask.urgency = route_->tier;
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -16,6 +16,8 @@
     constexpr double startingServiceMs = 30;
     /** Time on the way to a target and back, and for it to begin. */
     constexpr double overheadMs = 6;
+    /** From the caller to its entry and back, which the objective includes: about 3 ms each way from the callers' networks. */
+    constexpr double callerPathMs = 6;
     // An engine reads prompts in chunks of this size, one for each step of all that it runs.
     constexpr double chunkTokens = 1024;
     // Other requests' prompts are read between the tokens of an answer.
@@ -44,6 +46,8 @@
     constexpr double peerGain = 0.02;
     // Predicted waits are noisy; work is refused for them only if they are beyond its time by this factor.
     constexpr double hopelessFactor = 1.2;
+    // What waits behind others always gets some places, as when none of those before it fits one.
+    constexpr double leastPlacesPart = 0.02;
     constexpr double shortestRetryMs = 500;
     constexpr double longestRetryMs = 5000;
     constexpr double retrySpread = 0.3;
@@ -155,17 +159,19 @@
     const auto& request = record.request;
     // A long prompt takes most of its objective to read; without a part of it for waiting it would always be the loser.
     auto fairWait = fromSeconds(fairWaitPart * std::max(0.0, toSeconds(request.objective - record.arrivedAt)));
-    return std::max(request.objective - fromMs(bestFirstTokenMs(record)), record.arrivedAt + fairWait);
+    auto usualFirstToken = fromMs(bestFirstTokenMs(record) + callerPathMs);
+    auto latest = request.objective - usualFirstToken;
+    return fairWait > Duration(0) ? std::max<Instant>(latest, record.arrivedAt + fairWait) : latest;
 }
 
 SlotScheduler::Rank SlotScheduler::rankOf(const Record& record, Instant now) const
 {
     const auto& request = record.request;
     bool isLate = now > latestGoodStart(record);
-    // Late work before work in time would make that late too, and under load everything.
     // What is done already is lost if a move comes too late, so it goes first; there are few of them.
     if (request.movesFrom.isValid())
         return { false, 0, 0, 0 };
+    // Late work before work in time would make that late too, and under load everything.
     return { isLate, request.tier.value(), request.urgency.value(), record.arrival };
 }
 
@@ -179,24 +185,39 @@
     return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.isActive() && mayUse(record, entry.second); });
 }
 
-double SlotScheduler::waitMs(const Rank& rank) const
+double SlotScheduler::workAheadMs(const Rank& rank) const
 {
-    if (capacity_ <= 0)
-        return 0;
     double ahead = 0;
     for (const auto& [other, attempt] : queue_) {
         if (other >= rank)
             break;
-        ahead += costMs(*records_.at(attempt));
+        ahead += records_.at(attempt)->waitingCostMs;
     }
-    return ahead / capacity_;
+    return ahead;
+}
+
+bool SlotScheduler::isHopeless(const Record& record, double aheadMs, Instant now) const
+{
+    double least = record.request.movesFrom.isValid() ? 0 : bestFirstTokenMs(record);
+    return drainMs(aheadMs, record.rank) * hopelessFactor + least > toMsExact(record.request.deadline - now);
 }
 
-Duration SlotScheduler::retryAfter(AttemptId attempt, double waitMs) const
+double SlotScheduler::drainMs(double workMs, const Rank& rank) const
 {
+    if (capacity_ <= 0)
+        return 0;
+    double part = std::max(leastPlacesPart, 1 - parts_.overtaking(Tier(rank.urgency), rank.isLate));
+    return workMs / (capacity_ * part);
+}
+
+Duration SlotScheduler::retryAfter(const Record& record) const
+{
+    // A caller that comes back is late, so that all that is in time goes before it.
+    auto rank = record.rank;
+    rank.isLate = true;
+    double ms = std::clamp(drainMs(workAheadMs(rank), rank), shortestRetryMs, longestRetryMs);
     // Callers that were refused together come back spread out.
-    double part = static_cast<double>((attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
-    double ms = std::clamp(waitMs, shortestRetryMs, longestRetryMs);
+    double part = static_cast<double>((record.request.attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
     return fromMs(ms * (1 + retrySpread * part));
 }
 
@@ -206,6 +227,8 @@
     record->arrival = ++lastArrival_;
     record->arrivedAt = now;
     record->expectedOutput = expectedOutputOf(request);
+    if (auto first = refusedCallers_.firstObjective(request))
+        request.objective = std::min(request.objective, *first);
     record->request = std::move(request);
     record->rank = rankOf(*record, now);
     auto& slot = records_[record->request.attempt];
@@ -216,6 +239,8 @@
 void SlotScheduler::enqueue(Record& record)
 {
     queue_.emplace(record.rank, record.request.attempt);
+    record.waitingCostMs = costMs(record);
+    waitingInTime_[record.rank.urgency] += record.rank.isLate ? 0 : 1;
     ++stats_.queued[record.request.tier.value()];
     stats_.queuedTokens += record.request.promptTokens;
 }
@@ -223,13 +248,17 @@
 void SlotScheduler::dequeue(Record& record)
 {
     queue_.erase({ record.rank, record.request.attempt });
+    waitingInTime_[record.rank.urgency] -= record.rank.isLate ? 0 : 1;
     --stats_.queued[record.request.tier.value()];
     stats_.queuedTokens -= record.request.promptTokens;
 }
 
-void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, double waitMs, std::string_view reason)
+void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, std::string_view reason, Instant now)
 {
-    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(attempt, waitMs), std::string(reason) });
+    const auto& record = *records_.at(attempt);
+    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(record), std::string(reason) });
+    if (!record.request.movesFrom.isValid())
+        refusedCallers_.note(record.request, now);
     records_.erase(attempt);
 }
 
@@ -240,13 +269,15 @@
     auto& record = add(std::move(request), now);
     auto attempt = record.request.attempt;
     if (!hasUsableTarget(record)) {
-        refuse(attempt, ErrorKind::NoTarget, 0, "no target can take the request");
+        refuse(attempt, ErrorKind::NoTarget, "no target can take the request", now);
         return;
     }
-    double wait = waitMs(record.rank);
-    double least = record.request.movesFrom.isValid() ? 0 : bestFirstTokenMs(record);
-    if (wait * hopelessFactor + least > toMsExact(record.request.deadline - now) || queue_.size() >= settings_.maxQueued) {
-        refuse(attempt, ErrorKind::DeadlineUnreachable, wait, "predicted first token is after the deadline");
+    if (!record.rank.isLate && !record.request.movesFrom.isValid())
+        shares_.noteAsked(record.request.urgency);
+    // What its kind is owed goes before the work ahead of it.
+    bool isOwed = !record.rank.isLate && static_cast<double>(waitingInTime_[record.rank.urgency]) + 1 <= shares_.owed(record.request.urgency);
+    if ((!isOwed && isHopeless(record, workAheadMs(record.rank), now)) || queue_.size() >= settings_.maxQueued) {
+        refuse(attempt, ErrorKind::DeadlineUnreachable, "predicted first token is after the deadline", now);
         return;
     }
     enqueue(record);
@@ -437,7 +468,7 @@
     }
     for (AttemptId attempt : without) {
         dequeue(*records_.at(attempt));
-        refuse(attempt, ErrorKind::NoTarget, 0, "all its targets left");
+        refuse(attempt, ErrorKind::NoTarget, "all its targets left", now);
     }
     dispatch(now);
 }
@@ -508,19 +539,53 @@
     return now + margin < latestGoodStart(record) ? nullptr : best;
 }
 
+bool SlotScheduler::hasPlace(Instant now) const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasPlace(now); });
+}
+
+void SlotScheduler::grant(Record& record, SlotTarget& target, bool isOwed)
+{
+    dequeue(record);
+    occupy(record, target);
+    parts_.noteGranted(record.request.urgency, record.rank.isLate, record.waitingCostMs);
+    if (!record.rank.isLate && !record.request.movesFrom.isValid())
+        shares_.noteGranted(record.request.urgency, record.waitingCostMs, isOwed);
+    actions_.emplace_back(PoolGrant { record.request.attempt, target.target.id });
+}
+
+SlotScheduler::Record* SlotScheduler::firstInTime(Tier urgency) const
+{
+    for (uint8_t tier = 0; tier < Tier::count; ++tier) {
+        auto it = queue_.lower_bound({ Rank { false, tier, urgency.value(), 0 }, AttemptId() });
+        if (it != queue_.end() && !it->first.isLate && it->first.tier == tier && it->first.urgency == urgency.value() && it->first.arrival > 0)
+            return records_.at(it->second).get();
+    }
+    return nullptr;
+}
+
+void SlotScheduler::dispatchOwed(Instant now)
+{
+    for (uint8_t urgency = 1; urgency < Tier::count; ++urgency) {
+        while (shares_.isOwed(Tier(urgency)) && hasPlace(now)) {
+            auto* record = firstInTime(Tier(urgency));
+            auto* target = record ? choose(*record, now) : nullptr;
+            if (!target)
+                break;
+            grant(*record, *target, true);
+        }
+    }
+}
+
 void SlotScheduler::dispatch(Instant now)
 {
+    dispatchOwed(now);
     size_t looked = 0;
-    auto hasPlace = [&] { return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasPlace(now); }); };
-    for (auto it = queue_.begin(); it != queue_.end() && looked < mostLookedAt && hasPlace(); ++looked) {
+    for (auto it = queue_.begin(); it != queue_.end() && looked < mostLookedAt && hasPlace(now); ++looked) {
         auto& record = *records_.at(it->second);
         ++it;
-        auto* target = choose(record, now);
-        if (!target)
-            continue;
-        dequeue(record);
-        occupy(record, *target);
-        actions_.emplace_back(PoolGrant { record.request.attempt, target->target.id });
+        if (auto* target = choose(record, now))
+            grant(record, *target, false);
     }
 }
 
@@ -533,6 +598,7 @@
     }
     for (const auto& entry : changed) {
         queue_.erase(entry);
+        --waitingInTime_[entry.first.urgency];
         auto& record = *records_.at(entry.second);
         record.rank = rankOf(record, now);
         queue_.emplace(record.rank, entry.second);
@@ -542,24 +608,29 @@
 void SlotScheduler::refuseHopeless(Instant now)
 {
     double ahead = 0;
-    std::vector<std::pair<AttemptId, double>> hopeless;
+    std::array<double, Tier::count> owed {};
+    for (uint8_t urgency = 0; urgency < Tier::count; ++urgency)
+        owed[urgency] = shares_.owed(Tier(urgency));
+    std::vector<AttemptId> hopeless;
     for (const auto& [rank, attempt] : queue_) {
         const auto& record = *records_.at(attempt);
-        double wait = capacity_ > 0 ? ahead / capacity_ : 0;
-        double least = record.request.movesFrom.isValid() ? 0 : bestFirstTokenMs(record);
-        if (wait * hopelessFactor + least > toMsExact(record.request.deadline - now))
-            hopeless.emplace_back(attempt, wait);
+        bool isOwed = !rank.isLate && --owed[rank.urgency] >= 0;
+        if (!isOwed && isHopeless(record, ahead, now))
+            hopeless.push_back(attempt);
         else
-            ahead += costMs(record);
+            ahead += record.waitingCostMs;
     }
-    for (const auto& [attempt, wait] : hopeless) {
+    for (AttemptId attempt : hopeless) {
         dequeue(*records_.at(attempt));
-        refuse(attempt, ErrorKind::DeadlineUnreachable, wait, "deadline cannot be met any more");
+        refuse(attempt, ErrorKind::DeadlineUnreachable, "deadline cannot be met any more", now);
     }
 }
 
 void SlotScheduler::tick(Instant now)
 {
+    shares_.tick(now);
+    refusedCallers_.tick(now);
+    parts_.tick(now, !queue_.empty());
     rerank(now);
     refuseHopeless(now);
     updateCapacity();
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -1,10 +1,14 @@
 #pragma once
 
 #include "briarhitch/sched/PoolScheduler.h"
+#include "sched/GrantParts.h"
 #include "sched/LengthEstimator.h"
+#include "sched/RefusedCallers.h"
 #include "sched/SlotTarget.h"
+#include "sched/UrgencyShares.h"
 
 #include <absl/container/flat_hash_map.h>
+#include <array>
 #include <map>
 #include <memory>
 #include <set>
@@ -49,6 +53,8 @@
         Instant arrivedAt;
         Rank rank;
         double expectedOutput { 0 };
+        /** Work in milliseconds of a place, as estimated when the request began to wait. */
+        double waitingCostMs { 0 };
         TargetId target;
         bool isRunning { false };
         bool isStarted { false };
@@ -79,14 +85,16 @@
     [[nodiscard]] Rank rankOf(const Record& record, Instant now) const;
     [[nodiscard]] bool mayUse(const Record& record, const SlotTarget& target) const;
     [[nodiscard]] bool hasUsableTarget(const Record& record) const;
-    /** How long the waiting work before this rank takes. */
-    [[nodiscard]] double waitMs(const Rank& rank) const;
-    [[nodiscard]] Duration retryAfter(AttemptId attempt, double waitMs) const;
+    /** The waiting work before this rank, in milliseconds of a place. */
+    [[nodiscard]] double workAheadMs(const Rank& rank) const;
+    /** The time until this much work before a rank has its places, and what arrives meanwhile and overtakes the rank. */
+    [[nodiscard]] double drainMs(double workMs, const Rank& rank) const;
+    [[nodiscard]] Duration retryAfter(const Record& record) const;
 
     Record& add(PoolRequest request, Instant now);
     void enqueue(Record& record);
     void dequeue(Record& record);
-    void refuse(AttemptId attempt, ErrorKind kind, double waitMs, std::string_view reason);
+    void refuse(AttemptId attempt, ErrorKind kind, std::string_view reason, Instant now);
     void occupy(Record& record, SlotTarget& target);
     void release(Record& record);
     void endPrefill(Record& record, SlotTarget& target);
@@ -94,10 +102,18 @@
     void learnWork(const Record& record, SlotTarget& target, Tokens outputTokens, Duration duration);
     /** Fills free places from the queue. */
     void dispatch(Instant now);
+    /** Grants what less urgent kinds are owed before more urgent ones. */
+    void dispatchOwed(Instant now);
+    [[nodiscard]] bool hasPlace(Instant now) const;
+    /** The first request in time of this urgency, by tier; nullptr if none waits. */
+    [[nodiscard]] Record* firstInTime(Tier urgency) const;
+    void grant(Record& record, SlotTarget& target, bool isOwed);
     SlotTarget* choose(const Record& record, Instant now);
     /** A free place on a target that is much faster than the one where the request runs. */
     SlotTarget* chooseFaster(const Record& record, Instant now);
     void rerank(Instant now);
+    /** Whether a request is beyond hope if it starts after this much waiting work. */
+    [[nodiscard]] bool isHopeless(const Record& record, double aheadMs, Instant now) const;
     void refuseHopeless(Instant now);
     void updateCapacity();
 
@@ -112,6 +128,11 @@
     /** Over all targets, as fallbacks for those that nothing is known of. */
     LearnedMean poolWorkMs_ { 0.02 };
     LearnedMean poolPrefillMs_ { 0.02 };
+    UrgencyShares shares_;
+    /** Waiting requests that can still be in time, by the urgency of their kind. */
+    std::array<size_t, Tier::count> waitingInTime_ {};
+    GrantParts parts_;
+    RefusedCallers refusedCallers_;
     double peerFailures_ { 0 };
     /** Places of all active targets, weighted by their speed relative to the pool's mean. */
     double capacity_ { 0 };
--- a/tests/RoutedRunnerTest.cpp
+++ b/tests/RoutedRunnerTest.cpp
@@ -163,6 +163,17 @@
         EXPECT_EQ(bench.targets.log.size(), 1u);
     }
 
+    // Guards against a repeat after the objective being queued as if it had none, and so as if it were in time.
+    TEST(RoutedRunnerTest, RepeatAfterTheObjectiveIsKnownToBeLate)
+    {
+        Bench bench;
+        bench.targets.script = { failWith(ErrorKind::TargetFailed, Ran::Unknown), answerWith(200, "found") };
+        bench.targets.onConnected = [&] { bench.clock.now += 200ms; };
+        EXPECT_EQ(bench.run("/lookup/1").status, 200);
+        EXPECT_EQ(bench.pools.asks.at(0).objectiveMs, 150u);
+        EXPECT_EQ(bench.pools.asks.at(1).objectiveMs, 1u);
+    }
+
     // Guards against a charge that is given up although no byte of it was sent.
     TEST(RoutedRunnerTest, UnsentChargeGoesToAnotherTarget)
     {
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -2,7 +2,11 @@
 
 #include "sched/OutcomeHealth.h"
 
+#include <algorithm>
+#include <deque>
 #include <gtest/gtest.h>
+#include <map>
+#include <set>
 
 namespace briarhitch {
 namespace {
@@ -271,6 +275,115 @@
         EXPECT_EQ(pool.granted.at(4), 2u);
     }
 
+    /** Drives a pool with two kinds beyond its capacity; a place ends its request every `period`. */
+    struct Overload {
+        explicit Overload(Pool& pool)
+            : pool(pool)
+        {
+        }
+
+        /** Ends the running request that was granted first, if there is one. */
+        void finishOldest()
+        {
+            for (; !order.empty() && ended.contains(order.front()); order.pop_front()) { }
+            if (order.empty())
+                return;
+            ended.insert(order.front());
+            pool.finish(order.front(), AttemptOutcome::Completed, 100, 400ms);
+            collect();
+        }
+
+        void collect()
+        {
+            pool.take();
+            for (const auto& [id, target] : pool.granted) {
+                if (seen.insert(id).second)
+                    order.push_back(id);
+            }
+        }
+
+        Pool& pool;
+        std::deque<uint64_t> order;
+        std::set<uint64_t> seen;
+        std::set<uint64_t> ended;
+    };
+
+    // Pattern: urgent work beyond capacity for seconds. Guards against a cheap, less urgent kind that gets no place at all.
+    TEST(SlotSchedulerTest, LessUrgentKindKeepsAShareBesideUrgentWorkBeyondCapacity)
+    {
+        constexpr uint64_t cheap = 1000000;
+        Pool pool({ 4 });
+        Overload load(pool);
+        for (uint64_t step = 1; step <= 400; ++step) {
+            pool.now += 20ms;
+            pool.scheduler->tick(pool.now);
+            pool.submit(pool.request(step, 6000, 300, Tier(0), Tier(0)));
+            pool.submit(pool.request(cheap + step, 600, 10, Tier(2), Tier(2)));
+            load.collect();
+            if (step % 2 == 0)
+                load.finishOldest();
+        }
+        auto small = std::count_if(pool.granted.begin(), pool.granted.end(), [](const auto& grant) { return grant.first > cheap; });
+        auto urgent = static_cast<int64_t>(pool.granted.size()) - small;
+        EXPECT_GE(small, urgent / 5);
+        EXPECT_LE(small, urgent) << "urgent work still goes first";
+    }
+
+    // Pattern: load beyond capacity for seconds. Guards against late work that waits for most of its time although all
+    // places go to work in time, and against callers who are told to come back before there is a place.
+    TEST(SlotSchedulerTest, LateWorkIsRefusedSoonWhileWorkInTimeTakesAllPlaces)
+    {
+        Pool pool({ 4 });
+        Overload load(pool);
+        std::map<uint64_t, Instant> submitted;
+        Duration longestHeld {};
+        for (uint64_t step = 1; step <= 400; ++step) {
+            pool.now += 20ms;
+            auto before = pool.refused;
+            pool.scheduler->tick(pool.now);
+            pool.submit(pool.request(step));
+            submitted[step] = pool.now;
+            load.collect();
+            if (step % 2 == 0)
+                load.finishOldest();
+            for (const auto& [id, refusal] : pool.refused) {
+                if (!before.contains(id) && step > 150)
+                    longestHeld = std::max(longestHeld, pool.now - submitted[id]);
+            }
+        }
+        EXPECT_LE(longestHeld, 2s);
+        ASSERT_FALSE(pool.refused.empty());
+        EXPECT_GE(pool.refused.rbegin()->second.retryAfter, 2s);
+    }
+
+    // Pattern: overload, after which refused callers come back. Guards against callers who are late already being served
+    // before those who can still be in time.
+    TEST(SlotSchedulerTest, CallerThatComesBackIsLateSinceItsFirstTry)
+    {
+        Pool pool({ 1 });
+        auto work = [&](uint64_t id, uint32_t part) {
+            auto request = pool.request(id);
+            request.prefix = { part };
+            return request;
+        };
+        for (uint32_t id = 1; id <= 60; ++id)
+            pool.submit(work(id, id));
+        pool.take();
+        ASSERT_TRUE(pool.refused.contains(60));
+        for (uint64_t id = 2; id <= 59; ++id)
+            pool.scheduler->cancel({ RequestId(id), 1 }, pool.now);
+        pool.now += 1500ms;
+        pool.scheduler->tick(pool.now);
+        pool.submit(work(100, 60));
+        pool.submit(work(101, 200));
+        pool.take();
+        pool.finish(1);
+        EXPECT_TRUE(pool.granted.contains(101));
+        EXPECT_FALSE(pool.granted.contains(100));
+        pool.finish(101);
+        EXPECT_TRUE(pool.granted.contains(100)) << "it is served when there is a place";
+    }
+
     // Pattern: plain services fail a part of their requests by themselves. Guards against backing off all of them.
     TEST(OutcomeHealthTest, UsualFailuresOfAllPeersDoNotBackOff)
     {
