Publish latency histograms with fixed buckets and a help line for each metric

The test of the sums also found that they were written with six digits, so that rates of long-running processes would be rounded away.

--- /dev/null
+++ b/src/metrics/MetricHelp.cpp
@@ -0,0 +1,76 @@
+#include "metrics/MetricHelp.h"
+
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr std::pair<std::string_view, std::string_view> helps[] {
+        { "control_admin_requests_total", "Requests to the operators' API, by method." },
+        { "control_changes_total", "Operators' changes, by result." },
+        { "control_claims_refused_total", "Claims of idempotency keys that were refused, by kind of error." },
+        { "control_claims_total", "Claims of idempotency keys, by outcome." },
+        { "control_config_version", "Version of the configuration that this voter has." },
+        { "control_discovery_failures_total", "Reads of the list of targets that failed." },
+        { "control_discovery_total", "Reads of the list of targets that succeeded." },
+        { "control_heartbeats_failed_total", "Heartbeats to control nodes without an answer." },
+        { "control_heartbeats_total", "Heartbeats of entries that were answered." },
+        { "control_is_leader", "1 on the leader of the control log." },
+        { "control_link_bytes_received", "Bytes received on links between own processes." },
+        { "control_link_bytes_sent", "Bytes sent on links between own processes." },
+        { "control_nodes", "Entries that are registered." },
+        { "control_nodes_lost", "Registered entries whose heartbeats are missing." },
+        { "control_nodes_lost_total", "Entries that were taken for lost." },
+        { "control_pool_moves_total", "Pools that were given to another owner." },
+        { "control_pools_without_owner", "Pools that no entry owns." },
+        { "control_run_answer_bytes", "Size of the kept answers of idempotent requests." },
+        { "control_run_records", "Kept records of idempotent requests." },
+        { "control_term", "Term of the control log." },
+        { "entry_completed_total", "Requests whose whole answer was delivered, by tier." },
+        { "entry_config_version", "Version of the configuration in force at this entry." },
+        { "entry_exceptions_total", "Requests that ended with an unexpected exception." },
+        { "entry_fibers", "Fibers that are running." },
+        { "entry_first_token_seconds", "From a request's arrival to its first token, by tier." },
+        { "entry_has_lease", "1 while this entry may take work that needs the control quorum." },
+        { "entry_in_deadline_total", "Requests that were answered before their deadline, by tier." },
+        { "entry_in_flight", "Requests that are being served." },
+        { "entry_link_bytes_received", "Bytes received on links between own processes." },
+        { "entry_link_bytes_sent", "Bytes sent on links between own processes." },
+        { "entry_prefill_wasted_tokens_total", "Prompt tokens that were read in vain, by reason." },
+        { "entry_queue_seconds", "From a request's ask for a target to the grant or refusal, by tier." },
+        { "entry_refusals_total", "Requests that were refused, by kind of error." },
+        { "entry_request_seconds", "From a request's arrival to the end of its answer, by tier." },
+        { "entry_requests_total", "Requests that arrived, by tier." },
+        { "entry_retries_total", "Further attempts at another target, by reason." },
+        { "entry_retry_refusals_total", "Further attempts that the retry budget did not allow, by reason." },
+        { "entry_stream_resumes_total", "Streams that went on at another target." },
+        { "entry_streams_cut_off_total", "Streams that broke off before their end." },
+        { "entry_tokens_total", "Tokens of completed requests, by direction." },
+        { "entry_waiting_for_grant", "Requests that wait for a target." },
+        { "pool_owned", "Pools that this entry owns." },
+        { "pool_queued", "Requests that wait in an owned pool, by pool and tier." },
+        { "pool_running", "Requests that run in an owned pool, by pool and tier." },
+        { "routed_ends_total", "Routed requests that ended without a refusal, by end." },
+        { "routed_first_event_seconds", "From a routed request's arrival to its first event, by tier." },
+        { "routed_late_total", "Routed requests that were answered after their objective, by cause." },
+        { "routed_moves_total", "Tries to move a running stream to a faster target, by result." },
+        { "routed_queue_seconds", "From a routed request's ask for a target to the grant or refusal, by tier." },
+        { "routed_refusals_total", "Routed requests that were refused, by kind of error." },
+        { "routed_repeat_refusals_total", "Further attempts that the service's budget did not allow, by reason." },
+        { "routed_repeats_total", "Further attempts at another target, by reason." },
+        { "routed_request_seconds", "From a routed request's arrival to the end of its answer, by tier." },
+        { "routed_unsent_total", "Grants whose target could not be reached, by reason." },
+    };
+
+}
+
+std::string_view metricHelp(std::string_view name)
+{
+    const auto* it = std::find_if(std::begin(helps), std::end(helps), [&](const auto& entry) { return entry.first == name; });
+    return it == std::end(helps) ? std::string_view() : it->second;
+}
+
+}
--- a/src/metrics/MetricRegistry.cpp
+++ b/src/metrics/MetricRegistry.cpp
@@ -1,8 +1,11 @@
 #include "briarhitch/metrics/MetricRegistry.h"
 
+#include "metrics/MetricHelp.h"
+
+#include <algorithm>
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
-#include <boost/accumulators/statistics/p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 #include <map>
@@ -13,24 +16,20 @@
 namespace {
 
     namespace acc = boost::accumulators;
-    using Quantile = acc::accumulator_set<double, acc::stats<acc::tag::p_square_quantile>>;
     using Totals = acc::accumulator_set<double, acc::stats<acc::tag::count, acc::tag::sum>>;
 
-    constexpr double quantiles[] = { 0.5, 0.95, 0.99 };
+    // Upper bounds in seconds: from a hop between processes to the longest deadline, and at the usual objectives.
+    constexpr std::array bounds { 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.25, 0.4, 0.6, 0.8, 1.0, 2.0, 4.0, 8.0, 15.0, 30.0 };
 
-    struct Distribution {
-        // P-square keeps five markers for each quantile, so memory does not grow with the observations.
-        Quantile estimates[3] {
-            Quantile(acc::quantile_probability = quantiles[0]),
-            Quantile(acc::quantile_probability = quantiles[1]),
-            Quantile(acc::quantile_probability = quantiles[2]),
-        };
+    struct Histogram {
+        std::array<uint64_t, bounds.size()> counts {};
         Totals totals;
 
         void add(double value)
         {
-            for (auto& estimate : estimates)
-                estimate(value);
+            auto bucket = std::lower_bound(bounds.begin(), bounds.end(), value);
+            if (bucket != bounds.end())
+                ++counts.at(static_cast<size_t>(bucket - bounds.begin()));
             totals(value);
         }
     };
@@ -40,11 +39,16 @@
         return labels.empty() ? name : name + "{" + labels + "}";
     }
 
-    std::string withQuantile(const std::string& labels, double quantile)
+    std::string withBound(const std::string& labels, const std::string& bound)
+    {
+        return labels + (labels.empty() ? "" : ",") + "le=\"" + bound + "\"";
+    }
+
+    void writeHead(std::ostream& text, const std::string& name, std::string_view type)
     {
-        std::ostringstream text;
-        text << labels << (labels.empty() ? "" : ",") << "quantile=\"" << quantile << "\"";
-        return text.str();
+        if (auto help = metricHelp(name); !help.empty())
+            text << "# HELP " << name << ' ' << help << '\n';
+        text << "# TYPE " << name << ' ' << type << '\n';
     }
 
 }
@@ -55,7 +59,7 @@
 
     Family<uint64_t> counters;
     Family<double> gauges;
-    Family<Distribution> distributions;
+    Family<Histogram> histograms;
 
     template <class T>
     static T& at(Family<T>& family, std::string_view name, std::string_view labels)
@@ -89,7 +93,7 @@
 
 void MetricRegistry::observe(std::string_view name, std::string_view labels, double value)
 {
-    Impl::at(impl_->distributions, name, labels).add(value);
+    Impl::at(impl_->histograms, name, labels).add(value);
 }
 
 uint64_t MetricRegistry::counter(std::string_view name, std::string_view labels) const
@@ -103,24 +107,33 @@
 
 std::string MetricRegistry::toPrometheusText() const
 {
+    // Rates are differences of sums, which the default six digits would round away.
+    constexpr int exactDigits = 15;
     std::ostringstream text;
+    text.precision(exactDigits);
     for (const auto& [name, byLabels] : impl_->counters) {
-        text << "# TYPE " << name << " counter\n";
+        writeHead(text, name, "counter");
         for (const auto& [labels, value] : byLabels)
             text << series(name, labels) << ' ' << value << '\n';
     }
     for (const auto& [name, byLabels] : impl_->gauges) {
-        text << "# TYPE " << name << " gauge\n";
+        writeHead(text, name, "gauge");
         for (const auto& [labels, value] : byLabels)
             text << series(name, labels) << ' ' << value << '\n';
     }
-    for (const auto& [name, byLabels] : impl_->distributions) {
-        text << "# TYPE " << name << " summary\n";
-        for (const auto& [labels, distribution] : byLabels) {
-            for (size_t i = 0; i < std::size(quantiles); ++i)
-                text << series(name, withQuantile(labels, quantiles[i])) << ' ' << acc::p_square_quantile(distribution.estimates[i]) << '\n';
-            text << series(name + "_sum", labels) << ' ' << acc::sum(distribution.totals) << '\n';
-            text << series(name + "_count", labels) << ' ' << acc::count(distribution.totals) << '\n';
+    for (const auto& [name, byLabels] : impl_->histograms) {
+        writeHead(text, name, "histogram");
+        for (const auto& [labels, histogram] : byLabels) {
+            uint64_t upTo = 0;
+            for (size_t i = 0; i < bounds.size(); ++i) {
+                std::ostringstream bound;
+                bound << bounds.at(i);
+                upTo += histogram.counts.at(i);
+                text << series(name + "_bucket", withBound(labels, bound.str())) << ' ' << upTo << '\n';
+            }
+            text << series(name + "_bucket", withBound(labels, "+Inf")) << ' ' << acc::count(histogram.totals) << '\n';
+            text << series(name + "_sum", labels) << ' ' << acc::sum(histogram.totals) << '\n';
+            text << series(name + "_count", labels) << ' ' << acc::count(histogram.totals) << '\n';
         }
     }
     return text.str();
