Add a soak in C++ with a forwarder on every link, and process tests of failed requests and planned work

briarhitch-soak runs three control nodes, three entries and four targets, each link through a forwarder that cuts, silences, delays, resets and breaks within messages; processes are killed, frozen, stopped and wiped; callers keep their connections open. It judges what callers were told against the targets' ledgers. PlatformFleetTest.LogsExplainFailedRequests finds the causes of three failed requests by the documented command; PlannedWorkCutsNothingOff reloads, changes the document and ends owner and front under requests.

--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/runtime/Loop.h"
 #include "process/ChildProcess.h"
 
+#include <algorithm>
 #include <atomic>
 #include <csignal>
 #include <filesystem>
@@ -25,6 +26,13 @@
     constexpr uint16_t readyPort = 18304;
     constexpr uint16_t platformPort = 18305;
 
+    // Paths to which the stand-in's servers answer in their own ways.
+    constexpr auto slowPlan = "/plan/slow";
+    constexpr auto brokenPlan = "/plan/broken";
+    constexpr auto lostCharge = "/charge/lost";
+    constexpr Duration slowEvent = 700ms;
+    constexpr int enginePlaces = 4;
+
     std::string eventText(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
 
     /** The platform's list of servers and one server of each service, in a thread that ends with the process. */
@@ -44,6 +52,7 @@
         void serve()
         {
             Loop loop;
+            loop_ = &loop;
             HttpServerSettings settings;
             settings.host = host_;
             settings.port = platformPort;
@@ -69,24 +78,36 @@
             HttpHeaders headers { { "Briarhitch-Request-Id", std::string(request.header("Briarhitch-Request-Id")) }, { "Briarhitch-Response-Stamp", "s" } };
             if (request.path.starts_with("/charge/")) {
                 ++charges;
+                if (request.path == lostCharge) {
+                    exchange.abort();
+                    return;
+                }
                 exchange.send(200, headers, "paid by " + std::string(request.header("Briarhitch-Tenant")));
                 return;
             }
             headers.emplace_back("Content-Type", "text/event-stream");
             exchange.beginStream(200, headers);
-            for (int id = 1; id <= 3; ++id)
+            for (int id = 1; id <= 3; ++id) {
                 exchange.write(eventText(id));
+                if (request.path == slowPlan)
+                    sleepFor(*loop_, slowEvent);
+                if (request.path == brokenPlan && id == 2) {
+                    exchange.abort();
+                    return;
+                }
+            }
             exchange.endStream();
         }
 
         std::string host_;
+        Loop* loop_ { nullptr };
         std::atomic<bool> isServing_ { false };
     };
 
     class PlatformFleetTest : public testing::Test {
     protected:
         PlatformFleetTest()
-            : network_("127." + std::to_string(10 + getpid() % 200) + "." + std::to_string(getpid() / 200 % 200) + ".")
+            : network_("127." + std::to_string(10 + getpid() % 200) + "." + std::to_string((getpid() / 200 + fleets++) % 200) + ".")
             , platform_(*new StandInPlatform(host(50)))
         {
             auto pattern = (std::filesystem::temp_directory_path() / "briarhitch-platform-XXXXXX").string();
@@ -175,9 +196,85 @@
             return result;
         }
 
-        HttpAnswer request(const std::string& path, const std::string& id, const std::string& key = "key")
+        static HttpHeaders requestHeaders(const std::string& id, const std::string& key, int deadlineMs)
+        {
+            return { { "Host", "a.example" }, { "Briarhitch-Request-Id", id }, { "X-Api-Key", key }, { "Briarhitch-Deadline-Ms", std::to_string(deadlineMs) } };
+        }
+
+        HttpAnswer request(const std::string& path, const std::string& id, const std::string& key = "key", int deadlineMs = 20000)
+        {
+            return call(host(20), callerPort, "POST", path, "body", requestHeaders(id, key, deadlineMs));
+        }
+
+        /** Sends requests side by side, the later ones after `meanwhile`; status 0 where no whole answer came. */
+        std::vector<HttpAnswer> requestAll(const std::vector<std::pair<std::string, std::string>>& pathsAndIds, const std::function<void()>& meanwhile = {})
+        {
+            std::vector<HttpAnswer> answers(pathsAndIds.size());
+            size_t open = pathsAndIds.size();
+            for (size_t i = 0; i < pathsAndIds.size(); ++i) {
+                loop_.spawn([&, i] {
+                    HttpCallSettings settings;
+                    settings.host = host(20);
+                    settings.port = callerPort;
+                    settings.method = "POST";
+                    settings.target = pathsAndIds[i].first;
+                    settings.body = "body";
+                    settings.headers = requestHeaders(pathsAndIds[i].second, "key", 20000);
+                    settings.headerTimeout = 30s;
+                    settings.isReuseAllowed = false;
+                    if (auto answer = fetch(client_, settings))
+                        answers[i] = *answer;
+                    if (--open == 0)
+                        loop_.stop();
+                });
+            }
+            if (meanwhile) {
+                loop_.spawn([&] {
+                    sleepFor(loop_, slowEvent / 2);
+                    meanwhile();
+                });
+            }
+            loop_.run();
+            return answers;
+        }
+
+        /** A fleet of one control process, an owner of pools and a front that answers requests. */
+        void startServing()
+        {
+            startFront(20);
+            startPools(4);
+            for (int number : { 1, 2, 3 })
+                startControl(number, true);
+            waitUntil("a leader that takes the document", [&] { return operate(1, "PUT", document(7).dump()).status == 200; });
+            waitUntil("the front to be ready", [&] { return call(host(20), readyPort, "GET", "/v1/ready").status == 200; });
+            waitUntil("the engine", [&] { return request("/plan/1", "warm-up").status == 200; });
+            waitUntil("the service", [&] { return request("/charge/1", "warm-up").status == 200; });
+        }
+
+        /** The account that the documented command gives of a request from the logs. */
+        std::string explain(const std::string& id)
         {
-            return call(host(20), callerPort, "POST", path, "body", { { "Host", "a.example" }, { "Briarhitch-Request-Id", id }, { "X-Api-Key", key }, { "Briarhitch-Deadline-Ms", "20000" } });
+            std::string logs;
+            for (const auto& [name, process] : processes_)
+                logs += (logs.empty() ? "" : ",") + folder_ + "/" + name + ".log";
+            auto output = folder_ + "/explain.txt";
+            std::filesystem::remove(output);
+            ChildProcess explainer(std::string(BRIARHITCH_BIN_DIR) + "/briarhitch-ctl", { "explain", id, "--logs=" + logs }, output);
+            explainer.waitExit(30s);
+            return explainer.log();
+        }
+
+        /** Waits until the account tells all of these. */
+        void expectExplained(const std::string& id, const std::vector<std::string>& texts)
+        {
+            std::string account;
+            auto tellsAll = [&] {
+                account = explain(id);
+                return std::all_of(texts.begin(), texts.end(), [&](const std::string& text) { return account.find(text) != std::string::npos; });
+            };
+            waitUntil("an account of " + id, tellsAll);
+            if (HasFailure())
+                std::cout << account;
         }
 
         /** Asks a control process, and the one that it names. */
@@ -200,6 +297,9 @@
             }
         }
 
+        /** Fleets of this process so far; each has addresses of its own. */
+        static inline int fleets = 0;
+
         std::string network_;
         /** Its thread uses it as long as the process runs. */
         StandInPlatform& platform_;
@@ -251,5 +351,71 @@
         }
     }
 
+    // Guards against failures whose cause on-call engineers cannot find from the id and the logs alone, as docs/OPERATIONS.md
+    // tells: refused while busy, a stream that broke off midway, a charge whose outcome is unknown.
+    TEST_F(PlatformFleetTest, LogsExplainFailedRequests)
+    {
+        startServing();
+        EXPECT_EQ(request(lostCharge, "c-lost").status, 502);
+        expectExplained("c-lost", { "admitted", "granted", "target=i-shop", "attempt failed", "reason=target_failed" });
+
+        EXPECT_EQ(request(brokenPlan, "c-broken").status, 0) << "the answer must not look complete";
+        expectExplained("c-broken", { "granted", "target=i-llm", "first event", "attempt failed", "events=2", "reason=target_failed" });
+
+        std::vector<std::pair<std::string, std::string>> slow;
+        for (int i = 0; i < enginePlaces; ++i)
+            slow.emplace_back(slowPlan, "slow-" + std::to_string(i));
+        HttpAnswer busy;
+        requestAll(slow, [&] {
+            HttpCallSettings settings;
+            settings.host = host(20);
+            settings.port = callerPort;
+            settings.method = "POST";
+            settings.target = "/plan/1";
+            settings.headers = requestHeaders("c-busy", "key", 400);
+            settings.isReuseAllowed = false;
+            if (auto answer = fetch(client_, settings))
+                busy = *answer;
+        });
+        EXPECT_EQ(busy.status, 503);
+        EXPECT_NE(findHeader(busy.headers, "Retry-After"), "");
+        expectExplained("c-busy", { "admitted", "refused", "reason=deadline_unreachable" });
+        auto account = explain("c-busy");
+        EXPECT_EQ(account.find("request: granted"), std::string::npos) << account;
+
+        auto metrics = call(host(20), readyPort, "GET", "/metrics").body;
+        EXPECT_NE(metrics.find("routed_refusals_total{kind=\"deadline_unreachable\"} 1"), std::string::npos) << metrics;
+    }
+
+    // Guards against planned work that cuts requests off: a reload of the settings, a new document, the end of a front.
+    TEST_F(PlatformFleetTest, PlannedWorkCutsNothingOff)
+    {
+        startServing();
+        const std::vector<std::pair<std::string, std::string>> requests { { slowPlan, "p1" }, { slowPlan, "p2" }, { "/charge/2", "p3" } };
+        auto expectAllAnswered = [&](const std::string& work, const std::function<void()>& meanwhile) {
+            for (const auto& answer : requestAll(requests, meanwhile))
+                EXPECT_EQ(answer.status, 200) << work;
+        };
+        expectAllAnswered("SIGHUP", [&] { processes_.at("front-20")->signal(SIGHUP); });
+        EXPECT_TRUE(processes_.at("front-20")->isRunning());
+        expectAllAnswered("SIGHUP of the owner", [&] { processes_.at("pools-4")->signal(SIGHUP); });
+        EXPECT_TRUE(processes_.at("pools-4")->isRunning());
+        expectAllAnswered("a new document", [&] {
+            for (int number : { 1, 2, 3 }) {
+                HttpCallSettings settings;
+                settings.host = host(number);
+                settings.port = adminPort;
+                settings.method = "PUT";
+                settings.target = "/v1/config";
+                settings.body = document(8).dump();
+                (void)fetch(client_, settings);
+            }
+        });
+        EXPECT_EQ(operate(1, "GET").body, document(8).dump());
+        expectAllAnswered("SIGTERM of the owner", [&] { processes_.at("pools-4")->signal(SIGTERM); });
+        expectAllAnswered("SIGTERM", [&] { processes_.at("front-20")->signal(SIGTERM); });
+        EXPECT_EQ(processes_.at("front-20")->waitExit(30s), 0);
+    }
+
 }
 }
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -55,6 +55,8 @@
     Daemon& daemon(const std::string& name);
     Daemon& entry(uint32_t node) { return daemon("entry-" + std::to_string(node)); }
 
+    /** Logs, settings and data of all daemons. */
+    [[nodiscard]] const std::string& folder() const { return folder_; }
     [[nodiscard]] std::string logPath(const std::string& name) const { return folder_ + "/" + name + ".log"; }
 
     /** Throws, and so fails the test, if the condition doesn't come true in time. */
--- a/tests/process/TcpCutter.cpp
+++ b/tests/process/TcpCutter.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 #include <future>
 #include <list>
@@ -35,8 +36,22 @@
         Tcp::socket target;
         Direction towardsTarget;
         Direction towardsCaller;
+        bool breaksAtNextBytes { false };
     };
 
+    void reset(Tcp::socket& socket)
+    {
+        ErrorCode ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        socket.close(ignored);
+    }
+
+    void resetBoth(Connection& connection)
+    {
+        reset(connection.caller);
+        reset(connection.target);
+    }
+
 }
 
 struct TcpCutter::Impl {
@@ -85,13 +100,27 @@
                 to.shutdown(Tcp::socket::shutdown_send, ignored);
                 return;
             }
-            asio::async_write(to, asio::buffer(direction.buffer, size), [=, this, &from, &to, &direction](ErrorCode writeError, size_t) {
-                ErrorCode closed;
-                if (writeError)
-                    from.close(closed);
-                else
-                    forward(connection, from, to, direction);
-            });
+            if (connection->breaksAtNextBytes) {
+                asio::async_write(to, asio::buffer(direction.buffer, size / 2), [connection](ErrorCode, size_t) { resetBoth(*connection); });
+                return;
+            }
+            if (delayTime.count() == 0) {
+                pass(connection, from, to, direction, size);
+                return;
+            }
+            auto timer = std::make_shared<asio::steady_timer>(io, delayTime);
+            timer->async_wait([=, this, &from, &to, &direction](ErrorCode) { pass(connection, from, to, direction, size); });
+        });
+    }
+
+    void pass(const std::shared_ptr<Connection>& connection, Tcp::socket& from, Tcp::socket& to, Direction& direction, size_t size)
+    {
+        asio::async_write(to, asio::buffer(direction.buffer, size), [=, this, &from, &to, &direction](ErrorCode writeError, size_t) {
+            ErrorCode closed;
+            if (writeError)
+                from.close(closed);
+            else
+                forward(connection, from, to, direction);
         });
     }
 
@@ -111,6 +140,7 @@
     uint16_t targetPort;
     bool cutsTowardsTarget { false };
     bool cutsTowardsCaller { false };
+    std::chrono::milliseconds delayTime { 0 };
     std::list<std::shared_ptr<Connection>> connections;
     std::thread thread;
 };
@@ -155,4 +185,26 @@
     impl_->apply([this] { impl_->cutsTowardsTarget = impl_->cutsTowardsCaller = false; });
 }
 
+void TcpCutter::delay(std::chrono::milliseconds time)
+{
+    impl_->apply([=, this] { impl_->delayTime = time; });
+}
+
+void TcpCutter::resetOpenConnections()
+{
+    impl_->apply([this] {
+        for (auto& connection : impl_->connections)
+            resetBoth(*connection);
+        impl_->connections.clear();
+    });
+}
+
+void TcpCutter::breakOpenConnections()
+{
+    impl_->apply([this] {
+        for (auto& connection : impl_->connections)
+            connection->breaksAtNextBytes = true;
+    });
+}
+
 }
--- a/tests/process/TcpCutter.h
+++ b/tests/process/TcpCutter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 
@@ -7,7 +8,8 @@
 
 /**
  * Forwards TCP connections to a port of this machine and can silently stop doing so: the connections
- * stay open and bytes vanish, as when a path between two VMs is lost. Runs in a thread of its own.
+ * stay open and bytes vanish, as when a path between two VMs is lost. It can also delay bytes, and reset
+ * connections between or within messages. Runs in a thread of its own.
  */
 class TcpCutter {
 public:
@@ -23,6 +25,12 @@
     void cutAll(bool towardsTarget = true, bool towardsCaller = true);
     /** Later connections are forwarded again; those that were cut stay so. */
     void heal();
+    /** Holds back what arrives from now on, in both directions; zero ends it. */
+    void delay(std::chrono::milliseconds time);
+    /** Resets all open connections at both ends. */
+    void resetOpenConnections();
+    /** Each open connection forwards one half of what it receives next, and is then reset at both ends. */
+    void breakOpenConnections();
 
 private:
     struct Impl;
--- /dev/null
+++ b/tests/soak/SoakFleet.cpp
@@ -0,0 +1,276 @@
+#include "soak/SoakFleet.h"
+
+#include "briarhitch/core/Digest.h"
+#include "support/ExpectedAnswer.h"
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <poll.h>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+    using std::chrono::milliseconds;
+
+    constexpr int voters = 3;
+    constexpr uint32_t entries = 3;
+    constexpr int stepMs = 20;
+    constexpr milliseconds drainBound = 5s;
+    constexpr uint32_t longestLinkDelayMs = 300;
+    const std::vector<std::string> engineNames { "engine-1", "engine-2" };
+    const std::vector<std::string> serviceNames { "booking-1", "booking-2" };
+
+    template <class T>
+    const T& pick(const std::vector<T>& from, uint32_t number) { return from.at(number % from.size()); }
+
+}
+
+TcpCutter& SoakFleet::forwarder(uint16_t port)
+{
+    links_.push_back(std::make_unique<TcpCutter>(port));
+    return *links_.back();
+}
+
+void SoakFleet::start()
+{
+    startEngine("engine-1", { "--step_time=4ms", "--check_fencing" });
+    startEngine("engine-2", { "--step_time=8ms" });
+    for (const auto& name : serviceNames)
+        startService(name);
+    startControls(voters, [this](int, int, uint16_t port) { return forwarderPort(port); });
+    putCustomer(defaultContract());
+    for (const auto& name : engineNames)
+        putTarget(daemon(name), "engine", forwarderPort(daemon(name).port));
+    for (const auto& name : serviceNames)
+        putTarget(daemon(name), "service", forwarderPort(daemon(name).port));
+    for (uint32_t node = 1; node <= entries; ++node) {
+        startEntry(
+            node, "fleet key of the tests", [this](int, uint16_t port) { return forwarderPort(port); }, [this](uint16_t port) { return forwarderPort(port); });
+        callerPorts_.push_back(forwarderPort(entry(node).port));
+    }
+    recover();
+}
+
+SoakResult SoakFleet::play(uint64_t seed, const std::vector<Fault>& schedule, std::chrono::seconds length)
+{
+    try {
+        start();
+        SoakTraffic traffic(seed, callerPorts_);
+        auto begun = std::chrono::steady_clock::now();
+        auto next = schedule.begin();
+        while (now_ < length || !due_.empty()) {
+            now_ = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
+            for (; next != schedule.end() && next->at <= now_; ++next)
+                begin(*next);
+            runDue(now_);
+            poll(nullptr, 0, stepMs);
+        }
+        traffic.stop();
+        for (auto& link : links_)
+            link->resetOpenConnections();
+        recover();
+        judge(traffic);
+    } catch (const std::exception& error) {
+        violation(std::string("the fleet did not recover: ") + error.what());
+    }
+    return result_;
+}
+
+void SoakFleet::later(milliseconds delay, std::function<void()> action)
+{
+    due_.emplace(now_ + delay, std::move(action));
+}
+
+void SoakFleet::runDue(milliseconds now)
+{
+    while (!due_.empty() && due_.begin()->first <= now) {
+        auto action = std::move(due_.begin()->second);
+        due_.erase(due_.begin());
+        action();
+    }
+}
+
+void SoakFleet::begin(const Fault& fault)
+{
+    ++result_.injected.at(static_cast<size_t>(fault.kind));
+    switch (fault.kind) {
+    case FaultKind::KillEntry:
+    case FaultKind::FreezeEntry:
+    case FaultKind::StopEntry:
+        return beginOnProcess(fault, "entry-" + std::to_string(1 + fault.victim % entries));
+    case FaultKind::KillControl:
+    case FaultKind::FreezeControl:
+    case FaultKind::WipeControl:
+        return beginOnProcess(fault, "control-" + std::to_string(1 + fault.victim % voters));
+    case FaultKind::SilenceLink:
+    case FaultKind::CutLink:
+    case FaultKind::CutLinkOneWay:
+    case FaultKind::DelayLink:
+    case FaultKind::ResetLink:
+    case FaultKind::BreakLink:
+        return beginOnLink(fault, *links_.at(fault.victim % links_.size()));
+    case FaultKind::TargetStalls:
+    case FaultKind::TargetResets:
+    case FaultKind::TargetRefuses:
+    case FaultKind::TargetIsLate: {
+        bool isEngine = fault.victim % 2 == 0;
+        return beginOnTarget(fault, daemon(pick(isEngine ? engineNames : serviceNames, fault.victim / 2)));
+    }
+    case FaultKind::OperatorChange:
+        return changeCustomers();
+    }
+}
+
+void SoakFleet::beginOnProcess(const Fault& fault, const std::string& name)
+{
+    // A process that a fault holds down already is left alone until its recovery.
+    if (!down_.insert(name).second)
+        return;
+    auto& victim = daemon(name);
+    auto comeBack = [this, name] {
+        restart(daemon(name));
+        down_.erase(name);
+    };
+    switch (fault.kind) {
+    case FaultKind::FreezeEntry:
+    case FaultKind::FreezeControl:
+        victim.process->signal(SIGSTOP);
+        later(fault.duration, [this, name] {
+            daemon(name).process->signal(SIGCONT);
+            down_.erase(name);
+        });
+        return;
+    case FaultKind::StopEntry:
+        victim.process->signal(SIGTERM);
+        later(drainBound, comeBack);
+        return;
+    case FaultKind::WipeControl:
+        victim.process->kill();
+        std::filesystem::remove_all(folder() + "/" + name);
+        std::filesystem::create_directory(folder() + "/" + name);
+        later(fault.duration, comeBack);
+        return;
+    default:
+        victim.process->kill();
+        later(fault.duration, comeBack);
+    }
+}
+
+void SoakFleet::beginOnLink(const Fault& fault, TcpCutter& link)
+{
+    switch (fault.kind) {
+    case FaultKind::SilenceLink:
+        link.cutOpenConnections(true, true);
+        return;
+    case FaultKind::CutLink:
+        link.cutAll();
+        later(fault.duration, [&link] { link.heal(); });
+        return;
+    case FaultKind::CutLinkOneWay:
+        link.cutAll(fault.victim / 2 % 2 == 0, fault.victim / 2 % 2 != 0);
+        later(fault.duration, [&link] { link.heal(); });
+        return;
+    case FaultKind::DelayLink:
+        link.delay(milliseconds(1 + fault.victim % longestLinkDelayMs));
+        later(fault.duration, [&link] { link.delay(0ms); });
+        return;
+    case FaultKind::ResetLink:
+        link.resetOpenConnections();
+        return;
+    default:
+        link.breakOpenConnections();
+    }
+}
+
+void SoakFleet::beginOnTarget(const Fault& fault, Daemon& target)
+{
+    const char* mode = fault.kind == FaultKind::TargetStalls ? "stall" : fault.kind == FaultKind::TargetResets ? "reset"
+        : fault.kind == FaultKind::TargetRefuses                                                               ? "refuse"
+                                                                                                               : "late";
+    Json order { { "mode", mode }, { "count", 1 + fault.victim % 4 }, { "late_ms", fault.duration.count() } };
+    if (target.name.starts_with("engine"))
+        order["after_events"] = fault.victim / 4 % 10;
+    orderFaults(target, order);
+    later(fault.duration, [this, &target] { orderFaults(target, Json::object()); });
+}
+
+void SoakFleet::changeCustomers()
+{
+    auto name = "soak-" + std::to_string(changes_.size());
+    // Its answer may take as long as the control nodes need to elect a leader, and faults go on meanwhile.
+    changes_.push_back(std::async(std::launch::async, [this, name]() -> std::string {
+        try {
+            Json contract { { "tier", 2 }, { "share", 1 }, { "key_hashes", { sha256Hex(name) } } };
+            auto answer = callOperators("PUT", "/v1/customers/" + name, { { "expected_version", 0 }, { "change_id", name }, { "contract", contract } });
+            return answer.status == 200 ? name : "";
+        } catch (const std::runtime_error&) {
+            return {};
+        }
+    }));
+}
+
+void SoakFleet::recover()
+{
+    for (uint32_t node = 1; node <= entries; ++node) {
+        waitReady(entry(node));
+        for (uint16_t port : { entry(node).port, callerPorts_.at(node - 1) }) {
+            waitUntil("entry " + std::to_string(node) + " reaches an engine", [&] { return callPlain(port, chat("recovery", 1, false), 5s).status == 200; });
+            waitUntil("entry " + std::to_string(node) + " reaches a service", [&] { return callPlain(port, lookup("recovery"), 5s).status == 200; });
+        }
+    }
+}
+
+void SoakFleet::judge(SoakTraffic& traffic)
+{
+    result_.asked = traffic.asked;
+    result_.answered = traffic.answered;
+    result_.charges = traffic.charges.size();
+    result_.violations.insert(result_.violations.end(), traffic.violations.begin(), traffic.violations.end());
+    std::map<std::string, uint64_t> charged;
+    for (const auto& name : serviceNames) {
+        auto book = ledger(daemon(name));
+        for (const auto& [id, times] : book["charges"].items())
+            charged[id] += times.get<uint64_t>();
+    }
+    for (const auto& [id, told] : traffic.charges) {
+        auto times = charged[id];
+        result_.promisedNotRun += told.isPromisedNotRun ? 1 : 0;
+        if (times > 1)
+            violation("charge " + id + " ran " + std::to_string(times) + " times");
+        if (told.isAnswered && times == 0)
+            violation("charge " + id + " was answered and did not run");
+        if (told.isPromisedNotRun && times > 0)
+            violation("charge " + id + " ran, though its caller was told that it did not");
+    }
+    std::set<std::string> ran;
+    for (const auto& name : engineNames) {
+        auto book = ledger(daemon(name));
+        for (const auto& request : book["requests"]) {
+            if (request["state"] != "refused" && request["state"] != "fenced")
+                ran.insert(request["prompt"]);
+        }
+    }
+    for (const auto& [prompt, told] : traffic.prompts) {
+        result_.promisedNotRun += told.isPromisedNotRun ? 1 : 0;
+        if (told.isPromisedNotRun && ran.contains(checksumOf("user: " + prompt + "\n")))
+            violation("\"" + prompt + "\" ran, though its caller was told that it did not");
+    }
+    auto customers = callOperators("GET", "/v1/customers").body;
+    for (auto& change : changes_) {
+        auto name = change.get();
+        result_.acknowledgedChanges += name.empty() ? 0 : 1;
+        if (!name.empty() && customers.find("\"" + name + "\"") == std::string::npos && callOperators("GET", "/v1/customers").body.find("\"" + name + "\"") == std::string::npos)
+            violation("the acknowledged change " + name + " is gone");
+    }
+}
+
+void SoakFleet::copyLogsTo(const std::string& path) const
+{
+    std::filesystem::create_directories(path);
+    std::filesystem::copy(folder(), path, std::filesystem::copy_options::recursive | std::filesystem::copy_options::overwrite_existing);
+}
+
+}
