--- a/include/briarhitch/core/Clock.h
+++ b/include/briarhitch/core/Clock.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <algorithm>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 
 namespace briarhitch {
@@ -26,6 +28,8 @@
 
 inline double toSeconds(Duration duration) { return std::chrono::duration<double>(duration).count(); }
 inline int64_t toMs(Duration duration) { return std::chrono::duration_cast<std::chrono::milliseconds>(duration).count(); }
+/** Whole milliseconds for a message: 0 for a time that is over, at most 2^32 - 1. */
+inline uint32_t clampMs(Duration duration) { return static_cast<uint32_t>(std::clamp<int64_t>(toMs(duration), 0, UINT32_MAX)); }
 inline Duration fromSeconds(double seconds)
 {
     return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
--- a/include/briarhitch/entry/ClusterView.h
+++ b/include/briarhitch/entry/ClusterView.h
@@ -21,6 +21,8 @@
 
     [[nodiscard]] const Contract* findCustomerByKeyHash(const std::string& keyHash) const;
     [[nodiscard]] const PoolAssignment* findPool(const std::string& name) const;
+    /** Entries that take callers and are not lost; at least 1. */
+    [[nodiscard]] size_t entryCount() const;
 
 private:
     ClusterConfig config_;
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -146,10 +146,8 @@
 
 Result<void> CeilingClient::debitAlone(const Contract& contract, Tokens tokens)
 {
-    const auto& nodes = view_.config().nodes;
-    auto entries = std::count_if(nodes.begin(), nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; });
     auto part = contract.ceiling;
-    auto divisor = static_cast<double>(std::max<int64_t>(1, entries));
+    auto divisor = static_cast<double>(view_.entryCount());
     part.requestsPerSecond /= divisor;
     part.tokensPerSecond /= divisor;
     part.burst = aloneBurstSeconds * std::max(part.requestsPerSecond, part.tokensPerSecond);
--- a/src/entry/ClusterView.cpp
+++ b/src/entry/ClusterView.cpp
@@ -1,5 +1,7 @@
 #include "briarhitch/entry/ClusterView.h"
 
+#include <algorithm>
+
 namespace briarhitch {
 
 void ClusterView::apply(const HeartbeatReply& reply)
@@ -46,4 +48,10 @@
     return it == poolsByName_.end() ? nullptr : &config_.pools.at(it->second);
 }
 
+size_t ClusterView::entryCount() const
+{
+    auto count = std::count_if(config_.nodes.begin(), config_.nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; });
+    return static_cast<size_t>(std::max<std::ptrdiff_t>(1, count));
+}
+
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -197,17 +197,11 @@
         hooks.debitCeiling = [this](const Contract& contract, Tokens tokens) { return ceilings->debit(contract, tokens); };
         hooks.refundCeiling = [this](const Contract& contract, Tokens tokens) { ceilings->refund(contract, tokens); };
         hooks.noteRequest = [this](const std::string& service) { repeats.noteRequest(service, BootClock::now()); };
-        hooks.takeRepeat = [this](const std::string& service) { return repeats.tryRepeat(service, entryCount(), BootClock::now()); };
+        hooks.takeRepeat = [this](const std::string& service) { return repeats.tryRepeat(service, view.entryCount(), BootClock::now()); };
         hooks.now = &BootClock::now;
         return hooks;
     }
 
-    size_t entryCount() const
-    {
-        const auto& nodes = view.config().nodes;
-        return static_cast<size_t>(std::count_if(nodes.begin(), nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; }));
-    }
-
     void handleCaller(const HttpRequest& request, HttpExchange& exchange)
     {
         auto decoded = extensions ? extensions->readRequest(request) : std::nullopt;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -409,8 +409,7 @@
 void PoolClient::setSoloTargets(PoolId pool, PoolScheduler& scheduler) const
 {
     const auto& config = view_.config();
-    auto entries = std::count_if(config.nodes.begin(), config.nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; });
-    auto divisor = static_cast<double>(std::max<int64_t>(1, entries));
+    auto divisor = static_cast<double>(view_.entryCount());
     std::vector<Target> targets;
     for (const auto& [id, target] : config.targets) {
         if (target.pool != pool)
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -1,13 +1,13 @@
 #include "entry/RequestRun.h"
 
 #include "briarhitch/core/Digest.h"
+#include "briarhitch/http/EndToEndHeaders.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Loop.h"
 
-#include <absl/strings/ascii.h>
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <algorithm>
-#include <array>
 #include <utility>
 
 namespace briarhitch {
@@ -19,13 +19,7 @@
     /** Attempt numbers have 8 bits; a request that meets this many stale grants has a fleet in trouble around it. */
     constexpr uint32_t maxUnsentGrants = 20;
     constexpr Duration duplicatePollInterval = 250ms;
-    constexpr std::array<std::string_view, 6> hopHeaders { "connection", "content-length", "keep-alive", "transfer-encoding", "upgrade", "x-request-id" };
-
-    uint32_t clampMs(Duration duration)
-    {
-        return static_cast<uint32_t>(std::clamp<int64_t>(toMs(duration), 0, UINT32_MAX));
-    }
-
+    constexpr auto requestIdHeader = "X-Request-Id";
 }
 
 RequestRun::RequestRun(RequestRunner& runner, const CallerRequest& request, const Contract& contract, HttpExchange& exchange)
@@ -413,13 +407,9 @@
 
 HttpHeaders RequestRun::answerHeaders(const HttpHeaders& fromTarget) const
 {
-    HttpHeaders headers;
-    for (const auto& header : fromTarget) {
-        auto name = absl::AsciiStrToLower(header.first);
-        if (std::find(hopHeaders.begin(), hopHeaders.end(), name) == hopHeaders.end())
-            headers.push_back(header);
-    }
-    headers.emplace_back("X-Request-Id", toString(request_.id));
+    auto headers = endToEndHeaders(fromTarget);
+    std::erase_if(headers, [](const auto& header) { return absl::EqualsIgnoreCase(header.first, requestIdHeader); });
+    headers.emplace_back(requestIdHeader, toString(request_.id));
     return headers;
 }
 
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -74,7 +74,6 @@
     /** Whether the lines of this request are worth their place in the log. */
     [[nodiscard]] bool isNotable() const;
     void count(std::string_view metric, std::string_view label, std::string_view value);
-    [[nodiscard]] HttpHeaders answerHeaders(const HttpHeaders& fromTarget) const;
 
     RoutedRunner& runner_;
     const RoutedRequest& request_;
--- /dev/null
+++ b/src/entry/RoutedRunRelay.cpp
@@ -0,0 +1,174 @@
+#include "entry/RoutedRun.h"
+
+#include "briarhitch/http/EndToEndHeaders.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+#include <utility>
+
+namespace briarhitch {
+
+namespace {
+
+    constexpr int firstServerErrorStatus = 500;
+
+}
+
+std::optional<RoutedRun::Failure> RoutedRun::relayWhole(HttpCall& answer)
+{
+    auto body = answer.readAll(timeLeft() + runner_.limits.answerMargin);
+    if (!body)
+        return watch_->isGone && route_->repeat != RepeatKind::AtMostOnce ? callerLeft() : failed(body.error(), AttemptOutcome::Failed);
+    bool isFailure = answer.status() >= firstServerErrorStatus;
+    if (isFailure && route_->repeat == RepeatKind::Repeatable) {
+        Failure failure { makeError(ErrorKind::TargetFailed, absl::StrCat("the target answered ", answer.status())) };
+        ran_ = Ran::Yes;
+        if (mayRepeat(failure)) {
+            finishAttempt(AttemptOutcome::Errored);
+            return failure;
+        }
+    }
+    ran_ = Ran::Yes;
+    finishAttempt(isFailure ? AttemptOutcome::Errored : AttemptOutcome::Completed);
+    outcome_ = absl::StrCat("status ", answer.status());
+    if (!exchange_.send(answer.status(), endToEndHeaders(answer.headers()), *body))
+        note("not delivered", "the caller left");
+    complete();
+    return std::nullopt;
+}
+
+std::optional<RoutedRun::Failure> RoutedRun::relayStream(HttpCall& answer)
+{
+    EventSplitter splitter(true);
+    for (;;) {
+        auto wait = timeLeft() + runner_.limits.answerMargin;
+        if (mayRunAgain())
+            wait = std::min(wait, runner_.limits.stallTimeout);
+        auto part = answer.read(wait);
+        if (!part) {
+            if (watch_->isGone)
+                return callerLeft();
+            answer.cancel();
+            if (movedTo_)
+                return continueElsewhere();
+            return failed(part.error(), AttemptOutcome::Failed);
+        }
+        if (!*part)
+            break;
+        for (const auto& event : splitter.feed(**part)) {
+            if (!relayEvent(answer, event)) {
+                answer.cancel();
+                return callerLeft();
+            }
+        }
+        if (!movedTo_ && shouldMove())
+            moveRun();
+    }
+    if (movedTo_) {
+        // The answer was complete before the run could be stopped.
+        runner_.pools.release(*std::exchange(movedTo_, std::nullopt));
+        continueFrom_.clear();
+    }
+    return endStream(splitter.pending());
+}
+
+bool RoutedRun::shouldMove() const
+{
+    auto whole = deadline_ - begun_;
+    return service_->canMove && hasFirstEvent_ && now() >= nextMoveAt_ && now() - sentAt_ >= fromSeconds(runner_.limits.moveAfterPart * toSeconds(whole))
+        && timeLeft() >= fromSeconds((1 - runner_.limits.moveAfterPart) / 2 * toSeconds(whole));
+}
+
+bool RoutedRun::moveRun()
+{
+    nextMoveAt_ = now() + runner_.limits.movePause;
+    ++attempt_.number;
+    auto ask = makeAsk(grant_.pool);
+    ask.movesFrom = target_.id;
+    ask.deadlineMs = clampMs(runner_.limits.moveWait);
+    auto grant = runner_.pools.acquire(ask, now() + runner_.limits.moveWait);
+    if (!grant) {
+        note("not moved", grant.error().message);
+        return false;
+    }
+    auto found = runner_.view.config().targets.find(grant->target);
+    bool isUsable = found != runner_.view.config().targets.end() && !sendingProblem(*grant) && runner_.hooks.takeRepeat(service_->name);
+    if (!isUsable) {
+        runner_.pools.release(*grant);
+        return false;
+    }
+    Target destination = found->second;
+    auto call = runner_.dialect.moveCall(request_, target_, destination);
+    call.connectTimeout = runner_.limits.connectTimeout;
+    call.headerTimeout = runner_.limits.moveTimeout;
+    call.isResendAllowed = false;
+    auto answer = runner_.hooks.start(call);
+    auto body = answer ? (*answer)->readAll(runner_.limits.moveTimeout) : Result<std::string>(tl::unexpected(answer.error()));
+    auto result = body ? runner_.dialect.moveResult(target_, (*answer)->status(), *body) : MoveResult {};
+    note(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "events", static_cast<int64_t>(events_) } });
+    count("routed_moves_total", "result", result.hasArrived ? "arrived" : result.hasStopped ? "stopped"
+                                                                                            : "none");
+    if (!result.hasArrived) {
+        runner_.pools.release(*grant);
+        // Its memory has stayed where it was, and so it goes on there.
+        if (result.hasStopped) {
+            movedTo_ = grant_;
+            continueFrom_ = result.continueFrom;
+        }
+        return result.hasStopped;
+    }
+    movedTo_ = *grant;
+    continueFrom_ = result.continueFrom;
+    return true;
+}
+
+std::optional<RoutedRun::Failure> RoutedRun::continueElsewhere()
+{
+    auto grant = *std::exchange(movedTo_, std::nullopt);
+    // The place that the run leaves is free, though its answer is not complete.
+    if (grant.attempt != grant_.attempt)
+        finishAttempt(AttemptOutcome::Cancelled);
+    auto target = runner_.view.config().targets.find(grant.target);
+    if (target == runner_.view.config().targets.end()) {
+        runner_.pools.release(grant);
+        return Failure { makeError(ErrorKind::TargetFailed, "the target of the moved run is gone") };
+    }
+    return dispatch(grant, Target(target->second));
+}
+
+bool RoutedRun::relayEvent(const HttpCall& answer, const StreamEvent& event)
+{
+    // A target that continues a stream may begin with events that the caller has.
+    if (event.id && lastEventId_ && *event.id <= *lastEventId_)
+        return true;
+    if (!hasFirstEvent_)
+        noteFirstEvent();
+    if (events_ > 0 || isStreamBegun_)
+        longestGap_ = std::max(longestGap_, now() - lastEventAt_);
+    lastEventAt_ = now();
+    ++events_;
+    if (!isStreamBegun_) {
+        isStreamBegun_ = true;
+        if (!exchange_.beginStream(answer.status(), endToEndHeaders(answer.headers())))
+            return false;
+    }
+    if (event.id)
+        lastEventId_ = event.id;
+    return exchange_.write(event.text);
+}
+
+std::optional<RoutedRun::Failure> RoutedRun::endStream(const std::string& rest)
+{
+    ran_ = Ran::Yes;
+    finishAttempt(AttemptOutcome::Completed);
+    if (!isStreamBegun_)
+        return Failure { makeError(ErrorKind::TargetFailed, "the target's stream has no events") };
+    bool isDelivered = (rest.empty() || exchange_.write(rest)) && exchange_.endStream();
+    outcome_ = absl::StrCat("stream of ", events_, " events");
+    if (!isDelivered)
+        note("not delivered", "the caller left");
+    complete();
+    return std::nullopt;
+}
+
+}
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -46,8 +46,8 @@
     constexpr double peerGain = 0.02;
     // Predicted waits are noisy; work is refused for them only if they are beyond its time by this factor.
     constexpr double hopelessFactor = 1.2;
-    // What waits behind others always gets some places, as when none of those before it fits one.
-    constexpr double leastPlacesPart = 0.02;
+    // What waits behind others is taken to get this part of the places at least: most peaks are over before its deadline.
+    constexpr double leastPlacesPart = 0.25;
     constexpr double shortestRetryMs = 500;
     constexpr double longestRetryMs = 5000;
     constexpr double retrySpread = 0.3;
