Test a control process that has no room for its log

The process's files are limited by ulimit, so its writes fail; it acknowledges nothing more, ends with code 1, and comes back with all documents.

--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -145,11 +145,27 @@
         }
 
         ChildProcess& startControl(int number, bool mayFound)
+        {
+            return start("control-" + std::to_string(number), "briarhitch-platform-control", controlSettings(number, mayFound), { "--instances=" + address(50, platformPort) });
+        }
+
+        /** A control process whose files cannot grow beyond some kilobytes; its writes then fail as on a full disk. */
+        ChildProcess& startControlWithLittleRoom(int number)
+        {
+            auto name = "control-" + std::to_string(number);
+            auto path = folder_ + "/" + name + ".json";
+            std::ofstream(path) << controlSettings(number, true).dump(2);
+            auto& process = processes_[name];
+            process = std::make_unique<ChildProcess>("/bin/sh", std::vector<std::string> { "-c", "trap '' XFSZ; ulimit -f 32; exec \"$0\" \"$@\"", std::string(BRIARHITCH_BIN_DIR) + "/briarhitch-platform-control", "--config=" + path, "--instances=" + address(50, platformPort) }, folder_ + "/" + name + ".log");
+            return *process;
+        }
+
+        [[nodiscard]] Json controlSettings(int number, bool mayFound) const
         {
             auto settings = Json { { "fleet", fleet() }, { "link", { { "host", host(number) }, { "port", linkPort } } }, { "admin", { { "address", address(number, adminPort) } } },
                 { "data_folder", folder_ + "/data-" + std::to_string(number) }, { "fleet_key", "fleet key of the tests" } };
             settings["fleet"]["may_found"] = mayFound;
-            return start("control-" + std::to_string(number), "briarhitch-platform-control", settings, { "--instances=" + address(50, platformPort) });
+            return settings;
         }
 
         ChildProcess& startPools(int number)
@@ -417,5 +433,22 @@
         EXPECT_EQ(processes_.at("front-20")->waitExit(30s), 0);
     }
 
+    // Guards against a voter that acknowledges what it could not write, or that never comes back from a full disk.
+    TEST_F(PlatformFleetTest, ControlWithoutRoomForItsLogEndsAndComesBackWithAllDocuments)
+    {
+        startControl(1, true);
+        startControl(2, true);
+        auto& full = startControlWithLittleRoom(3);
+        waitUntil("a leader that takes the document", [&] { return operate(1, "PUT", document(7).dump()).status == 200; });
+        uint64_t version = 7;
+        for (; full.isRunning() && version < 200; ++version)
+            waitUntil("document " + std::to_string(version), [&] { return operate(1, "PUT", document(version).dump()).status == 200; });
+        EXPECT_EQ(full.waitExit(30s), 1);
+        EXPECT_NE(full.log().find("cannot make the log durable"), std::string::npos);
+        waitUntil("a document without the third voter", [&] { return operate(1, "PUT", document(version).dump()).status == 200; });
+        startControl(3, false);
+        waitUntil("the last document on the voter that came back", [&] { return operate(3, "GET").body == document(version).dump(); });
+    }
+
 }
 }
