--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -379,6 +379,7 @@
         expectExplained("c-broken", { "granted", "target=i-llm", "first event", "attempt failed", "events=2", "reason=target_failed" });
 
         std::vector<std::pair<std::string, std::string>> slow;
+        slow.reserve(enginePlaces);
         for (int i = 0; i < enginePlaces; ++i)
             slow.emplace_back(slowPlan, "slow-" + std::to_string(i));
         HttpAnswer busy;
