--- a/include/briarhitch/entry/EntryNode.h
+++ b/include/briarhitch/entry/EntryNode.h
@@ -13,8 +13,8 @@
 struct EntryExtensions {
     /** How targets of routed services are spoken to. */
     TargetDialect dialect;
-    /** The routed request that a caller sent; none if the own API is to take it. An error is answered at once. */
-    std::function<std::optional<Result<RoutedRequest>>(const HttpRequest&)> readRequest;
+    /** The routed request that a caller sent; none if the own API is to take it. */
+    std::function<std::optional<RoutedRequest>(const HttpRequest&)> readRequest;
     /** Path that answers 200 while the node is ready and 503 otherwise. */
     std::string readyPath;
 };
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -86,6 +86,7 @@
     void onGrant(const Grant& grant);
     void onRefuse(const Refuse& refuse);
     void onQueued(const Queued& queued);
+    void noteHeard(PoolState& state);
     void sendAsk(const Pending& pending);
     void sync(PoolId pool);
     void adoptAssignment(const PoolAssignment& assignment);
--- a/src/control/PoolAssigner.cpp
+++ b/src/control/PoolAssigner.cpp
@@ -108,10 +108,11 @@
     std::vector<PoolMove> moves;
     Candidates candidates(config, leases, now);
     auto regions = regionsOf(config);
+    bool isPreferredLive = candidates.hasPreferred();
     for (const auto& [id, pool] : config.pools) {
         // Until then the owner before the present one may hold a lease without knowing that it lost the pool.
         bool settled = isSettled(pool, leases, now);
-        auto need = needOf(pool, config, leases, candidates.hasPreferred(), now);
+        auto need = needOf(pool, config, leases, isPreferredLive, now);
         if (need == Need::None || !settled)
             continue;
         const auto* owner = candidates.pick(pool, regions[id]);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -209,12 +209,8 @@
             front.handle(request, exchange);
             return;
         }
-        if (!*decoded) {
-            exchange.send(errorInfo(decoded->error().kind).httpStatus, extensions->dialect.refusalHeaders(decoded->error()), errorToJson(decoded->error()));
-            return;
-        }
         try {
-            routed->run(**decoded, exchange);
+            routed->run(*decoded, exchange);
         } catch (const std::exception& exception) {
             // What one caller sent must not end the process for all others.
             entryLog().error(std::string("A routed request met an unexpected exception: ") + exception.what());
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -24,6 +24,16 @@
     /** How often a silent owner is asked once more. */
     constexpr Duration probeInterval = 200ms;
 
+    /** The error of a request that waited and was not granted a target; no time to come back if that is zero. */
+    Error refusal(ErrorKind kind, const std::string& reason, Duration retryAfter)
+    {
+        auto error = makeError(kind, reason);
+        error.ran = Ran::No;
+        if (retryAfter > Duration::zero())
+            error.retryAfter = retryAfter;
+        return error;
+    }
+
     std::string_view kindWord(PoolKind kind)
     {
         return kind == PoolKind::Model ? "model:" : "service:";
@@ -55,7 +65,6 @@
     Ask ask;
     Instant deadline;
     Instant askedAt {};
-    bool isSolo { false };
     /** The owner has said that the ask waits there. */
     bool isQueued { false };
     FiberEvent decided;
@@ -198,11 +207,15 @@
     }
 }
 
-void PoolClient::onQueued(const Queued& queued)
+void PoolClient::noteHeard(PoolState& state)
 {
-    auto& state = pools_[queued.pool];
     state.lastHeard = now_();
     state.isSuspect = false;
+}
+
+void PoolClient::onQueued(const Queued& queued)
+{
+    noteHeard(pools_[queued.pool]);
     if (auto it = pending_.find(queued.attempt); it != pending_.end())
         it->second->isQueued = true;
 }
@@ -214,8 +227,7 @@
     if (grant.epoch < state.epoch)
         return;
     state.epoch = grant.epoch;
-    state.lastHeard = now_();
-    state.isSuspect = false;
+    noteHeard(state);
     auto it = pending_.find(grant.attempt);
     if (it != pending_.end() && !it->second->decided.isSet()) {
         leaveSolo(grant.pool, grant.attempt);
@@ -229,17 +241,12 @@
 
 void PoolClient::onRefuse(const Refuse& refuse)
 {
-    auto& state = pools_[refuse.pool];
-    state.lastHeard = now_();
-    state.isSuspect = false;
+    noteHeard(pools_[refuse.pool]);
     auto it = pending_.find(refuse.attempt);
     if (it == pending_.end())
         return;
     leaveSolo(refuse.pool, refuse.attempt);
-    auto error = makeError(refuse.kind, refuse.reason);
-    error.ran = Ran::No;
-    if (refuse.retryAfterMs > 0)
-        error.retryAfter = std::chrono::milliseconds(refuse.retryAfterMs);
+    auto error = refusal(refuse.kind, refuse.reason, std::chrono::milliseconds(refuse.retryAfterMs));
     it->second->decide(tl::unexpected(error));
 }
 
@@ -310,7 +317,6 @@
     }
     for (const auto& pending : waiting) {
         leaveSolo(pool, pending->ask.attempt);
-        pending->isSolo = false;
         pending->isQueued = false;
         pending->askedAt = now_();
         sendAsk(*pending);
@@ -428,7 +434,6 @@
 
 void PoolClient::submitSolo(Pending& pending)
 {
-    pending.isSolo = true;
     pending.ask.zone = settings_.zone;
     auto pool = pending.ask.pool;
     soloAttempts_.insert(pending.ask.attempt);
@@ -452,13 +457,9 @@
                 it->second->decide(Grant { pool, attempt, Epoch(), grant->target });
                 continue;
             }
-            const auto& refusal = std::get<PoolRefusal>(action);
+            const auto& refused = std::get<PoolRefusal>(action);
             soloAttempts_.erase(attempt);
-            auto error = makeError(refusal.kind, refusal.reason);
-            error.ran = Ran::No;
-            if (refusal.retryAfter > Duration::zero())
-                error.retryAfter = refusal.retryAfter;
-            it->second->decide(tl::unexpected(error));
+            it->second->decide(tl::unexpected(refusal(refused.kind, refused.reason, refused.retryAfter)));
         }
     }
 }
@@ -468,7 +469,7 @@
     auto now = now_();
     std::vector<std::shared_ptr<Pending>> silent;
     for (const auto& [attempt, pending] : pending_) {
-        if (pending->isSolo || pending->decided.isSet())
+        if (soloAttempts_.contains(attempt) || pending->decided.isSet())
             continue;
         auto& state = pools_[pending->ask.pool];
         auto since = std::max(pending->askedAt, state.lastHeard);
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -27,7 +27,7 @@
     , request_(request)
     , contract_(contract)
     , exchange_(exchange)
-    , watch_(std::make_shared<CallerWatch>())
+    , watch_(CallerWatch::of(exchange))
     , begun_(runner.hooks.now())
     , deadline_(begun_ + request.deadline)
 {
@@ -52,11 +52,6 @@
 {
     runner_.history.begin(request_.id, contract_.name, request_.kindName, request_.tier);
     runner_.metrics.count("entry_requests_total", tierLabel());
-    exchange_.onCallerGone([watch = watch_] {
-        watch->isGone = true;
-        if (watch->onGone)
-            watch->onGone();
-    });
     auto admitted = admit();
     if (!admitted) {
         refuse(admitted.error());
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/entry/RequestRunner.h"
+#include "entry/CallerWatch.h"
 #include "entry/ModelStream.h"
 
 #include <memory>
@@ -29,12 +30,6 @@
     void run();
 
 private:
-    /** What the hook that runs when the caller leaves may touch; it can outlive the request. */
-    struct CallerWatch {
-        bool isGone { false };
-        std::function<void()> onGone;
-    };
-
     // Admission.
     Result<void> admit();
     Result<void> checkNode() const;
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -41,7 +41,7 @@
     : runner_(runner)
     , request_(request)
     , exchange_(exchange)
-    , watch_(std::make_shared<CallerWatch>())
+    , watch_(CallerWatch::of(exchange))
     , routes_(runner.routes())
     , begun_(runner.hooks.now())
     , lastEventId_(request.lastEventId)
@@ -63,11 +63,6 @@
 
 void RoutedRun::run()
 {
-    exchange_.onCallerGone([watch = watch_] {
-        watch->isGone = true;
-        if (watch->onGone)
-            watch->onGone();
-    });
     auto admitted = admit();
     if (!admitted) {
         refuse(admitted.error());
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/entry/RoutedRunner.h"
+#include "entry/CallerWatch.h"
 #include "entry/EventSplitter.h"
 
 #include <optional>
@@ -18,11 +19,6 @@
     void run();
 
 private:
-    /** What the hook that runs when the caller leaves may touch; it can outlive the request. */
-    struct CallerWatch {
-        bool isGone { false };
-        std::function<void()> onGone;
-    };
     /** Why an attempt did not answer the caller. */
     struct Failure {
         Error error;
--- a/src/http/EndToEndHeaders.cpp
+++ b/src/http/EndToEndHeaders.cpp
@@ -8,15 +8,21 @@
 
 namespace {
 
-    constexpr std::array hopByHop { "connection", "content-length", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "date" };
+    constexpr std::array hopByHop { "connection", "content-length", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade" };
 
 }
 
+bool isHopByHop(const std::string& name)
+{
+    return std::any_of(hopByHop.begin(), hopByHop.end(), [&](const char* known) { return absl::EqualsIgnoreCase(name, known); });
+}
+
 HttpHeaders endToEndHeaders(const HttpHeaders& headers)
 {
     HttpHeaders kept;
     for (const auto& header : headers) {
-        if (std::none_of(hopByHop.begin(), hopByHop.end(), [&](const char* name) { return absl::EqualsIgnoreCase(header.first, name); }))
+        // The server dates each message that it sends.
+        if (!isHopByHop(header.first) && !absl::EqualsIgnoreCase(header.first, "Date"))
             kept.push_back(header);
     }
     return kept;
--- a/src/sched/SlotTarget.h
+++ b/src/sched/SlotTarget.h
@@ -20,7 +20,6 @@
         ++samples_;
     }
     [[nodiscard]] double valueOr(double fallback) const { return samples_ == 0 ? fallback : value_; }
-    [[nodiscard]] bool isKnown() const { return samples_ > 0; }
 
 private:
     double gain_;
--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -191,20 +191,25 @@
                 { "tenants", { { { "name", "harbour" }, { "apiKeys", { "key" } } } } } };
         }
 
+        static HttpCallSettings callSettings(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
+        {
+            HttpCallSettings settings;
+            settings.host = host;
+            settings.port = port;
+            settings.method = method;
+            settings.target = path;
+            settings.body = body;
+            settings.headers = headers;
+            settings.headerTimeout = 30s;
+            settings.isReuseAllowed = false;
+            return settings;
+        }
+
         HttpAnswer call(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
         {
             HttpAnswer result;
             loop_.spawn([&] {
-                HttpCallSettings settings;
-                settings.host = host;
-                settings.port = port;
-                settings.method = method;
-                settings.target = path;
-                settings.body = body;
-                settings.headers = headers;
-                settings.headerTimeout = 30s;
-                settings.isReuseAllowed = false;
-                if (auto answer = fetch(client_, settings))
+                if (auto answer = fetch(client_, callSettings(host, port, method, path, body, headers)))
                     result = *answer;
                 loop_.stop();
             });
@@ -229,16 +234,8 @@
             size_t open = pathsAndIds.size();
             for (size_t i = 0; i < pathsAndIds.size(); ++i) {
                 loop_.spawn([&, i] {
-                    HttpCallSettings settings;
-                    settings.host = host(20);
-                    settings.port = callerPort;
-                    settings.method = "POST";
-                    settings.target = pathsAndIds[i].first;
-                    settings.body = "body";
-                    settings.headers = requestHeaders(pathsAndIds[i].second, "key", 20000);
-                    settings.headerTimeout = 30s;
-                    settings.isReuseAllowed = false;
-                    if (auto answer = fetch(client_, settings))
+                    const auto& [path, id] = pathsAndIds[i];
+                    if (auto answer = fetch(client_, callSettings(host(20), callerPort, "POST", path, "body", requestHeaders(id, "key", 20000))))
                         answers[i] = *answer;
                     if (--open == 0)
                         loop_.stop();
@@ -384,14 +381,7 @@
             slow.emplace_back(slowPlan, "slow-" + std::to_string(i));
         HttpAnswer busy;
         requestAll(slow, [&] {
-            HttpCallSettings settings;
-            settings.host = host(20);
-            settings.port = callerPort;
-            settings.method = "POST";
-            settings.target = "/plan/1";
-            settings.headers = requestHeaders("c-busy", "key", 400);
-            settings.isReuseAllowed = false;
-            if (auto answer = fetch(client_, settings))
+            if (auto answer = fetch(client_, callSettings(host(20), callerPort, "POST", "/plan/1", {}, requestHeaders("c-busy", "key", 400))))
                 busy = *answer;
         });
         EXPECT_EQ(busy.status, 503);
@@ -419,13 +409,7 @@
         EXPECT_TRUE(processes_.at("pools-4")->isRunning());
         expectAllAnswered("a new document", [&] {
             for (int number : { 1, 2, 3 }) {
-                HttpCallSettings settings;
-                settings.host = host(number);
-                settings.port = adminPort;
-                settings.method = "PUT";
-                settings.target = "/v1/config";
-                settings.body = document(8).dump();
-                (void)fetch(client_, settings);
+                (void)fetch(client_, callSettings(host(number), adminPort, "PUT", "/v1/config", document(8).dump()));
             }
         });
         EXPECT_EQ(operate(1, "GET").body, document(8).dump());
--- a/tests/process/ProcessFixture.h
+++ b/tests/process/ProcessFixture.h
@@ -28,13 +28,18 @@
 
 /** Starts real processes on loopback ports in a temporary folder; all are gone when the test ends. */
 class ProcessFixture : public testing::Test {
-protected:
+public:
     static constexpr auto operatorKey = "operator key of the tests";
     static constexpr auto customerKey = "customer key of the tests";
     static constexpr auto customer = "harbour";
     static constexpr auto model = "small";
     static constexpr auto service = "booking";
 
+    static PlainRequest chat(const std::string& prompt, int tokens, bool isStream, const std::string& key = customerKey);
+    static PlainRequest charge(const std::string& chargeId, const std::string& idempotencyKey = "");
+    static PlainRequest lookup(const std::string& id);
+
+protected:
     ProcessFixture();
     ~ProcessFixture() override;
 
@@ -84,10 +89,6 @@
     /** Requests with this prompt that any engine ran. */
     size_t timesRun(const std::string& prompt);
 
-    static PlainRequest chat(const std::string& prompt, int tokens, bool isStream, const std::string& key = customerKey);
-    static PlainRequest charge(const std::string& chargeId, const std::string& idempotencyKey = "");
-    static PlainRequest lookup(const std::string& id);
-
 private:
     uint16_t freePort();
     Daemon& start(Daemon daemon);
--- a/tests/soak/SoakTraffic.cpp
+++ b/tests/soak/SoakTraffic.cpp
@@ -2,8 +2,6 @@
 
 #include "process/ProcessFixture.h"
 
-#include <nlohmann/json.hpp>
-
 namespace briarhitch {
 
 namespace {
@@ -15,7 +13,6 @@
     constexpr uint64_t longestPauseMs = 60;
     constexpr int keyedTries = 5;
     constexpr uint64_t mostTokens = 40;
-    constexpr const char* key = "customer key of the tests";
 
     bool isSuccess(int status) { return status == 200 || status == 201; }
 
@@ -67,16 +64,15 @@
     }
 }
 
-Result<HttpAnswer> SoakTraffic::send(Random& random, const std::string& method, const std::string& path, const std::string& body, HttpHeaders headers)
+Result<HttpAnswer> SoakTraffic::send(Random& random, const PlainRequest& request)
 {
     HttpCallSettings settings;
     settings.host = "127.0.0.1";
     settings.port = ports_.at(random.below(ports_.size()));
-    settings.method = method;
-    settings.target = path;
-    settings.body = body;
-    settings.headers = std::move(headers);
-    settings.headers.emplace_back("Authorization", std::string("Bearer ") + key);
+    settings.method = request.method;
+    settings.target = request.path;
+    settings.body = request.body;
+    settings.headers.assign(request.headers.begin(), request.headers.end());
     settings.headerTimeout = longestAnswer;
     settings.isResendAllowed = false;
     ++asked;
@@ -100,8 +96,7 @@
     auto prompt = "soak " + name;
     auto tokens = static_cast<int>(1 + random.below(mostTokens));
     bool isStream = random.chance(0.5);
-    Json body = { { "model", "small" }, { "max_tokens", tokens }, { "stream", isStream }, { "messages", { { { "role", "user" }, { "content", prompt } } } } };
-    auto answer = send(random, "POST", "/v1/chat/completions", body.dump(), { { "Content-Type", "application/json" } });
+    auto answer = send(random, ProcessFixture::chat(prompt, tokens, isStream));
     note(prompts[prompt], answer);
     if (!answer || answer->status != 200)
         return;
@@ -114,13 +109,10 @@
 void SoakTraffic::askCharge(Random& random, const std::string& name)
 {
     auto& told = charges[name];
-    auto body = Json { { "charge_id", name }, { "amount", 100 } }.dump();
     bool isKeyed = random.chance(0.5);
-    HttpHeaders headers;
-    if (isKeyed)
-        headers.emplace_back("Idempotency-Key", name);
+    auto charge = ProcessFixture::charge(name, isKeyed ? name : "");
     for (int i = 0; i < (isKeyed ? keyedTries : 1) && !told.isAnswered; ++i) {
-        note(told, send(random, "POST", "/services/booking/charges", body, headers));
+        note(told, send(random, charge));
         sleepFor(*loop_, 100ms);
     }
 }
--- a/tests/soak/SoakTraffic.h
+++ b/tests/soak/SoakTraffic.h
@@ -3,6 +3,7 @@
 #include "briarhitch/core/Random.h"
 #include "briarhitch/http/HttpClient.h"
 #include "briarhitch/runtime/Loop.h"
+#include "process/PlainHttp.h"
 
 #include <atomic>
 #include <cstdint>
@@ -40,7 +41,7 @@
     void runCaller(uint64_t seed);
     void askModel(Random& random, const std::string& name);
     void askCharge(Random& random, const std::string& name);
-    Result<HttpAnswer> send(Random& random, const std::string& method, const std::string& path, const std::string& body, HttpHeaders headers = {});
+    Result<HttpAnswer> send(Random& random, const PlainRequest& request);
     void note(ToldOutcome& told, const Result<HttpAnswer>& answer);
 
     std::vector<uint16_t> ports_;
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -8,7 +8,7 @@
 # Below the range from which the kernel takes the ports of outgoing connections.
 fleet_next_port=$((10000 + $$ % 1000 * 20))
 fleet_changes=0
-declare -A fleet_pid=() fleet_port=() fleet_command=()
+declare -A fleet_pid=() fleet_port=()
 
 hash_of() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
 
@@ -33,25 +33,14 @@
 
 # fleet_start NAME PORT PROGRAM FLAGS...
 fleet_start() {
-    local name=$1
-    fleet_port[$name]=$2
-    fleet_command[$name]="${*:3}"
-    fleet_restart "$name"
-}
-
-# Starts a process again with the same flags; flags must not contain spaces.
-fleet_restart() {
-    local command
-    read -ra command <<< "${fleet_command[$1]}"
-    "$fleet_bin/${command[0]}" "${command[@]:1}" >> "$fleet_folder/$1.log" 2>&1 &
+    fleet_port[$1]=$2
+    "$fleet_bin/$3" "${@:4}" >> "$fleet_folder/$1.log" 2>&1 &
     fleet_pid[$1]=$!
 }
 
-fleet_signal() { kill "-$1" "${fleet_pid[$2]}" 2> /dev/null || true; }
-
 fleet_kill() {
     [ -n "${fleet_pid[$1]:-}" ] || return 0
-    fleet_signal KILL "$1"
+    kill -KILL "${fleet_pid[$1]}" 2> /dev/null || true
     # The shell's own note about the killed job says nothing of interest.
     wait "${fleet_pid[$1]}" 2> /dev/null || true
     unset "fleet_pid[$1]"
--- a/tools/load/LoadTally.h
+++ b/tools/load/LoadTally.h
@@ -10,7 +10,7 @@
 
 namespace briarhitch {
 
-/** Counts outcomes and writes the journal that the soak run compares with the targets' ledgers. */
+/** Counts outcomes and writes the journal, which can be compared with the targets' ledgers. */
 class LoadTally {
 public:
     explicit LoadTally(const LoadPlan& plan);
