Answer requests that have arrived when a server drains, and end one exchange alone on an exception

Cause 1, planned stops: draining closed the listener with connections in its queue, and closed idle connections without a look at whether a request had arrived on them. Both were cut off without an answer. Now the queue is accepted before the listener closes, each open connection gets a second for a request on its way, and each request is answered with "Connection: close". All steps of an entry's drain together stay within drain_timeout_ms: the handover and the wait for last bytes could outlast it, and the process was killed.

Cause 2: only the callers' two APIs caught exceptions. One thrown while a link's message, a readiness check, a connection or a periodic step was handled ended the process. runGuarded() ends that step alone, with a log line and entry_exceptions. An exception in the control log still ends the voter: its state is not known then, and its disk is.

--- a/include/briarhitch/http/HttpServer.h
+++ b/include/briarhitch/http/HttpServer.h
@@ -79,9 +79,15 @@
     [[nodiscard]] uint16_t port() const;
     /** Requests whose handler is running. */
     [[nodiscard]] size_t requestsRunning() const;
+    [[nodiscard]] size_t connectionCount() const;
+    /** Connections with a request that is being read or handled. */
+    [[nodiscard]] size_t busyConnections() const;
     /** Goes on serving, but every answer says that its connection closes. */
     void announceClose();
-    /** Accepts no more connections and closes idle ones; running requests go on and get "Connection: close". */
+    /**
+     * Accepts no more connections beyond those that callers have opened already. Every request that has arrived, or
+     * does within a second on an open connection, is handled and gets "Connection: close"; then connections close.
+     */
     void drain();
 
 private:
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -1,5 +1,6 @@
 #include "briarhitch/control/ControlProcess.h"
 
+#include "briarhitch/runtime/Guard.h"
 #include "consensus/PosixFileSystem.h"
 
 #include <csignal>
@@ -175,8 +176,12 @@
     LinkHooks hooks;
     hooks.onRequest = [this](const Peer& peer, MessageType type, std::string_view body) { return server_.onRequest(peer, type, body); };
     hooks.onPost = [this](const Peer& peer, MessageType type, std::string_view body) {
-        if (type == MessageType::Raft && peer.identity.role == LinkRole::Control)
-            log_->receive(peer.identity.node, body);
+        if (type != MessageType::Raft || peer.identity.role != LinkRole::Control)
+            return;
+        // A message that cannot be decoded is an error by value; after an exception the voter's state is not known, and its
+        // log on disk is.
+        if (!runGuarded(console_, "a message of another voter", [&] { log_->receive(peer.identity.node, body); }))
+            exitProcess(exitFailed);
     };
     return hooks;
 }
@@ -221,7 +226,7 @@
         for (;;) {
             sleepFor(loop_, extensions_.discoveryInterval);
             if (server_.isLeader())
-                discoverOnce();
+                runGuarded(console_, "discovery", [this] { discoverOnce(); });
         }
     });
 }
@@ -272,7 +277,7 @@
     console_.info("ends after the running requests");
     http_->drain();
     Instant deadline = BootClock::now() + drainLimit;
-    while (http_->requestsRunning() > 0 && BootClock::now() < deadline)
+    while (http_->busyConnections() > 0 && BootClock::now() < deadline)
         sleepFor(loop_, drainStep);
     server_.stop();
     links_->close();
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -12,6 +12,7 @@
 #include "briarhitch/entry/PoolHost.h"
 #include "briarhitch/entry/RequestRunner.h"
 #include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/Guard.h"
 #include "briarhitch/runtime/Loop.h"
 #include "briarhitch/sched/RetryBudget.h"
 
@@ -209,14 +210,8 @@
             front.handle(request, exchange);
             return;
         }
-        try {
-            routed->run(*decoded, exchange);
-        } catch (const std::exception& exception) {
-            // What one caller sent must not end the process for all others.
-            entryLog().error(std::string("A routed request met an unexpected exception: ") + exception.what());
-            metrics.count("entry_exceptions_total");
+        if (!runGuarded(entryLog(), "A routed request", [&] { routed->run(*decoded, exchange); }))
             exchange.abort();
-        }
     }
 
     void handleReady(const HttpRequest& request, HttpExchange& exchange)
@@ -287,7 +282,7 @@
         loop.spawn([this] {
             for (;;) {
                 sleepFor(loop, host->isBusy() ? busyTickInterval : idleTickInterval);
-                host->tick();
+                runGuarded(entryLog(), "A step of the pools owned here", [this] { host->tick(); });
             }
         });
         repeat(settings.limits.soloAfter > Duration::zero() ? busyTickInterval : ownerCheckInterval, [this] { pools->checkOwners(); });
@@ -300,7 +295,7 @@
         loop.spawn([this, interval, step = std::move(step)] {
             for (;;) {
                 sleepFor(loop, interval);
-                step();
+                runGuarded(entryLog(), "A periodic step", step);
             }
         });
     }
@@ -312,7 +307,7 @@
             if (target.isDiscovered || !polling.insert(target.id).second)
                 continue;
             loop.spawn([this, target] {
-                poller.poll(target);
+                runGuarded(entryLog(), "A load report", [&] { poller.poll(target); });
                 polling.erase(target.id);
             });
         }
@@ -327,6 +322,7 @@
         metrics.setGauge("entry_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
         metrics.setGauge("entry_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
         metrics.setGauge("entry_fibers", {}, static_cast<double>(loop.fiberCount()));
+        metrics.setGauge("entry_exceptions", {}, static_cast<double>(guardedExceptions()));
     }
 
     void drain()
@@ -337,23 +333,28 @@
         // The new owners wait for this node's release, and it learns of them with its heartbeats.
         repeat(drainHeartbeatInterval, [this] { control.heartbeatNow(); });
         auto begun = BootClock::now();
-        auto isInTime = [&] { return settings.limits.drainTimeout == Duration::zero() || BootClock::now() - begun < settings.limits.drainTimeout; };
+        // No step may outlast the whole: the process would be killed instead of ending.
+        auto timeFor = [&](Duration step) {
+            auto limit = settings.limits.drainTimeout;
+            return limit == Duration::zero() ? step : std::clamp<Duration>(begun + limit - BootClock::now(), Duration::zero(), step);
+        };
+        auto isInTime = [&] { return timeFor(drainStep) > Duration::zero(); };
         if (server && settings.limits.lameDuckTime > Duration::zero()) {
             // Whoever checks readiness needs a moment to send new connections elsewhere.
             server->announceClose();
-            sleepFor(loop, settings.limits.lameDuckTime);
+            sleepFor(loop, timeFor(settings.limits.lameDuckTime));
             server->drain();
         }
         while (inFlight() > 0 && isInTime())
             sleepFor(loop, drainStep);
         if (inFlight() > 0)
             entryLog().warning("Ends with " + std::to_string(inFlight()) + " requests in flight: the time for draining is over.");
-        waitUntil(isInTime() ? settings.limits.handoverTimeout : Duration::zero(), [this] { return (poolCount() == 0 && !host->isHandingOver()) || !hasSuccessor(); });
+        waitUntil(timeFor(settings.limits.handoverTimeout), [this] { return (poolCount() == 0 && !host->isHandingOver()) || !hasSuccessor(); });
         if (poolCount() > 0)
             entryLog().warning("Ends with " + std::to_string(poolCount()) + " pools that no other node took over.");
         if (server) {
             server->drain();
-            waitUntil(isInTime() ? lastBytesTime : Duration::zero(), [this] { return server->requestsRunning() == 0; });
+            waitUntil(timeFor(lastBytesTime), [this] { return server->connectionCount() == 0; });
         }
         entryLog().info("Has drained.");
     }
--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -14,6 +14,10 @@
 namespace {
 
     namespace http = boost::beast::http;
+    using namespace std::chrono_literals;
+
+    /** A caller that has just opened a connection, or reuses one, may have a request on its way when the server drains. */
+    constexpr Duration lastRequestTime = 1s;
 
     Error errorOfRead(boost::system::error_code error, bool isTimeout)
     {
@@ -50,12 +54,13 @@
 void HttpConnection::serve()
 {
     auto self = shared_from_this();
-    while (keepAlive_ && !isGone_ && !isDraining_ && !announcedClose_) {
+    do {
         auto request = readRequest();
+        isReading_ = false;
         if (!request)
             break;
         handle(*request);
-    }
+    } while (keepAlive_ && !isGone_ && !isDraining_ && !announcedClose_);
     close();
 }
 
@@ -87,11 +92,12 @@
 bool HttpConnection::readHeader(Parser& parser)
 {
     if (buffer_.size() == 0) {
-        deadline_.arm(settings_.idleTimeout);
+        deadline_.arm(isDraining_ ? lastRequestTime : settings_.idleTimeout);
         auto ready = awaitIo([&](auto handler) { socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, handler); });
         if (ready.error)
             return false;
     }
+    isReading_ = true;
     deadline_.arm(settings_.readTimeout);
     auto read = awaitIo([&](auto handler) { http::async_read_header(socket_, buffer_, parser, handler); });
     if (read.error)
@@ -254,11 +260,19 @@
     close();
 }
 
+bool HttpConnection::isIdle() const
+{
+    boost::system::error_code error;
+    return !isHandling_ && !isReading_ && buffer_.size() == 0 && socket_.available(error) == 0;
+}
+
 void HttpConnection::drain()
 {
+    if (isDraining_)
+        return;
     isDraining_ = true;
-    if (!isHandling_)
-        close();
+    if (isIdle())
+        deadline_.arm(lastRequestTime);
 }
 
 void HttpConnection::close()
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -20,10 +20,11 @@
 
     /** Serves until the connection closes; blocks the calling fiber. */
     void serve();
-    [[nodiscard]] bool isIdle() const { return !isHandling_; }
+    /** Whether no request is being handled, being read or waiting to be read. */
+    [[nodiscard]] bool isIdle() const;
     /** The next answer says that the connection closes, and it does after that. */
     void announceClose() { isClosing_ = true; }
-    /** Closes the connection after the running request, or at once if there is none. */
+    /** Closes the connection after the running request or the one that arrives within a second. */
     void drain();
     void close();
 
@@ -63,6 +64,7 @@
     bool isClosing_ { false };
     bool announcedClose_ { false };
     bool isDraining_ { false };
+    bool isReading_ { false };
     bool isHandling_ { false };
     bool isWatching_ { false };
     bool isStreaming_ { false };
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -1,5 +1,7 @@
 #include "briarhitch/http/HttpServer.h"
 
+#include "briarhitch/core/Log.h"
+#include "briarhitch/runtime/Guard.h"
 #include "briarhitch/runtime/Loop.h"
 #include "http/HttpConnection.h"
 #include "runtime/TcpListener.h"
@@ -13,6 +15,12 @@
 
 namespace {
 
+    const Log& httpLog()
+    {
+        static const Log log("http:");
+        return log;
+    }
+
     bool equalIgnoringCase(std::string_view left, std::string_view right)
     {
         return std::equal(left.begin(), left.end(), right.begin(), right.end(),
@@ -49,7 +57,7 @@
     {
         handler = [this, inner = std::move(handlerToUse)](const HttpRequest& request, HttpExchange& exchange) {
             ++running;
-            inner(request, exchange);
+            runGuarded(httpLog(), "a request", [&] { inner(request, exchange); });
             --running;
         };
     }
@@ -61,9 +69,11 @@
         auto connection = std::make_shared<HttpConnection>(std::move(socket), settings, handler);
         if (isClosing)
             connection->announceClose();
+        if (isDraining)
+            connection->drain();
         connections.insert(connection);
         loop.spawn([self = shared_from_this(), connection] {
-            connection->serve();
+            runGuarded(httpLog(), "a connection", [&] { connection->serve(); });
             self->connections.erase(connection);
         });
     }
@@ -79,9 +89,10 @@
     {
         if (listener->isClosed())
             return;
-        listener->close();
+        isDraining = true;
         for (const auto& connection : connections)
             connection->drain();
+        listener->closeAfterWaiting();
     }
 
     Loop& loop;
@@ -91,6 +102,7 @@
     std::set<std::shared_ptr<HttpConnection>> connections;
     size_t running { 0 };
     bool isClosing { false };
+    bool isDraining { false };
 };
 
 HttpServer::HttpServer(std::shared_ptr<Impl> impl)
@@ -123,6 +135,17 @@
     return impl_->running;
 }
 
+size_t HttpServer::connectionCount() const
+{
+    return impl_->connections.size();
+}
+
+size_t HttpServer::busyConnections() const
+{
+    const auto& connections = impl_->connections;
+    return static_cast<size_t>(std::count_if(connections.begin(), connections.end(), [](const auto& connection) { return !connection->isIdle(); }));
+}
+
 void HttpServer::announceClose()
 {
     impl_->announceClose();
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -31,6 +31,7 @@
         { "control_term", "Term of the control log." },
         { "entry_completed_total", "Requests whose whole answer was delivered, by tier." },
         { "entry_config_version", "Version of the configuration in force at this entry." },
+        { "entry_exceptions", "Unexpected exceptions that ended one exchange or one step of this process." },
         { "entry_exceptions_total", "Requests that ended with an unexpected exception." },
         { "entry_fibers", "Fibers that are running." },
         { "entry_first_token_seconds", "From a request's arrival to its first token, by tier." },
@@ -62,6 +63,7 @@
         { "routed_repeat_refusals_total", "Further attempts that the service's budget did not allow, by reason." },
         { "routed_repeats_total", "Further attempts at another target, by reason." },
         { "routed_request_seconds", "From a routed request's arrival to the end of its answer, by tier." },
+        { "routed_target_signals_total", "Answers in which a target said that it leaves or wants a pause, by signal." },
         { "routed_unsent_total", "Grants whose target could not be reached, by reason." },
     };
 
--- a/src/runtime/TcpListener.cpp
+++ b/src/runtime/TcpListener.cpp
@@ -15,6 +15,8 @@
 
     /** Pause after a failed accept, for example when file descriptors have run out. */
     constexpr Duration acceptRetryDelay = 100ms;
+    /** The kernel's queue of connections that nobody has accepted yet is no longer than this. */
+    constexpr int maxWaiting = 4096;
 
 }
 
@@ -46,21 +48,38 @@
 
 void TcpListener::start(SocketHook onAccepted)
 {
-    loop_.spawn([self = shared_from_this(), onAccepted = std::move(onAccepted)] { self->acceptUntilClosed(onAccepted); });
+    onAccepted_ = std::move(onAccepted);
+    loop_.spawn([self = shared_from_this()] { self->acceptUntilClosed(); });
 }
 
-void TcpListener::acceptUntilClosed(const SocketHook& onAccepted)
+void TcpListener::acceptUntilClosed()
 {
     while (!isClosed_) {
         tcp::socket socket(loop_.context());
         auto accepted = awaitIo([&](auto handler) { acceptor_.async_accept(socket, handler); });
-        if (isClosed_)
-            return;
-        if (accepted.error)
+        if (!accepted.error)
+            onAccepted_(std::move(socket));
+        else if (!isClosed_)
             sleepFor(loop_, acceptRetryDelay);
-        else
-            onAccepted(std::move(socket));
     }
+    // The hook may hold the owner of this listener.
+    onAccepted_ = nullptr;
+}
+
+void TcpListener::closeAfterWaiting()
+{
+    if (isClosed_)
+        return;
+    isClosed_ = true;
+    boost::system::error_code error;
+    acceptor_.non_blocking(true, error);
+    for (int accepted = 0; !error && accepted < maxWaiting; ++accepted) {
+        tcp::socket socket(loop_.context());
+        acceptor_.accept(socket, error);
+        if (!error)
+            onAccepted_(std::move(socket));
+    }
+    acceptor_.close(error);
 }
 
 void TcpListener::close()
--- a/src/runtime/TcpListener.h
+++ b/src/runtime/TcpListener.h
@@ -22,15 +22,18 @@
     /** Starts a fiber that hands each connection to the hook, which must not block, until close(). */
     void start(SocketHook onAccepted);
     void close();
+    /** Hands over the connections that callers have opened already, then closes. */
+    void closeAfterWaiting();
     [[nodiscard]] bool isClosed() const { return isClosed_; }
     [[nodiscard]] uint16_t port() const { return port_; }
 
 private:
     explicit TcpListener(Loop& loop);
-    void acceptUntilClosed(const SocketHook& onAccepted);
+    void acceptUntilClosed();
 
     Loop& loop_;
     boost::asio::ip::tcp::acceptor acceptor_;
+    SocketHook onAccepted_;
     uint16_t port_ { 0 };
     bool isClosed_ { false };
 };
--- a/src/wire/LinkConnection.cpp
+++ b/src/wire/LinkConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Digest.h"
 #include "briarhitch/core/Random.h"
+#include "briarhitch/runtime/Guard.h"
 #include "runtime/FiberWaiter.h"
 #include "wire/Codec.h"
 
@@ -19,6 +20,12 @@
     constexpr size_t lengthBytes = 4;
     constexpr Duration handshakeTimeout = 2s;
 
+    const Log& linkLog()
+    {
+        static const Log log("link:");
+        return log;
+    }
+
     LinkTraffic traffic;
 
     std::string withLength(std::string_view body)
@@ -180,7 +187,7 @@
         break;
     case FrameKind::Post:
         if (hooks_.onPost)
-            hooks_.onPost(peer_, frame.type, frame.body);
+            runGuarded(linkLog(), "A message of another node", [&] { hooks_.onPost(peer_, frame.type, frame.body); });
         break;
     case FrameKind::Request:
         handleRequest(std::move(frame));
@@ -210,7 +217,9 @@
     }
     ++requestsRunning_;
     loop_.spawn([self, frame = std::move(frame), answer] {
-        answer(self, frame, self->hooks_.onRequest(self->peer_, frame.type, frame.body));
+        Result<std::string> result = fail(ErrorKind::Internal, "the call met an unexpected exception");
+        runGuarded(linkLog(), "A call of another node", [&] { result = self->hooks_.onRequest(self->peer_, frame.type, frame.body); });
+        answer(self, frame, std::move(result));
         --self->requestsRunning_;
     });
 }
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -8,6 +8,8 @@
 #include "runtime/TcpListener.h"
 
 #include <array>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 
@@ -174,6 +176,93 @@
         });
     }
 
+    /** A caller that writes without the loop, so that its bytes have arrived before the server has seen any. */
+    class PlainCaller {
+    public:
+        PlainCaller(Loop& loop, uint16_t port)
+            : socket_(loop.context())
+        {
+            socket_.connect({ boost::asio::ip::make_address("127.0.0.1"), port });
+        }
+        void ask() { boost::asio::write(socket_, boost::asio::buffer(std::string("GET / HTTP/1.1\r\nHost: a\r\n\r\n"))); }
+        /** All bytes until the server closes, or as many as were asked for. */
+        std::string read(size_t most)
+        {
+            std::string bytes(most, ' ');
+            size_t count = 0;
+            awaitIo([&](auto handler) {
+                boost::asio::async_read(socket_, boost::asio::buffer(bytes), [&count, handler](boost::system::error_code error, size_t size) mutable {
+                    count = size;
+                    handler(error);
+                });
+            });
+            bytes.resize(count);
+            return bytes;
+        }
+
+    private:
+        boost::asio::ip::tcp::socket socket_;
+    };
+
+    // Guards against requests that are cut off without an answer because the server is told to end just after they came.
+    TEST_F(HttpTest, RequestsThatHaveArrivedAreAnsweredWhenTheServerDrains)
+    {
+        int handled = 0;
+        auto answer = [&](const HttpRequest&, HttpExchange& exchange) {
+            ++handled;
+            exchange.send(200, {}, "ok");
+        };
+        run(answer, [&] {
+            constexpr size_t plenty = 4096;
+            PlainCaller kept(loop_, server_->port());
+            kept.ask();
+            const std::string first = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            EXPECT_EQ(kept.read(first.size()), first);
+            kept.ask();
+            PlainCaller waiting(loop_, server_->port());
+            waiting.ask();
+            PlainCaller opened(loop_, server_->port());
+            server_->drain();
+            opened.ask();
+            for (auto* caller : { &kept, &waiting, &opened }) {
+                auto bytes = caller->read(plenty);
+                EXPECT_TRUE(bytes.starts_with("HTTP/1.1 200 OK")) << bytes;
+                EXPECT_NE(bytes.find("Connection: close"), std::string::npos);
+            }
+        });
+        EXPECT_EQ(handled, 4);
+    }
+
+    // Guards against connections that nobody uses and that hold up the end of a server.
+    TEST_F(HttpTest, IdleConnectionsEndWhenTheServerDrains)
+    {
+        auto ignore = [](const HttpRequest&, HttpExchange&) {};
+        run(ignore, [&] {
+            PlainCaller idle(loop_, server_->port());
+            sleepFor(loop_, 1ms);
+            server_->drain();
+            EXPECT_EQ(idle.read(1), "");
+            while (server_->connectionCount() > 0)
+                sleepFor(loop_, 1ms);
+        });
+    }
+
+    // Guards against one request that meets a fault in the program and ends it for all others.
+    TEST_F(HttpTest, ExceptionEndsOneExchangeAlone)
+    {
+        auto answer = [](const HttpRequest& request, HttpExchange& exchange) {
+            if (request.path == "/fault")
+                throw std::runtime_error("planted");
+            exchange.send(200, {}, "ok");
+        };
+        run(answer, [&] {
+            EXPECT_FALSE(fetch(client_, to("POST", "/fault")));
+            EXPECT_EQ(server_->requestsRunning(), 0u);
+            auto next = fetch(client_, to("POST", "/"));
+            EXPECT_TRUE(next);
+        });
+    }
+
     // Guards against a late answer to an earlier request that is taken for the answer to this one.
     TEST_F(HttpTest, AnswersToOtherRequestsAreSkipped)
     {
@@ -194,7 +283,7 @@
             call.host = "127.0.0.1";
             call.port = (*listening)->port();
             call.headerTimeout = 5s;
-            call.isForeign = [](const HttpHeaders& headers) { return findHeader(headers, "Id") != "mine"; };
+            call.ownerOf = [](const HttpHeaders& headers) { return findHeader(headers, "Id") == "mine" ? AnswerOwner::ThisRequest : AnswerOwner::OtherRequest; };
             auto answer = fetch(client_, call);
             EXPECT_TRUE(answer);
             EXPECT_EQ(answer ? answer->body : "", "new");
--- a/tests/LinkTest.cpp
+++ b/tests/LinkTest.cpp
@@ -64,6 +64,29 @@
         });
     }
 
+    // Guards against one message that meets a fault in the program and ends the process, or the link for all others.
+    TEST(LinkTest, ExceptionEndsOneMessageAlone)
+    {
+        runInLoop([](Loop& loop) {
+            LinkHooks hooks;
+            hooks.onPost = [](const Peer&, MessageType, std::string_view) { throw std::runtime_error("planted"); };
+            hooks.onRequest = [](const Peer&, MessageType, std::string_view body) -> Result<std::string> {
+                if (body == "fault")
+                    throw std::runtime_error("planted");
+                return std::string(body);
+            };
+            auto server = LinkServer::listen(loop, "127.0.0.1", 0, settingsFor(1), hooks);
+            ASSERT_TRUE(server);
+            LinkClient client(loop, "127.0.0.1", (*server)->port(), settingsFor(2), {});
+            ASSERT_TRUE(client.waitOpen(5s));
+            client.post(MessageType::Ask, "any");
+            EXPECT_FALSE(client.call(MessageType::Heartbeat, "fault", 5s));
+            auto answer = client.call(MessageType::Heartbeat, "hello", 5s);
+            ASSERT_TRUE(answer);
+            EXPECT_EQ(*answer, "hello");
+        });
+    }
+
     // Guards against strangers joining the fleet.
     TEST(LinkTest, WrongFleetKeyIsRefused)
     {
