--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -4,6 +4,7 @@
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
 #include <functional>
@@ -47,6 +48,8 @@
     void release(const Grant& grant) override;
     void started(const Started& started) override;
     void finished(const Finished& finished) override;
+    void notice(const TargetNotice& notice) override;
+    bool isRestricted(TargetId target) const override { return restrictions_.isRestricted(target, settings_.self, now_()); }
 
     /** Sends a target's load to the owner of its pool; dropped if that cannot be reached. */
     void reportLoad(const LoadReport& report);
@@ -86,6 +89,11 @@
     void onGrant(const Grant& grant);
     void onRefuse(const Refuse& refuse);
     void onQueued(const Queued& queued);
+    void noteRestriction(const TargetNotice& notice);
+    /** The ask as it is to be decided now: without targets that want nothing from this node. */
+    [[nodiscard]] Ask askNow(const Pending& pending) const;
+    /** Tells callers when the targets that asked for a pause take work again, if none else is left. */
+    [[nodiscard]] Error refusalOf(const Refuse& refuse, const Ask& ask) const;
     void noteHeard(PoolState& state);
     void sendAsk(const Pending& pending);
     void sync(PoolId pool);
@@ -110,6 +118,7 @@
     const ClusterView& view_;
     NodeTransport& transport_;
     ClockHook now_;
+    TargetRestrictions restrictions_;
     std::map<PoolId, PoolState> pools_;
     std::map<AttemptId, std::shared_ptr<Pending>> pending_;
     std::map<AttemptId, RunningAttempt> running_;
--- a/include/briarhitch/entry/PoolGateway.h
+++ b/include/briarhitch/entry/PoolGateway.h
@@ -29,6 +29,10 @@
     virtual void release(const Grant& grant) = 0;
     virtual void started(const Started& started) = 0;
     virtual void finished(const Finished& finished) = 0;
+    /** A target leaves or asked this node for a pause: it is granted to nobody, or not to this node. */
+    virtual void notice(const TargetNotice& notice) = 0;
+    /** Whether the target wants no new work from this node now. */
+    [[nodiscard]] virtual bool isRestricted(TargetId target) const = 0;
 };
 
 }
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -3,6 +3,7 @@
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
 #include <functional>
@@ -116,6 +117,10 @@
     void onStarted(const Started& started);
     void onFinished(const Finished& finished);
     void onLoadReport(const LoadReport& report);
+    void onNotice(NodeId from, const TargetNotice& notice);
+    /** Keeps targets that want no work from anybody out of the pools' decisions, and takes them back in time. */
+    void applyRestrictions();
+    [[nodiscard]] std::set<TargetId> findRestrictedForAll() const;
     void onRelease(NodeId from, const PoolRelease& release);
     void remove(Pool& pool, AttemptId attempt);
     void flush(Pool& pool);
@@ -134,6 +139,10 @@
     std::map<CustomerId, Contract> contracts_;
     std::deque<Early> early_;
     std::map<NodeId, Instant> closedSince_;
+    std::set<NodeId> openEntries_;
+    TargetRestrictions restrictions_;
+    /** Targets that the schedulers do not know as active because of the restrictions. */
+    std::set<TargetId> restrictedForAll_;
     std::vector<Release> releases_;
     Instant statsPublishedAt_;
 };
--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -71,6 +71,14 @@
     std::string continueFrom;
 };
 
+/** What a target says of itself beside its answer to a request. */
+struct TargetSignals {
+    /** It takes no new work any more; what runs there goes on. */
+    bool isLeaving { false };
+    /** It wants no work from this node for so long; zero: it said nothing of this. */
+    Duration pause { 0 };
+};
+
 enum class AnswerKind : uint8_t {
     /** The target's answer to this request, a failure included. */
     Genuine,
@@ -86,8 +94,10 @@
 struct TargetDialect {
     std::function<HttpHeaders(const AttemptTerms&)> headersFor;
     std::function<AnswerKind(const RoutedRequest&, int status, const HttpHeaders&)> judge;
-    /** Whether an answer belongs to another request on the same connection. */
-    std::function<bool(const RoutedRequest&, const HttpHeaders&)> isForeign;
+    /** Whether an answer belongs to this request or to another one on the same connection. */
+    std::function<AnswerOwner(const RoutedRequest&, const HttpHeaders&)> ownerOf;
+    /** What the target says of itself beside its answer. */
+    std::function<TargetSignals(const HttpHeaders&, int status)> signalsOf;
     /** The call to `from` that stops a running request there and sends its memory to `to`. */
     std::function<HttpCallSettings(const RoutedRequest&, const Target& from, const Target& to)> moveCall;
     std::function<MoveResult(const Target& from, int status, const std::string& body)> moveResult;
--- a/include/briarhitch/entry/RoutedRunner.h
+++ b/include/briarhitch/entry/RoutedRunner.h
@@ -20,7 +20,9 @@
     Duration connectTimeout { std::chrono::milliseconds(300) };
     /** A target that answers a request at its deadline gets this long until the answer is here. */
     Duration answerMargin { std::chrono::milliseconds(80) };
-    /** Silence on a stream that may be continued elsewhere after which it is. */
+    /** Of a plain service's whole answer. */
+    size_t maxAnswerBytes { 4 * 1024 * 1024 };
+    /** Time without a new event on a stream that may be continued elsewhere after which it is. */
     Duration stallTimeout { std::chrono::milliseconds(1200) };
     /** Grants in a row whose target could not be reached or was another one. */
     uint32_t maxUnsentGrants { 4 };
--- a/include/briarhitch/entry/TargetClient.h
+++ b/include/briarhitch/entry/TargetClient.h
@@ -28,7 +28,10 @@
     std::function<void(const std::shared_ptr<HttpCall>&)> onSending;
 };
 
-/** Speaks to engines and services; one call of send() makes at most one attempt at the target. */
+/**
+ * Speaks to engines and services; one call of send() makes at most one attempt at the target. Answers that echo another
+ * request's X-Request-Id are skipped, and only connections of targets that echo it are used again.
+ */
 class TargetClient {
 public:
     /** HttpClient::start, or a fake. */
--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -11,6 +11,14 @@
 
 class HttpCall;
 
+/** Whose request an answer belongs to, as its header tells. */
+enum class AnswerOwner : uint8_t {
+    ThisRequest,
+    OtherRequest,
+    /** The server names no request in its answers. */
+    Unknown,
+};
+
 /** One request to an HTTP server. */
 struct HttpCallSettings {
     std::string host;
@@ -25,11 +33,16 @@
     Duration headerTimeout { std::chrono::seconds(30) };
     /** A kept connection may have been closed by the server just before; where a second sending is not allowed, use a new one. */
     bool isReuseAllowed { true };
+    /** Of a body that readAll() collects. */
     size_t maxAnswerBytes { 64 * 1024 * 1024 };
     /** Whether a GET may be sent again on a new connection if a kept one turns out to be closed. */
     bool isResendAllowed { true };
-    /** Tells from its header that an answer belongs to an earlier request on this connection; it is then skipped. */
-    std::function<bool(const HttpHeaders&)> isForeign;
+    /**
+     * Tells whose answer has arrived. Answers to other requests are skipped. A connection is kept only if the answer was
+     * known to be this request's, since a late second copy could not be told from the next answer. Without this hook
+     * every answer is taken for this request's.
+     */
+    std::function<AnswerOwner(const HttpHeaders&)> ownerOf;
     /** Called just before the first byte is sent, so that the call can be cancelled while start() still blocks. */
     std::function<void(const std::shared_ptr<HttpCall>&)> onSending;
 };
@@ -46,16 +59,21 @@
      * arrived in time; TargetFailed if the connection broke; CallerLeft after cancel().
      */
     virtual Result<std::optional<std::string>> read(Duration timeout) = 0;
-    /** All that is left of the body. */
+    /** All that is left of the body; TargetTimeout if it is not complete after `timeout`, however its bytes arrive. */
     virtual Result<std::string> readAll(Duration timeout) = 0;
     /** Closes the connection; a fiber blocked in read() returns. May be called from any fiber or hook. */
     virtual void cancel() = 0;
 };
 
-/** HTTP/1.1 client that keeps idle connections for reuse. */
+struct HttpClientSettings {
+    /** Bytes of bodies that all calls together may collect with readAll(), beside the first 64 KiB of each. */
+    size_t maxCollectedBytes { 12 * 1024 * 1024 };
+};
+
+/** HTTP/1.1 client that keeps idle connections for reuse. What a server sends without end takes bounded memory. */
 class HttpClient {
 public:
-    explicit HttpClient(Loop& loop);
+    explicit HttpClient(Loop& loop, HttpClientSettings settings = {});
     ~HttpClient();
 
     /**
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -31,6 +31,7 @@
     CeilingDebit = 20,
     CeilingRefund = 21,
     Queued = 22,
+    TargetNotice = 23,
 };
 
 /** Node to control leader, once a second. Answer: HeartbeatReply. */
@@ -265,6 +266,22 @@
     }
 };
 
+/** Entry to owner, and owner to entries if the target leaves: what a target said of itself in an answer. */
+struct TargetNotice {
+    PoolId pool;
+    TargetId target;
+    /** It takes no new work any more. */
+    bool isLeaving { false };
+    /** It wants no work from the node that sends this for so long; zero: none was asked for. */
+    uint32_t pauseMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, target, isLeaving, pauseMs);
+    }
+};
+
 /** An attempt that was granted by an earlier owner. */
 struct RunningAttempt {
     Ask ask;
--- a/src/entry/ModelStream.cpp
+++ b/src/entry/ModelStream.cpp
@@ -53,6 +53,7 @@
     if ((*opened)->status() != okStatus)
         return *opened;
     connection_ = *opened;
+    progressAt_ = now_();
     return nullptr;
 }
 
@@ -84,13 +85,14 @@
 Duration ModelStream::readTimeout() const
 {
     if (hasEvents_)
-        return settings_.tokenTimeout;
+        return std::max<Duration>(progressAt_ + settings_.tokenTimeout - now_(), 1ms);
     return std::clamp<Duration>(firstEventDeadline_ - now_(), 1ms, settings_.tokenTimeout);
 }
 
 Result<void> ModelStream::readPart()
 {
-    auto part = connection_->read(readTimeout());
+    bool isStalled = hasEvents_ && now_() >= progressAt_ + settings_.tokenTimeout;
+    auto part = isStalled ? Result<std::optional<std::string>>(fail(ErrorKind::TargetTimeout, "no event in time")) : connection_->read(readTimeout());
     // An orderly end without the end mark also means that events are missing.
     if (!part || !*part) {
         loseConnection();
@@ -127,6 +129,7 @@
 
 Result<void> ModelStream::resumeOnce()
 {
+    progressAt_ = now_();
     auto resumed = client_.resume(call_, lastEventId_, readTimeout());
     if (!resumed) {
         // A header that does not come in time is silence; a refused connection is a dead engine, unless it is brief.
@@ -140,6 +143,7 @@
         return fail(ErrorKind::TargetFailed, absl::StrCat("the engine lost the stream and answered ", (*resumed)->status()));
     }
     connection_ = *resumed;
+    progressAt_ = now_();
     return {};
 }
 
@@ -167,6 +171,7 @@
     if (event.id)
         lastEventId_ = event.id;
     hasEvents_ = true;
+    progressAt_ = now_();
     resumesInARow_ = 0;
     isOver_ = event.isEndMark();
     ready_.push_back(std::move(event));
--- a/src/entry/ModelStream.h
+++ b/src/entry/ModelStream.h
@@ -11,7 +11,7 @@
 class Loop;
 
 struct ModelStreamSettings {
-    /** Silence after which the stream is resumed on a new connection. */
+    /** Time without a new event after which the stream is resumed on a new connection; before the first one, silence. */
     Duration tokenTimeout { std::chrono::seconds(3) };
     /** Resumptions without a new event in between, once the first event has come. */
     uint32_t maxResumes { 4 };
@@ -58,6 +58,8 @@
     EventSplitter splitter_;
     std::deque<StreamEvent> ready_;
     std::optional<uint64_t> lastEventId_;
+    /** When the connection was opened or the last new event came; bytes that complete no event are no progress. */
+    Instant progressAt_ {};
     bool hasEvents_ { false };
     bool isOver_ { false };
     bool isCancelled_ { false };
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -179,6 +179,48 @@
     postToOwner(finished.pool, MessageType::Finished, finished);
 }
 
+void PoolClient::notice(const TargetNotice& notice)
+{
+    noteRestriction(notice);
+    postToOwner(notice.pool, MessageType::TargetNotice, notice);
+}
+
+void PoolClient::noteRestriction(const TargetNotice& notice)
+{
+    auto target = view_.config().targets.find(notice.target);
+    if (target == view_.config().targets.end())
+        return;
+    if (notice.isLeaving)
+        restrictions_.noteLeaving(target->second, now_());
+    restrictions_.notePause(notice.target, settings_.self, std::chrono::milliseconds(notice.pauseMs), now_());
+}
+
+Ask PoolClient::askNow(const Pending& pending) const
+{
+    auto ask = pending.ask;
+    ask.zone = settings_.zone;
+    ask.deadlineMs = msLeft(pending.deadline, now_());
+    for (TargetId target : restrictions_.restricted(settings_.self, now_())) {
+        if (std::find(ask.excluded.begin(), ask.excluded.end(), target) == ask.excluded.end())
+            ask.excluded.push_back(target);
+    }
+    return ask;
+}
+
+Error PoolClient::refusalOf(const Refuse& refuse, const Ask& ask) const
+{
+    auto retryAfter = Duration(std::chrono::milliseconds(refuse.retryAfterMs));
+    if (refuse.kind == ErrorKind::NoTarget) {
+        std::vector<TargetId> own;
+        for (const auto& [id, target] : view_.config().targets) {
+            if (target.pool == ask.pool)
+                own.push_back(id);
+        }
+        retryAfter = std::max(retryAfter, restrictions_.shortestPause(own, settings_.self, now_()));
+    }
+    return refusal(refuse.kind, refuse.reason, retryAfter);
+}
+
 void PoolClient::reportLoad(const LoadReport& report)
 {
     postToOwner(report.pool, MessageType::LoadReport, report);
@@ -204,6 +246,11 @@
     } else if (type == MessageType::Queued) {
         if (auto queued = decode<Queued>(body))
             onQueued(*queued);
+    } else if (type == MessageType::TargetNotice) {
+        // An owner passes on that a target leaves; a pause is between the target and one node.
+        auto notice = decode<TargetNotice>(body);
+        if (notice && notice->isLeaving)
+            noteRestriction({ notice->pool, notice->target, true, 0 });
     }
 }
 
@@ -246,20 +293,17 @@
     if (it == pending_.end())
         return;
     leaveSolo(refuse.pool, refuse.attempt);
-    auto error = refusal(refuse.kind, refuse.reason, std::chrono::milliseconds(refuse.retryAfterMs));
-    it->second->decide(tl::unexpected(error));
+    it->second->decide(tl::unexpected(refusalOf(refuse, it->second->ask)));
 }
 
 void PoolClient::sendAsk(const Pending& pending)
 {
-    auto ask = pending.ask;
-    ask.zone = settings_.zone;
-    ask.deadlineMs = msLeft(pending.deadline, now_());
-    postToOwner(ask.pool, MessageType::Ask, ask);
+    postToOwner(pending.ask.pool, MessageType::Ask, askNow(pending));
 }
 
 void PoolClient::onConfigChange(const ClusterConfig& config)
 {
+    restrictions_.onTargets(config.targets);
     for (const auto& [id, assignment] : config.pools) {
         if (assignment.kind != PoolKind::Ceiling)
             adoptAssignment(assignment);
@@ -309,6 +353,8 @@
             message.recent.push_back(recent.repeat);
     }
     postToOwner(pool, MessageType::PoolSync, message);
+    for (TargetId target : restrictions_.restricted(settings_.self, now_()))
+        postToOwner(pool, MessageType::TargetNotice, TargetNotice { pool, target, restrictions_.isLeaving(target, now_()), clampMs(restrictions_.shortestPause({ target }, settings_.self, now_())) });
     // A local owner decides while asks are sent, so the waiting ones are collected first.
     std::vector<std::shared_ptr<Pending>> waiting;
     for (const auto& [attempt, pending] : pending_) {
@@ -356,6 +402,7 @@
 
 void PoolClient::checkOwners()
 {
+    restrictions_.tick(now_());
     if (settings_.soloAfter) {
         takeOverSilent();
         tickSolo();
@@ -434,10 +481,9 @@
 
 void PoolClient::submitSolo(Pending& pending)
 {
-    pending.ask.zone = settings_.zone;
     auto pool = pending.ask.pool;
     soloAttempts_.insert(pending.ask.attempt);
-    soloScheduler(pool).submit(toPoolRequest(pending.ask, pending.deadline, now_()), now_());
+    soloScheduler(pool).submit(toPoolRequest(askNow(pending), pending.deadline, now_()), now_());
     flushSolo(pool);
 }
 
@@ -459,7 +505,8 @@
             }
             const auto& refused = std::get<PoolRefusal>(action);
             soloAttempts_.erase(attempt);
-            it->second->decide(tl::unexpected(refusal(refused.kind, refused.reason, refused.retryAfter)));
+            Refuse refuse { pool, attempt, refused.kind, clampMs(refused.retryAfter), refused.reason };
+            it->second->decide(tl::unexpected(refusalOf(refuse, it->second->ask)));
         }
     }
 }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -65,6 +65,8 @@
     targets_.clear();
     for (const auto& [id, target] : config.targets)
         targets_.push_back(target);
+    restrictions_.onTargets(config.targets);
+    restrictedForAll_ = findRestrictedForAll();
     updateActive(config);
     dropOthers(config);
     noteLostNodes(config);
@@ -153,6 +155,10 @@
 {
     std::vector<Target> own;
     std::copy_if(targets_.begin(), targets_.end(), std::back_inserter(own), [&](const Target& target) { return target.pool == pool.assignment.id; });
+    for (auto& target : own) {
+        if (target.state == TargetState::Active && restrictedForAll_.contains(target.id))
+            target.state = TargetState::Draining;
+    }
     pool.scheduler->setTargets(own, hooks_.now());
 }
 
@@ -246,6 +252,9 @@
     case MessageType::Finished:
         decodeInto<Finished>(body, [&](const Finished& finished) { onFinished(finished); });
         break;
+    case MessageType::TargetNotice:
+        decodeInto<TargetNotice>(body, [&](const TargetNotice& notice) { onNotice(from, notice); });
+        break;
     case MessageType::LoadReport:
         decodeInto<LoadReport>(body, [&](const LoadReport& report) { onLoadReport(report); });
         break;
@@ -399,6 +408,52 @@
     flush(*pool);
 }
 
+void PoolHost::onNotice(NodeId from, const TargetNotice& notice)
+{
+    auto target = std::find_if(targets_.begin(), targets_.end(), [&](const Target& known) { return known.id == notice.target; });
+    if (target == targets_.end())
+        return;
+    auto now = hooks_.now();
+    bool isNews = notice.isLeaving && !restrictions_.isLeaving(notice.target, now);
+    if (notice.isLeaving)
+        restrictions_.noteLeaving(*target, now);
+    restrictions_.notePause(notice.target, from, std::chrono::milliseconds(notice.pauseMs), now);
+    if (isNews) {
+        poolLog().event("target leaves", { { "target", target->name }, { "told_by", int64_t(from.value()) } });
+        // Entries that choose by themselves do not ask this owner.
+        for (NodeId entry : openEntries_)
+            transport_.answer(entry, MessageType::TargetNotice, encode(TargetNotice { notice.pool, notice.target, true, 0 }));
+    }
+    applyRestrictions();
+}
+
+std::set<TargetId> PoolHost::findRestrictedForAll() const
+{
+    std::set<TargetId> result;
+    if (restrictions_.isEmpty())
+        return result;
+    for (const auto& target : targets_) {
+        if (restrictions_.isRestrictedForAll(target.id, hooks_.now()))
+            result.insert(target.id);
+    }
+    return result;
+}
+
+void PoolHost::applyRestrictions()
+{
+    restrictions_.tick(hooks_.now());
+    auto restricted = findRestrictedForAll();
+    if (restricted == restrictedForAll_)
+        return;
+    restrictedForAll_ = std::move(restricted);
+    for (auto& [id, pool] : pools_) {
+        if (!pool.scheduler)
+            continue;
+        setTargets(pool);
+        flush(pool);
+    }
+}
+
 void PoolHost::onRelease(NodeId from, const PoolRelease& release)
 {
     auto& pool = *find(release.pool);
@@ -454,11 +509,13 @@
 
 void PoolHost::onEntryOpen(NodeId node)
 {
+    openEntries_.insert(node);
     closedSince_.erase(node);
 }
 
 void PoolHost::onEntryClosed(NodeId node)
 {
+    openEntries_.erase(node);
     closedSince_.try_emplace(node, hooks_.now());
 }
 
@@ -496,6 +553,7 @@
 {
     sendReleases();
     freeLostEntries();
+    applyRestrictions();
     auto now = hooks_.now();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
--- a/src/entry/RoutedRun.cpp
+++ b/src/entry/RoutedRun.cpp
@@ -239,7 +239,7 @@
     auto target = runner_.view.config().targets.find(grant.target);
     bool isUsable = target != runner_.view.config().targets.end() && target->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
-    if (!isUsable || isExcluded || !runner_.pools.isCurrent(grant))
+    if (!isUsable || isExcluded || runner_.pools.isRestricted(grant.target) || !runner_.pools.isCurrent(grant))
         return Failure { makeError(ErrorKind::NoTarget, "the granted target takes no new work"), true };
     return std::nullopt;
 }
@@ -259,10 +259,12 @@
     settings.body = request_.body;
     settings.connectTimeout = std::min(runner_.limits.connectTimeout, timeLeft() + 1ms);
     settings.headerTimeout = timeLeft() + runner_.limits.answerMargin;
-    if (mayRunAgain() && route_->repeat == RepeatKind::Stream)
+    // This sending does not count in sends_ yet.
+    if (mayRunAgain() && route_->repeat == RepeatKind::Stream && sends_ + 1 < route_->maxAttempts)
         settings.headerTimeout = std::min(settings.headerTimeout, runner_.limits.stallTimeout);
+    settings.maxAnswerBytes = runner_.limits.maxAnswerBytes;
     settings.isResendAllowed = false;
-    settings.isForeign = [this](const HttpHeaders& headers) { return runner_.dialect.isForeign(request_, headers); };
+    settings.ownerOf = [this](const HttpHeaders& headers) { return runner_.dialect.ownerOf(request_, headers); };
     return settings;
 }
 
@@ -303,8 +305,19 @@
     return failure;
 }
 
+void RoutedRun::noteSignals(const HttpCall& call)
+{
+    auto signals = runner_.dialect.signalsOf(call.headers(), call.status());
+    if (!signals.isLeaving && signals.pause <= Duration::zero())
+        return;
+    note(signals.isLeaving ? "target leaves" : "target asks for a pause", {}, { { "target", target_.name }, { "pause_ms", toMs(signals.pause) } });
+    count("routed_target_signals_total", "signal", signals.isLeaving ? "leaving" : "pause");
+    runner_.pools.notice({ grant_.pool, target_.id, signals.isLeaving, clampMs(signals.pause) });
+}
+
 std::optional<RoutedRun::Failure> RoutedRun::takeAnswer(const std::shared_ptr<HttpCall>& call)
 {
+    noteSignals(*call);
     auto kind = runner_.dialect.judge(request_, call->status(), call->headers());
     if (kind == AnswerKind::NotRun || kind == AnswerKind::WrongTarget) {
         // The rest of a short refusal leaves the connection usable.
--- a/src/entry/RoutedRun.h
+++ b/src/entry/RoutedRun.h
@@ -41,9 +41,13 @@
     [[nodiscard]] std::optional<Failure> sendingProblem(const Grant& grant) const;
     std::optional<Failure> dispatch(const Grant& grant, const Target& target);
     [[nodiscard]] HttpCallSettings callSettings(const Target& target);
+    /** Passes on what the target says of itself. */
+    void noteSignals(const HttpCall& call);
     std::optional<Failure> takeAnswer(const std::shared_ptr<HttpCall>& call);
     std::optional<Failure> relayWhole(HttpCall& answer);
     std::optional<Failure> relayStream(HttpCall& answer);
+    /** Time without a new event after which a stream is tried elsewhere. */
+    [[nodiscard]] Duration stallLimit() const;
     /** Whether the stream may not end in time where it runs. */
     [[nodiscard]] bool shouldMove() const;
     /** Stops the run and has its memory sent to a faster target; true if it is to go on elsewhere. */
--- a/src/entry/RoutedRunRelay.cpp
+++ b/src/entry/RoutedRunRelay.cpp
@@ -11,6 +11,8 @@
 namespace {
 
     constexpr int firstServerErrorStatus = 500;
+    /** Events hold a few tokens; a larger one is a fault of the target. */
+    constexpr size_t maxEventBytes = 256 * 1024;
 
 }
 
@@ -40,11 +42,13 @@
 std::optional<RoutedRun::Failure> RoutedRun::relayStream(HttpCall& answer)
 {
     EventSplitter splitter(true);
+    auto progressAt = now();
     for (;;) {
-        auto wait = timeLeft() + runner_.limits.answerMargin;
-        if (mayRunAgain())
-            wait = std::min(wait, runner_.limits.stallTimeout);
-        auto part = answer.read(wait);
+        // Only whole events are progress: a target that is stuck may still send a byte now and then.
+        auto wait = std::min<Duration>(deadline_ + runner_.limits.answerMargin - now(), progressAt + stallLimit() - now());
+        auto part = wait > Duration::zero() ? answer.read(wait) : Result<std::optional<std::string>>(fail(ErrorKind::TargetTimeout, "no event in time"));
+        if (part && splitter.pendingBytes() > maxEventBytes)
+            part = fail(ErrorKind::TargetFailed, "an event of the target is larger than allowed");
         if (!part) {
             if (watch_->isGone)
                 return callerLeft();
@@ -55,7 +59,10 @@
         }
         if (!*part)
             break;
-        for (const auto& event : splitter.feed(**part)) {
+        auto events = splitter.feed(**part);
+        if (!events.empty())
+            progressAt = now();
+        for (const auto& event : events) {
             if (!relayEvent(answer, event)) {
                 answer.cancel();
                 return callerLeft();
@@ -72,6 +79,16 @@
     return endStream(splitter.pending());
 }
 
+Duration RoutedRun::stallLimit() const
+{
+    // A stream that cannot go on elsewhere is not cut off for being slow: nothing better would come of it.
+    if (!mayRunAgain() || sends_ >= route_->maxAttempts)
+        return deadline_ + runner_.limits.answerMargin - begun_;
+    // One that has always been slow is sound; its own pauses tell what is usual.
+    constexpr int usualPauses = 2;
+    return std::max(runner_.limits.stallTimeout, usualPauses * longestGap_);
+}
+
 bool RoutedRun::shouldMove() const
 {
     auto whole = deadline_ - begun_;
@@ -103,6 +120,8 @@
     call.headerTimeout = runner_.limits.moveTimeout;
     call.isResendAllowed = false;
     auto answer = runner_.hooks.start(call);
+    if (answer)
+        noteSignals(**answer);
     auto body = answer ? (*answer)->readAll(runner_.limits.moveTimeout) : Result<std::string>(tl::unexpected(answer.error()));
     auto result = body ? runner_.dialect.moveResult(target_, (*answer)->status(), *body) : MoveResult {};
     note(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "events", static_cast<int64_t>(events_) } });
--- a/src/entry/TargetClient.cpp
+++ b/src/entry/TargetClient.cpp
@@ -7,6 +7,8 @@
     using namespace std::chrono_literals;
 
     constexpr Duration cancelTimeout = 1s;
+    /** Targets that echo it get their connections kept; see AnswerOwner. */
+    constexpr auto requestIdHeader = "X-Request-Id";
     constexpr int okStatus = 200;
     constexpr int firstRedirectStatus = 300;
     constexpr int notFoundStatus = 404;
@@ -17,7 +19,14 @@
         HttpCallSettings settings;
         settings.host = call.target.host;
         settings.port = call.target.port;
-        settings.headers.emplace_back("X-Request-Id", toString(call.attempt));
+        auto id = toString(call.attempt);
+        settings.ownerOf = [id](const HttpHeaders& headers) {
+            auto echoed = findHeader(headers, requestIdHeader);
+            if (echoed.empty())
+                return AnswerOwner::Unknown;
+            return echoed == id ? AnswerOwner::ThisRequest : AnswerOwner::OtherRequest;
+        };
+        settings.headers.emplace_back(requestIdHeader, id);
         settings.headers.emplace_back("X-Fencing-Token", std::to_string(call.epoch.value()));
         return settings;
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -37,6 +37,11 @@
     constexpr Duration idleMargin = 500ms;
     /** More answers to earlier requests than this on one connection mean that it cannot be trusted. */
     constexpr int maxForeignAnswers = 4;
+    constexpr size_t maxForeignBytes = 1024 * 1024;
+    /** Beast's parser limits a header by itself, but not the lines around chunks and the trailer. */
+    constexpr size_t maxUnparsedBytes = 64 * 1024;
+    /** Bodies of up to this size are collected whatever others hold. */
+    constexpr size_t freeBodyBytes = 64 * 1024;
 
     /** The idle time that a server's Keep-Alive header allows, less a margin; the usual one if it states none. */
     Duration allowedIdleTime(std::string_view keepAlive)
@@ -78,11 +83,19 @@
 
         tcp::socket socket;
         SocketDeadline deadline;
-        boost::beast::flat_buffer buffer;
+        boost::beast::flat_buffer buffer { maxUnparsedBytes };
         Instant idleUntil;
     };
 
-    using Address = std::pair<std::string, uint16_t>;
+    struct Address {
+        std::string host;
+        uint16_t port { 0 };
+        /** Connections whose answers name their requests are kept apart: a late copy of another one would name none. */
+        bool namesRequests { false };
+
+        auto operator<=>(const Address&) const = default;
+        [[nodiscard]] std::string text() const { return host + ":" + std::to_string(port); }
+    };
 
     /** Idle connections by server. */
     class ConnectionPool {
@@ -115,6 +128,28 @@
         std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
     };
 
+    /** Bounds what all calls of a client collect at the same time. */
+    class CollectedBytes {
+    public:
+        explicit CollectedBytes(size_t limit)
+            : limit_(limit)
+        {
+        }
+
+        [[nodiscard]] bool take(size_t bytes)
+        {
+            if (bytes > limit_ - taken_)
+                return false;
+            taken_ += bytes;
+            return true;
+        }
+        void give(size_t bytes) { taken_ -= bytes; }
+
+    private:
+        size_t limit_;
+        size_t taken_ { 0 };
+    };
+
     Error withRan(Error error, Ran ran)
     {
         error.ran = ran;
@@ -123,9 +158,11 @@
 
     class BeastCall : public HttpCall {
     public:
-        BeastCall(std::shared_ptr<Connection> connection, std::shared_ptr<ConnectionPool> pool, Address address, size_t maxAnswerBytes)
+        BeastCall(std::shared_ptr<Connection> connection, bool isReused, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<CollectedBytes> collected, Address address, size_t maxAnswerBytes)
             : connection_(std::move(connection))
+            , isReused_(isReused)
             , pool_(std::move(pool))
+            , collected_(std::move(collected))
             , address_(std::move(address))
             , maxAnswerBytes_(maxAnswerBytes)
         {
@@ -134,6 +171,7 @@
 
         ~BeastCall() override
         {
+            collected_->give(taken_);
             if (connection_)
                 connection_->close();
         }
@@ -164,14 +202,18 @@
                 headers_.clear();
                 for (const auto& field : parser_->get())
                     headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
-                if (!settings.isForeign || !settings.isForeign(headers_)) {
+                auto owner = settings.ownerOf ? settings.ownerOf(headers_) : AnswerOwner::ThisRequest;
+                if (owner == AnswerOwner::Unknown && isReused_)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "an answer on a kept connection to " + address_.text() + " names no request"));
+                if (owner != AnswerOwner::OtherRequest) {
+                    isOwnerKnown_ = owner == AnswerOwner::ThisRequest;
                     connection_->deadline.disarm();
                     return {};
                 }
                 if (auto skipped = skipBody(); !skipped)
                     return skipped;
             }
-            return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many answers to other requests from " + address_.first + ":" + std::to_string(address_.second)));
+            return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many answers to other requests from " + address_.text()));
         }
 
         [[nodiscard]] int status() const override { return static_cast<int>(parser_->get().result_int()); }
@@ -203,14 +245,15 @@
         Result<std::string> readAll(Duration timeout) override
         {
             std::string body;
+            auto end = BootClock::now() + timeout;
             for (;;) {
-                auto part = read(timeout);
+                auto part = read(std::max<Duration>(end - BootClock::now(), Duration::zero()));
                 if (!part)
                     return tl::unexpected(part.error());
                 if (!*part)
                     return body;
                 body += **part;
-                if (body.size() > maxAnswerBytes_) {
+                if (body.size() > maxAnswerBytes_ || !takeRoomFor(body.size())) {
                     cancel();
                     return fail(ErrorKind::TargetFailed, "the answer is larger than allowed");
                 }
@@ -239,12 +282,16 @@
             if (!parser_->keep_alive())
                 return tl::unexpected(makeError(ErrorKind::TargetFailed, "the connection ends with an answer to another request"));
             std::array<char, readBytes> bytes;
+            size_t skipped = 0;
             while (!parser_->is_done()) {
                 parser_->get().body().data = bytes.data();
                 parser_->get().body().size = bytes.size();
                 auto read = awaitIo([&](auto handler) { http::async_read_some(connection_->socket, connection_->buffer, *parser_, handler); });
                 if (read.error && read.error != http::error::need_buffer)
                     return tl::unexpected(failure(read.error));
+                skipped += bytes.size() - parser_->get().body().size;
+                if (skipped > maxForeignBytes)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "an answer to another request is larger than allowed"));
             }
             newParser();
             return {};
@@ -254,26 +301,42 @@
         {
             if (!connection_)
                 return;
-            if (parser_->keep_alive() && !isCancelled_)
+            if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_)
                 pool_->give(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
             else
                 connection_->close();
             connection_ = nullptr;
         }
 
+        [[nodiscard]] bool takeRoomFor(size_t bodyBytes)
+        {
+            size_t needed = bodyBytes > freeBodyBytes ? bodyBytes - freeBodyBytes : 0;
+            if (needed <= taken_)
+                return true;
+            if (!collected_->take(needed - taken_))
+                return false;
+            taken_ = needed;
+            return true;
+        }
+
         [[nodiscard]] Error failure(boost::system::error_code error = {}) const
         {
             if (isCancelled_)
                 return makeError(ErrorKind::CallerLeft, "the request was cancelled");
             if (connection_ && connection_->deadline.hasExpired())
-                return makeError(ErrorKind::TargetTimeout, "no answer in time from " + address_.first + ":" + std::to_string(address_.second));
-            return makeError(ErrorKind::TargetFailed, "connection to " + address_.first + ":" + std::to_string(address_.second) + " broke: " + error.message());
+                return makeError(ErrorKind::TargetTimeout, "no answer in time from " + address_.text());
+            return makeError(ErrorKind::TargetFailed, "connection to " + address_.text() + " broke: " + error.message());
         }
 
         std::shared_ptr<Connection> connection_;
+        bool isReused_;
         std::shared_ptr<ConnectionPool> pool_;
+        std::shared_ptr<CollectedBytes> collected_;
         Address address_;
         size_t maxAnswerBytes_;
+        /** What this call has taken of collected_. */
+        size_t taken_ { 0 };
+        bool isOwnerKnown_ { true };
         std::optional<http::response_parser<http::buffer_body>> parser_;
         HttpHeaders headers_;
         bool isCancelled_ { false };
@@ -283,6 +346,7 @@
 
 struct HttpClient::Impl {
     Loop& loop;
+    std::shared_ptr<CollectedBytes> collected;
     std::shared_ptr<ConnectionPool> pool { std::make_shared<ConnectionPool>() };
 
     Result<std::shared_ptr<Connection>> connect(const HttpCallSettings& settings) const
@@ -311,8 +375,8 @@
     }
 };
 
-HttpClient::HttpClient(Loop& loop)
-    : impl_(std::make_shared<Impl>(Impl { loop }))
+HttpClient::HttpClient(Loop& loop, HttpClientSettings settings)
+    : impl_(std::make_shared<Impl>(Impl { loop, std::make_shared<CollectedBytes>(settings.maxCollectedBytes) }))
 {
 }
 
@@ -320,7 +384,7 @@
 
 Result<std::shared_ptr<HttpCall>> HttpClient::start(const HttpCallSettings& settings)
 {
-    Address address { settings.host, settings.port };
+    Address address { settings.host, settings.port, settings.ownerOf != nullptr };
     auto impl = impl_;
     auto connection = settings.isReuseAllowed ? impl->pool->take(address) : nullptr;
     bool isReused = connection != nullptr;
@@ -330,7 +394,7 @@
             return tl::unexpected(opened.error());
         connection = *opened;
     }
-    auto call = std::make_shared<BeastCall>(connection, impl->pool, address, settings.maxAnswerBytes);
+    auto call = std::make_shared<BeastCall>(connection, isReused, impl->pool, impl->collected, address, settings.maxAnswerBytes);
     if (settings.onSending)
         settings.onSending(call);
     auto sent = call->send(settings);
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -456,6 +456,9 @@
         target.isListed = false;
     for (const auto& listed : targets) {
         auto& target = targets_[listed.id];
+        // A new incarnation did not do what the one before it did.
+        if (target.target.bornMs != listed.bornMs)
+            target.health = OutcomeHealth();
         target.target = listed;
         target.isListed = true;
     }
--- a/tests/ModelStreamTest.cpp
+++ b/tests/ModelStreamTest.cpp
@@ -56,6 +56,18 @@
             }
         }
 
+        /** A stream that has begun and then sends these parts, each after a second. */
+        Result<std::string> readSlowParts(std::vector<std::string> parts)
+        {
+            ScriptedAnswer slow = answerWith(200, event(1));
+            for (auto& part : parts)
+                slow.parts.emplace_back(std::move(part));
+            slow.parts.emplace_back(silence());
+            slow.pauseBeforePart = 1s;
+            targets_.script = { slow, answerWith(200, eventsFrom(2)) };
+            return readAll();
+        }
+
         ManualClock clock_;
         ScriptedTargets targets_ { clock_ };
         TargetClient client_ { targets_.hook() };
@@ -134,6 +146,26 @@
         EXPECT_EQ(text.error().kind, ErrorKind::TargetFailed);
     }
 
+    // Guards against a stalled engine that keeps its caller with a byte now and then.
+    TEST_F(ModelStreamTest, BytesWithoutAnEventAreNoProgress)
+    {
+        auto begun = clock_.now;
+        auto text = readSlowParts(std::vector<std::string>(20, "x"));
+        ASSERT_TRUE(text);
+        EXPECT_LE(clock_.now - begun, ModelStreamSettings {}.tokenTimeout + 1s);
+        EXPECT_EQ(*text, event(1) + eventsFrom(2)) << "it was resumed";
+        EXPECT_EQ(targets_.log.size(), 2u);
+    }
+
+    // Guards against a slow but sound stream that is cut off.
+    TEST_F(ModelStreamTest, SlowEventsAreProgress)
+    {
+        auto text = readSlowParts({ event(2), event(3), event(4), event(5), event(6) });
+        ASSERT_TRUE(text);
+        EXPECT_EQ(*text, eventsFrom(1));
+        EXPECT_EQ(targets_.log.size(), 1u);
+    }
+
     // Guards against treating a lost stream as a complete one.
     TEST_F(ModelStreamTest, LostStreamIsAnError)
     {
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -290,5 +290,45 @@
         });
     }
 
+    // Guards against asks, and own choices, that lead to a target which wants nothing from this node.
+    TEST(PoolClientTest, RestrictedTargetsAreExcludedFromAsks)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            entry.client.notice({ PoolId(10), TargetId(7), false, 1500 });
+            EXPECT_EQ(entry.transport.posted<TargetNotice>(MessageType::TargetNotice, NodeId(2)).size(), 1u);
+            EXPECT_TRUE(entry.client.isRestricted(TargetId(7)));
+            auto waiting = entry.ask(100);
+            auto asked = entry.transport.posted<Ask>(MessageType::Ask, NodeId(2));
+            ASSERT_EQ(asked.size(), 1u);
+            EXPECT_EQ(asked[0].excluded, std::vector { TargetId(7) });
+            entry.client.onMessage(MessageType::Refuse, encode(Refuse { PoolId(10), { RequestId(100), 1 }, ErrorKind::NoTarget, 500, "" }));
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(waiting->has_value());
+            ASSERT_FALSE(**waiting);
+            EXPECT_EQ((*waiting)->error().retryAfter, Duration(1500ms)) << "before that there is no target";
+            entry.clock.now += 1500ms;
+            EXPECT_FALSE(entry.client.isRestricted(TargetId(7)));
+        });
+    }
+
+    // Guards against a leaving target that an entry uses, or a new owner grants, because it was told to others only.
+    TEST(PoolClientTest, LeavingTargetIsKnownFromTheOwnerAndToTheNextOwner)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            entry.client.onMessage(MessageType::TargetNotice, encode(TargetNotice { PoolId(10), TargetId(7), true, 0 }));
+            EXPECT_TRUE(entry.client.isRestricted(TargetId(7)));
+            entry.assign(modelPool(10, Epoch(6), 3));
+            auto told = entry.transport.posted<TargetNotice>(MessageType::TargetNotice, NodeId(3));
+            ASSERT_EQ(told.size(), 1u);
+            EXPECT_TRUE(told[0].isLeaving);
+            entry.transport.unreachable.insert(NodeId(3));
+            auto alone = entry.ask(101);
+            ASSERT_TRUE(alone->has_value());
+            EXPECT_FALSE(**alone);
+        });
+    }
+
 }
 }
--- a/tests/PoolHostTest.cpp
+++ b/tests/PoolHostTest.cpp
@@ -294,5 +294,67 @@
         EXPECT_EQ(host_->poolCount(), 0u);
     }
 
+    /** A host whose pool 10 has targets 1 and 2, with one slot each and the policy "slots". */
+    class TargetNoticeTest : public PoolHostTest {
+    protected:
+        TargetNoticeTest()
+        {
+            PoolHostSettings settings;
+            settings.self = NodeId(1);
+            settings.incarnation = Incarnation(1);
+            settings.region = "lakes";
+            settings.pool.policy = "slots";
+            host_ = std::make_unique<PoolHost>(settings, transport_, metrics_, PoolHostHooks { [] { return true; }, [] {}, clock_.hook() });
+            for (uint32_t id : { 1, 2 }) {
+                Target target;
+                target.id = TargetId(id);
+                target.pool = PoolId(10);
+                target.slots = 1;
+                config_.targets[target.id] = target;
+            }
+            own();
+        }
+
+        std::vector<TargetId> grantsTo(uint32_t node) const
+        {
+            std::vector<TargetId> targets;
+            for (const auto& grant : transport_.answered<Grant>(MessageType::Grant, NodeId(node)))
+                targets.push_back(grant.target);
+            return targets;
+        }
+    };
+
+    // Guards against grants for a target that has said it leaves, and entries that go on choosing it by themselves.
+    TEST_F(TargetNoticeTest, LeavingTargetIsGrantedToNobodyAndAllEntriesLearnIt)
+    {
+        host_->onEntryOpen(NodeId(2));
+        host_->onEntryOpen(NodeId(3));
+        send(2, MessageType::TargetNotice, TargetNotice { PoolId(10), TargetId(1), true, 0 });
+        send(3, MessageType::TargetNotice, TargetNotice { PoolId(10), TargetId(1), true, 0 });
+        EXPECT_EQ(transport_.answered<TargetNotice>(MessageType::TargetNotice, NodeId(3)).size(), 1u) << "once, however many entries tell it";
+        for (uint64_t request : { 1, 2, 3 }) {
+            ask(3, request);
+            finish(3, request);
+        }
+        EXPECT_EQ(grantsTo(3), (std::vector<TargetId>(3, TargetId(2))));
+        config_.targets[TargetId(1)].bornMs = 5;
+        host_->onConfigChange(config_);
+        ask(3, 4);
+        ask(3, 5);
+        EXPECT_EQ(grantsTo(3).size(), 5u) << "its new incarnation is used";
+    }
+
+    // Guards against a target that sends node after node away, and is forgotten after its pause.
+    TEST_F(TargetNoticeTest, TargetThatPausesSeveralNodesRestsUntilThePauseEnds)
+    {
+        for (uint32_t node : { 1, 2, 3 })
+            send(node, MessageType::TargetNotice, TargetNotice { PoolId(10), TargetId(1), false, 1000 });
+        ask(2, 1);
+        ask(2, 2);
+        EXPECT_EQ(grantsTo(2), std::vector<TargetId> { TargetId(2) });
+        pass(1000ms);
+        EXPECT_EQ(grantsTo(2).size(), 2u);
+    }
+
 }
 }
--- a/tests/RoutedRunnerTest.cpp
+++ b/tests/RoutedRunnerTest.cpp
@@ -36,7 +36,10 @@
                 return AnswerKind::NotRun;
             return findHeader(headers, "Unsound").empty() ? AnswerKind::Genuine : AnswerKind::Unsound;
         };
-        dialect.isForeign = [](const RoutedRequest&, const HttpHeaders&) { return false; };
+        dialect.ownerOf = [](const RoutedRequest&, const HttpHeaders&) { return AnswerOwner::ThisRequest; };
+        dialect.signalsOf = [](const HttpHeaders& headers, int) {
+            return TargetSignals { !findHeader(headers, "Leaving").empty(), findHeader(headers, "Pause").empty() ? 0ms : 1500ms };
+        };
         dialect.moveCall = [](const RoutedRequest& request, const Target& from, const Target& to) {
             HttpCallSettings call;
             call.method = "POST";
@@ -52,7 +55,8 @@
 
     /** A runner with a route of each kind and three targets. */
     struct Bench {
-        Bench()
+        explicit Bench(RoutedLimits limitsToUse = {})
+            : limits(limitsToUse)
         {
             ClusterConfig config;
             config.version = Version(1);
@@ -68,6 +72,7 @@
             addRoute(config, "/lookup/", RepeatKind::Repeatable, "shop", 2);
             addRoute(config, "/plan/", RepeatKind::Stream, "engines", 1);
             addRoute(config, "/query/", RepeatKind::Stream, "engines", 2, true);
+            addRoute(config, "/once/", RepeatKind::Stream, "engines", 1, true);
             addRoute(config, "/private/", RepeatKind::Repeatable, "shop", 2, false, false);
             config.routing.hasCustomers = true;
             RoutedCustomer customer;
@@ -151,7 +156,8 @@
         bool hasConfiguration { true };
         int repeatsLeft { 10 };
         int64_t debited { 0 };
-        RoutedRunner runner { RoutedLimits {}, testDialect(), view, pools, history, metrics, hooks(), 1 };
+        RoutedLimits limits;
+        RoutedRunner runner { limits, testDialect(), view, pools, history, metrics, hooks(), 1 };
     };
 
     // Guards against a charge that runs twice, and a failure that sounds like "not run", after a connection broke.
@@ -174,6 +180,96 @@
         EXPECT_EQ(bench.pools.asks.at(1).objectiveMs, 1u);
     }
 
+    // Guards against work that is sent to a target which has said that it leaves, though the list does not show it yet.
+    TEST(RoutedRunnerTest, LeavingTargetGetsNothingMore)
+    {
+        Bench bench;
+        bench.pools.grants = { TargetId(1), TargetId(1), TargetId(2) };
+        bench.targets.script = { answerWith(200, "paid", { { "Leaving", "1" } }), answerWith(200, "paid") };
+        EXPECT_EQ(bench.run("/charge/1").status, 200) << "the answer of a target that leaves counts";
+        ASSERT_EQ(bench.pools.notices.size(), 1u);
+        EXPECT_TRUE(bench.pools.notices[0].isLeaving);
+        EXPECT_EQ(bench.run("/charge/2").status, 200);
+        ASSERT_EQ(bench.targets.log.size(), 2u);
+        EXPECT_EQ(bench.header(1, "Instance"), "t2") << "a grant from before is given back";
+        EXPECT_EQ(bench.pools.released, 1);
+    }
+
+    // Guards against a target that asked this node for a pause and gets its next request.
+    TEST(RoutedRunnerTest, PausedTargetIsPassedOver)
+    {
+        Bench bench;
+        bench.pools.grants = { TargetId(1), TargetId(1), TargetId(2) };
+        bench.targets.script = { answerWith(503, "full", { { "Not-Run", "1" }, { "Pause", "1" } }), answerWith(200, "open") };
+        EXPECT_EQ(bench.run("/lookup/1").status, 200);
+        ASSERT_EQ(bench.pools.notices.size(), 1u);
+        EXPECT_EQ(bench.pools.notices[0].pauseMs, 1500u);
+        EXPECT_FALSE(bench.pools.notices[0].isLeaving);
+        EXPECT_EQ(bench.header(1, "Instance"), "t2");
+    }
+
+    /** Events or other bytes, with a pause before each but the first. */
+    ScriptedAnswer slowStream(Duration pause, std::vector<Result<std::string>> parts)
+    {
+        auto answer = streamOf(std::move(parts));
+        answer.pauseBeforePart = pause;
+        return answer;
+    }
+
+    // Guards against a stalled target that keeps its caller beyond the deadline with a byte now and then.
+    TEST(RoutedRunnerTest, BytesWithoutAnEventDoNotKeepAStreamOpen)
+    {
+        for (const auto* path : { "/plan/1", "/query/1", "/once/1" }) {
+            Bench bench;
+            std::vector<Result<std::string>> parts { event(1) };
+            parts.insert(parts.end(), 100, "x");
+            parts.emplace_back("\n\n");
+            bench.targets.script = { slowStream(70ms, parts) };
+            bench.run(path);
+            EXPECT_EQ(bench.exchange.body, event(1)) << path;
+            EXPECT_FALSE(bench.exchange.isEnded) << path;
+        }
+    }
+
+    // Guards against a stalled target whose stream could go on elsewhere, and does not because bytes come now and then.
+    TEST(RoutedRunnerTest, StalledStreamGoesOnElsewhere)
+    {
+        RoutedLimits limits;
+        limits.stallTimeout = 300ms;
+        Bench bench(limits);
+        std::vector<Result<std::string>> parts { event(1) };
+        parts.insert(parts.end(), 10, "x");
+        bench.targets.script = { slowStream(100ms, parts), streamOf({ event(2), event(3) }) };
+        bench.run("/query/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3));
+        EXPECT_TRUE(bench.exchange.isEnded);
+    }
+
+    // Guards against a slow but sound stream that is cut off although nothing else is left to try.
+    TEST(RoutedRunnerTest, SlowStreamIsNotCutOff)
+    {
+        RoutedLimits limits;
+        limits.stallTimeout = 300ms;
+        Bench bench(limits);
+        bench.targets.script = { slowStream(350ms, { event(1), event(2), event(3) }) };
+        bench.run("/once/1");
+        EXPECT_EQ(bench.exchange.body, event(1) + event(2) + event(3));
+        EXPECT_TRUE(bench.exchange.isEnded);
+    }
+
+    // Guards against an event without an end that takes a node's memory.
+    TEST(RoutedRunnerTest, EventWithoutEndIsAFailure)
+    {
+        Bench bench;
+        std::vector<Result<std::string>> parts { event(1) };
+        parts.insert(parts.end(), 1000, std::string(16 * 1024, 'x'));
+        parts.emplace_back("\n\n");
+        bench.targets.script = { streamOf(parts) };
+        bench.run("/plan/1");
+        EXPECT_EQ(bench.exchange.body, event(1));
+        EXPECT_TRUE(bench.exchange.isAborted);
+    }
+
     // Guards against a charge that is given up although no byte of it was sent.
     TEST(RoutedRunnerTest, UnsentChargeGoesToAnotherTarget)
     {
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -143,8 +143,24 @@
         auto encoded = good;
         encoded.emplace_back("Content-Encoding", "gzip");
         EXPECT_EQ(judge(200, encoded), AnswerKind::Unsound);
-        EXPECT_TRUE(dialect.isForeign(request, { { "Briarhitch-Request-Id", "other" } }));
-        EXPECT_FALSE(dialect.isForeign(request, good));
+        EXPECT_EQ(judge(500, { { "Briarhitch-Response-Stamp", "s" }, { "Briarhitch-Request-Id", "other" } }), AnswerKind::Unsound);
+        EXPECT_EQ(dialect.ownerOf(request, { { "Briarhitch-Request-Id", "other" } }), AnswerOwner::OtherRequest);
+        EXPECT_EQ(dialect.ownerOf(request, good), AnswerOwner::ThisRequest);
+        EXPECT_EQ(dialect.ownerOf(request, {}), AnswerOwner::Unknown);
+    }
+
+    // Guards against work that is sent to a server which leaves or asked for a pause, and pauses that no server meant.
+    TEST(WireTest, ServersSayThatTheyLeaveOrWantAPause)
+    {
+        auto signals = [](int status, const HttpHeaders& headers) { return serverDialect().signalsOf(headers, status); };
+        EXPECT_TRUE(signals(200, { { "Server-Leaving", "1" } }).isLeaving);
+        EXPECT_TRUE(signals(503, { { "server-leaving", "1" } }).isLeaving);
+        EXPECT_FALSE(signals(200, { { "Server-Leaving", "0" } }).isLeaving);
+        EXPECT_EQ(signals(503, { { "Retry-After", "1.25" } }).pause, 1250ms);
+        EXPECT_EQ(signals(429, { { "Retry-After", "1.25" } }).pause, 0ms) << "only a 503 asks for a pause";
+        for (const auto* absurd : { "-3", "soon", "", "nan", "Wed, 21 Oct 2026 07:28:00 GMT" })
+            EXPECT_EQ(signals(503, { { "Retry-After", absurd } }).pause, 0ms) << absurd;
+        EXPECT_GT(signals(503, { { "Retry-After", "1e300" } }).pause, 1min);
     }
 
     // Guards against a server that is not told whom it is for, how long it has, and where a stream goes on.
--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -30,6 +30,11 @@
     constexpr auto slowPlan = "/plan/slow";
     constexpr auto brokenPlan = "/plan/broken";
     constexpr auto lostCharge = "/charge/lost";
+    constexpr auto endlessPlan = "/plan/endless";
+    constexpr auto endlessCharge = "/charge/endless";
+    constexpr size_t endlessBlock = 64 * 1024;
+    /** Memory of the smallest entry VM of the deployments. */
+    constexpr size_t smallestEntryKb = 88 * 1024;
     constexpr Duration slowEvent = 700ms;
     constexpr int enginePlaces = 4;
 
@@ -47,6 +52,7 @@
         }
 
         std::atomic<int> charges { 0 };
+        std::atomic<int> places { enginePlaces };
 
     private:
         void serve()
@@ -71,7 +77,7 @@
             if (request.path == "/instances") {
                 Json list { { "instances", Json::array() }, { "next", nullptr } };
                 for (const auto* service : { "llm", "shop" })
-                    list["instances"].push_back({ { "id", std::string("i-") + service }, { "service", service }, { "address", host_ + ":" + std::to_string(platformPort) }, { "zone", "a" }, { "slots", 4 }, { "state", "ready" } });
+                    list["instances"].push_back({ { "id", std::string("i-") + service }, { "service", service }, { "address", host_ + ":" + std::to_string(platformPort) }, { "zone", "a" }, { "slots", places.load() }, { "state", "ready" } });
                 exchange.send(200, { { "Content-Type", "application/json" } }, list.dump());
                 return;
             }
@@ -82,6 +88,11 @@
                     exchange.abort();
                     return;
                 }
+                if (request.path == endlessCharge) {
+                    exchange.beginStream(200, headers);
+                    writeWithoutEnd(exchange);
+                    return;
+                }
                 exchange.send(200, headers, "paid by " + std::string(request.header("Briarhitch-Tenant")));
                 return;
             }
@@ -89,6 +100,10 @@
             exchange.beginStream(200, headers);
             for (int id = 1; id <= 3; ++id) {
                 exchange.write(eventText(id));
+                if (request.path == endlessPlan) {
+                    writeWithoutEnd(exchange);
+                    return;
+                }
                 if (request.path == slowPlan)
                     sleepFor(*loop_, slowEvent);
                 if (request.path == brokenPlan && id == 2) {
@@ -99,6 +114,14 @@
             exchange.endStream();
         }
 
+        /** Bytes that complete nothing, until the caller closes. */
+        static void writeWithoutEnd(HttpExchange& exchange)
+        {
+            const std::string block(endlessBlock, 'x');
+            while (exchange.write(block)) { }
+            exchange.abort();
+        }
+
         std::string host_;
         Loop* loop_ { nullptr };
         std::atomic<bool> isServing_ { false };
@@ -310,6 +333,18 @@
             }
         }
 
+        /** Largest resident memory of a running process so far. */
+        static size_t peakMemoryKb(pid_t pid)
+        {
+            std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+            for (std::string line; std::getline(status, line);) {
+                if (line.starts_with("VmHWM:"))
+                    return std::stoul(line.substr(line.find_first_of("0123456789")));
+            }
+            ADD_FAILURE() << "no peak memory of process " << pid;
+            return 0;
+        }
+
         /** Fleets of this process so far; each has addresses of its own. */
         static inline int fleets = 0;
 
@@ -418,6 +453,34 @@
         EXPECT_EQ(processes_.at("front-20")->waitExit(30s), 0);
     }
 
+    // Guards against servers in trouble that send bytes for as long as somebody reads: they take the memory of a small entry VM,
+    // or the time of the requests beside them.
+    TEST_F(PlatformFleetTest, AnswersWithoutEndLeaveRoomForOthers)
+    {
+        constexpr int endlessCalls = 25;
+        constexpr int goodCalls = 20;
+        platform_.places = 3 * endlessCalls;
+        startServing();
+        std::vector<std::pair<std::string, std::string>> requests;
+        for (int i = 0; i < endlessCalls; ++i) {
+            requests.emplace_back(endlessPlan, "plan-" + std::to_string(i));
+            requests.emplace_back(endlessCharge, "charge-" + std::to_string(i));
+        }
+        for (int i = 0; i < goodCalls; ++i)
+            requests.emplace_back("/charge/1", "good-" + std::to_string(i));
+        auto answers = requestAll(requests);
+        for (size_t i = 0; i < requests.size(); ++i) {
+            const auto& [path, id] = requests[i];
+            if (path == endlessPlan)
+                EXPECT_EQ(answers[i].status, 0) << id << ": a stream that was cut off must not look complete";
+            else
+                EXPECT_EQ(answers[i].status, path == endlessCharge ? 502 : 200) << id;
+        }
+        auto& front = *processes_.at("front-20");
+        EXPECT_TRUE(front.isRunning());
+        EXPECT_LT(peakMemoryKb(front.pid()), smallestEntryKb);
+    }
+
     // Guards against a voter that acknowledges what it could not write, or that never comes back from a full disk.
     TEST_F(PlatformFleetTest, ControlWithoutRoomForItsLogEndsAndComesBackWithAllDocuments)
     {
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -52,18 +52,20 @@
     HttpHeaders headers;
     /** Parts of the body; an orderly end follows, unless the last one is an error. */
     std::vector<Result<std::string>> parts;
+    /** Passes before each part but the first. */
+    Duration pauseBeforePart { 0 };
 };
 
 inline ScriptedAnswer answerWith(int status, const std::string& body, HttpHeaders headers = {})
 {
-    return { std::nullopt, status, std::move(headers), { body } };
+    return { std::nullopt, status, std::move(headers), { body }, Duration(0) };
 }
 
 inline ScriptedAnswer failWith(ErrorKind kind, Ran ran)
 {
     auto error = makeError(kind, "scripted");
     error.ran = ran;
-    return { error, 0, {}, {} };
+    return { error, 0, {}, {}, Duration(0) };
 }
 
 class ScriptedCall : public HttpCall {
@@ -83,6 +85,12 @@
             return fail(ErrorKind::CallerLeft, "cancelled");
         if (next_ >= answer_.parts.size())
             return std::optional<std::string>();
+        if (next_ > 0 && answer_.pauseBeforePart > timeout) {
+            clock_.now += timeout;
+            return fail(ErrorKind::TargetTimeout, "silent");
+        }
+        if (next_ > 0)
+            clock_.now += answer_.pauseBeforePart;
         auto& part = answer_.parts[next_++];
         if (part)
             return std::optional(*part);
@@ -263,12 +271,20 @@
     void release(const Grant&) override { ++released; }
     void started(const Started&) override { ++startedCount; }
     void finished(const Finished& message) override { outcomes.push_back(message.outcome); }
+    void notice(const TargetNotice& message) override
+    {
+        notices.push_back(message);
+        restricted.insert(message.target);
+    }
+    bool isRestricted(TargetId target) const override { return restricted.contains(target); }
 
     std::deque<TargetId> grants;
     mutable int staleGrants { 0 };
     std::function<void()> onAcquire;
     std::vector<Ask> asks;
     std::vector<AttemptOutcome> outcomes;
+    std::vector<TargetNotice> notices;
+    std::set<TargetId> restricted;
     int abandoned { 0 };
     int released { 0 };
     int startedCount { 0 };
