--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -34,9 +34,12 @@
     /** A placement with no more than this loss is taken at once. */
     constexpr double acceptedLoss = 0.05;
     constexpr double acceptedEndRisk = 0.3;
-    /** Among targets where no value is lost, how much slower a full one counts, and one in another availability zone. */
+    /**
+     * Among targets where no value is lost, how much slower a full one counts, and one in another availability zone. Less
+     * than the step between neighbouring generations of hardware, so that a slow engine next door holds nothing up.
+     */
     constexpr double fillPenalty = 0.2;
-    constexpr double otherZonePenalty = 1.0;
+    constexpr double otherZonePenalty = 0.5;
     /** A running request moves only to a target that is faster by this factor. */
     constexpr double leastSpeedUp = 1.5;
     /** Part of its objective that any request may wait for a good place. */
