--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -9,6 +9,8 @@
 
     // Clocks of two VMs differ in speed by at most this factor (design, section 6.1).
     constexpr double clockDriftBound = 1.05;
+    /** Polls before an election in the time of one election timeout. */
+    constexpr int preVotesPerTimeout = 4;
 
     bool isWellFormed(const RaftMessage& message)
     {
@@ -187,7 +189,9 @@
     role_ = RaftRole::PreCandidate;
     leader_.reset();
     votes_ = { settings_.self };
-    electionDeadline_ = now + randomTimeout();
+    // Voters that restarted a moment later refuse until their own promise has ended. The poll raises no term, so it is
+    // repeated soon: a whole timeout would double the time without a leader after all have restarted.
+    electionDeadline_ = now + randomTimeout() / preVotesPerTimeout;
     if (votes_.size() >= log_.membership().majority())
         return startElection(now);
     RaftMessage request = message(RaftMessageKind::PreVote);
--- a/tests/RaftCoreTest.cpp
+++ b/tests/RaftCoreTest.cpp
@@ -117,6 +117,29 @@
         EXPECT_EQ(voter->commitIndex(), 3U);
     }
 
+    // Found with the incident inc-41a7: after all voters had restarted at once the first poll came before the others' promises to
+    // the old leader had ended, and the next one a whole timeout later. Guards against that second timeout without a leader.
+    TEST(RaftCoreTest, RefusedPollIsRepeatedSoonAndRaisesNoTerm)
+    {
+        Voter voter(5, 3, { 1, 2 });
+        auto pollsUntil = [&](Instant end) {
+            int polls = 0;
+            for (; voter.now < end; voter.now += 10ms) {
+                voter->tick(voter.now);
+                for (const auto& sent : voter.flush())
+                    polls += sent.message.kind == RaftMessageKind::PreVote && sent.to == NodeId(2) ? 1 : 0;
+            }
+            return polls;
+        };
+        RaftCoreSettings settings;
+        auto first = start + settings.electionTimeoutMax + 10ms;
+        ASSERT_GE(pollsUntil(first), 1);
+        for (uint32_t other : { 2, 3, 4, 5 })
+            voter.reply(other, RaftMessageKind::PreVoteReply, [](RaftMessage& message) { message.accepted = false; });
+        EXPECT_GE(pollsUntil(first + settings.electionTimeoutMin), 2);
+        EXPECT_EQ(voter->term(), 3U);
+    }
+
     // Guards against reads by a leader whose followers may already elect another one.
     TEST(RaftCoreTest, LeaseCountsFromSendingAndAllowsForDrift)
     {
