Move pools of silent owners early, and let a fleet that lost power serve sooner

(2) After a loss of power the third control process listened at 37.56 s, fronts were registered at 38.6 s and the model pool served at 38.66 s: dials to VMs that were still off hung for 1 s, redials backed off to 1 s, nodes heard of the leader and of assignments only with their next heartbeat, and a new owner waited 0.5 s for syncs.

Dial times follow the length of the outage. A leader calls its nodes when it is elected and when pools move, and looks at pools each 20 ms in its first second. First polls come right after a voter's own promise. Owners that only restarted keep their pools.

Ruled out: processor time (fronts use 4% of a core), the list of servers (read by 36 s). Skipping the 280 ms promise of restarted voters was not tried: a leader's lease rests on it.

--- a/include/briarhitch/control/ControlServer.h
+++ b/include/briarhitch/control/ControlServer.h
@@ -25,13 +25,20 @@
     std::function<std::optional<ControlVoter>(NodeId)> findVoter {};
     /** In a fleet that forms itself: the link addresses of all control processes, for the nodes. */
     std::function<std::vector<HostPort>()> controlProcesses {};
+    /** Sends HeartbeatCall to all nodes with an open link. */
+    std::function<void()> callNodes {};
     LeaseSettings lease;
+    /** See PoolAssigner; none: pools move only when the owner's lease has certainly ended. */
+    std::optional<Duration> takeoverSilence {};
     uint64_t maxRunRecords { 0 };
     uint64_t maxAnswerBytes { 0 };
     Duration answerRetention { std::chrono::hours(24) };
     Duration proposeTimeout { std::chrono::seconds(2) };
     /** How often leases and pools are looked at. */
     Duration tickInterval { std::chrono::milliseconds(100) };
+    /** The same while nodes register with a new leader. */
+    Duration settlingTickInterval { std::chrono::milliseconds(20) };
+    Duration settlingTime { std::chrono::seconds(1) };
 };
 
 /** What a node told in its last heartbeat to this leader. */
@@ -85,6 +92,10 @@
     Result<std::string> onFinish(const Peer& peer, std::string_view body);
     Result<void> registerIfChanged(const NodeRecord& node);
     [[nodiscard]] std::string redirect() const;
+    [[nodiscard]] Duration tickInterval() const;
+    /** Calls for heartbeats as soon as this leader can answer them. */
+    void announceLeadership();
+    void callNodes() const;
     void tick();
     void markLostNodes();
     void assignPools();
@@ -100,6 +111,8 @@
     PoolAssigner assigner_;
     std::map<NodeId, NodeReport> reports_;
     bool leading_ { false };
+    bool isAnnounced_ { false };
+    Instant leadsSince_ {};
     std::shared_ptr<Lifetime> lifetime_;
 };
 
--- a/include/briarhitch/control/LeaseTable.h
+++ b/include/briarhitch/control/LeaseTable.h
@@ -33,6 +33,11 @@
     [[nodiscard]] bool mayHold(NodeId node, Incarnation incarnation, Instant now) const;
     /** Whether this leader answered a heartbeat of this incarnation within the time of a lease. */
     [[nodiscard]] bool isLive(NodeId node, Incarnation incarnation, Instant now) const;
+    /**
+     * Whether this incarnation has sent no heartbeat for this long, although a leader that it could have sent one to was
+     * there all the while. It may hold its lease all the same.
+     */
+    [[nodiscard]] bool isSilent(NodeId node, Incarnation incarnation, Duration silence, Instant now) const;
     /** Time since the last answered heartbeat; Duration::max() if this leader answered none. */
     [[nodiscard]] Duration age(NodeId node, Incarnation incarnation, Instant now) const;
     /** True while leases of an earlier leader may hold. */
@@ -43,6 +48,7 @@
 
 private:
     LeaseSettings settings_;
+    Instant leadsSince_ {};
     Instant waitEnd_ {};
     /** When a heartbeat of each incarnation was last answered. */
     std::map<std::pair<NodeId, Incarnation>, Instant> answeredAt_;
--- a/include/briarhitch/control/PoolAssigner.h
+++ b/include/briarhitch/control/PoolAssigner.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace briarhitch {
@@ -13,6 +14,17 @@
 /** Chooses owners for pools; see docs/design.md 6.2. Pure but for what it has seen; made anew by each leader. */
 class PoolAssigner {
 public:
+    PoolAssigner() = default;
+    /**
+     * Pools other than those of ceilings also move when their owner has been silent for this long, though its lease may
+     * hold: for fleets whose entries accept no grant of an earlier epoch and may choose targets by themselves, so that
+     * two owners at once can only fill a target beyond its slots.
+     */
+    explicit PoolAssigner(std::optional<Duration> takeoverSilence)
+        : takeoverSilence_(takeoverSilence)
+    {
+    }
+
     using ChangedAtHook = std::function<Version(NodeId)>;
 
     /** Moves that are needed and allowed now. A pool whose owner lives and is not draining stays where it is. */
@@ -26,7 +38,9 @@
     struct Candidates;
 
     bool isSettled(const PoolAssignment& pool, const LeaseTable& leases, Instant now);
+    [[nodiscard]] bool isOwnerSilent(const PoolAssignment& pool, const LeaseTable& leases, Instant now) const;
 
+    std::optional<Duration> takeoverSilence_;
     /** Planned handovers, by the time at which this leader first saw them. */
     std::map<PoolId, Handover> handovers_;
 };
--- a/include/briarhitch/entry/EntrySettings.h
+++ b/include/briarhitch/entry/EntrySettings.h
@@ -43,6 +43,8 @@
     Duration linkSilence { std::chrono::seconds(2) };
     /** Silence of a pool's owner after which this entry chooses targets by itself; zero: it never does. */
     Duration soloAfter { 0 };
+    /** Longest wait of a pool's new owner for what the entries have running there. */
+    Duration collectTime { std::chrono::milliseconds(500) };
     /** A draining entry goes on taking requests for this long after it said that it is not ready. */
     Duration lameDuckTime { 0 };
     /** Longest time for requests in flight when the entry drains, from the signal on; zero: no limit. */
--- a/include/briarhitch/settings/ControlSettings.h
+++ b/include/briarhitch/settings/ControlSettings.h
@@ -67,6 +67,8 @@
     Duration electionTimeout { std::chrono::milliseconds(400) };
     /** A node's lease; see docs/design.md 6.1. */
     Duration lease { std::chrono::seconds(3) };
+    /** Silence of a pool's owner after which the pool moves before its lease has ended; none: it never does. */
+    std::optional<Duration> takeoverSilence;
     PoolScope poolScope { PoolScope::Region };
     /** Most run records and retired keys together. */
     uint64_t maxRunRecords { 5'000'000 };
--- a/include/briarhitch/wire/Link.h
+++ b/include/briarhitch/wire/Link.h
@@ -82,6 +82,8 @@
     Result<std::string> call(LinkId link, MessageType type, std::string body, Duration timeout);
     /** Sends without an answer; dropped if the link is closed. */
     void post(LinkId link, MessageType type, std::string body);
+    /** Sends to all open links of peers in this role. */
+    void postToAll(LinkRole role, MessageType type, const std::string& body);
     /** Closes the listener and all links. */
     void close();
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -33,6 +33,8 @@
     CeilingRefund = 21,
     Queued = 22,
     TargetNotice = 23,
+    /** Control leader to all nodes, without a body: there is news that they wait for, so a heartbeat should come now. */
+    HeartbeatCall = 24,
 };
 
 /** Node to control leader, once a second. Answer: HeartbeatReply. */
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -11,6 +11,8 @@
     constexpr double clockDriftBound = 1.05;
     /** Polls before an election in the time of one election timeout. */
     constexpr int preVotesPerTimeout = 4;
+    /** Part of an election timeout over which the first polls of voters that started together are spread. */
+    constexpr int startSpread = 8;
 
     bool isWellFormed(const RaftMessage& message)
     {
@@ -43,7 +45,9 @@
     assert(hard_.incarnation.isValid());
     if (log_.snapshot())
         commit_ = applied_ = log_.snapshot()->index;
-    electionDeadline_ = now + randomTimeout();
+    // No leader is known. When all have started together, the last voter that a majority needs can be voted for, and
+    // votes itself, as soon as its promise has ended.
+    electionDeadline_ = now + settings_.electionTimeoutMin + randomTimeout() / startSpread;
     // The first membership of a sole voter cannot have had another leader that still counts on this voter's promise.
     if (isSelfVoter() && log_.membership().members.size() == 1 && log_.membershipIndex() == 0)
         startPreVote(now);
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -62,6 +62,7 @@
         server.maxAnswerBytes = settings.maxAnswerBytes;
         server.answerRetention = settings.answerRetention;
         server.lease.lease = settings.lease;
+        server.takeoverSilence = settings.takeoverSilence;
         return server;
     }
 
@@ -82,6 +83,10 @@
 ControlServerSettings ControlProcess::serverSettings() const
 {
     auto server = serverSettingsOf(settings_);
+    server.callNodes = [this] {
+        if (links_)
+            links_->postToAll(LinkRole::Entry, MessageType::HeartbeatCall, {});
+    };
     if (settings_.fleet) {
         server.findVoter = [this](NodeId node) { return settings_.findVoter(node); };
         server.controlProcesses = [this] { return controlProcesses(); };
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -2,11 +2,13 @@
 
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace briarhitch {
 
@@ -61,7 +63,14 @@
 
 /** Outlives the server in the fiber that ticks. */
 struct ControlServer::Lifetime {
+    explicit Lifetime(Loop& loop)
+        : wake(loop)
+    {
+    }
+
     bool stopped { false };
+    /** Ends the pause between two ticks. */
+    FiberEvent wake;
 };
 
 ControlServer::ControlServer(Loop& loop, ControlServerSettings settings, StateMachine& state, MetricRegistry& metrics)
@@ -70,7 +79,7 @@
     , state_(state)
     , metrics_(metrics)
     , leases_(settings_.lease)
-    , lifetime_(std::make_shared<Lifetime>())
+    , lifetime_(std::make_shared<Lifetime>(loop))
 {
 }
 
@@ -82,8 +91,11 @@
 void ControlServer::onRoleChange(bool isLeader, uint64_t term)
 {
     leading_ = isLeader;
+    isAnnounced_ = false;
+    leadsSince_ = BootClock::now();
+    lifetime_->wake.set();
     reports_.clear();
-    assigner_ = PoolAssigner();
+    assigner_ = PoolAssigner(settings_.takeoverSilence);
     leases_.becomeLeader(BootClock::now());
     controlLog().info(isLeader ? "leads in term " + std::to_string(term) : "does not lead in term " + std::to_string(term));
 }
@@ -92,16 +104,24 @@
 {
     loop_.spawn([this, lifetime = lifetime_] {
         while (!lifetime->stopped) {
-            sleepFor(loop_, settings_.tickInterval);
+            lifetime->wake.reset();
+            lifetime->wake.waitFor(tickInterval());
             if (!lifetime->stopped)
                 tick();
         }
     });
 }
 
+Duration ControlServer::tickInterval() const
+{
+    bool isSettling = leading_ && BootClock::now() - leadsSince_ < settings_.settlingTime;
+    return isSettling ? settings_.settlingTickInterval : settings_.tickInterval;
+}
+
 void ControlServer::stop()
 {
     lifetime_->stopped = true;
+    lifetime_->wake.set();
 }
 
 bool ControlServer::isLeader() const
@@ -312,12 +332,26 @@
     publishGauges();
     if (!isLeader())
         return;
+    announceLeadership();
     markLostNodes();
     assignPools();
     retireAnswers();
     leases_.removeEnded(BootClock::now());
 }
 
+void ControlServer::announceLeadership()
+{
+    if (std::exchange(isAnnounced_, true))
+        return;
+    callNodes();
+}
+
+void ControlServer::callNodes() const
+{
+    if (settings_.callNodes)
+        settings_.callNodes();
+}
+
 void ControlServer::markLostNodes()
 {
     // A copy, because the configuration changes while a command is being committed.
@@ -345,6 +379,7 @@
     if (!result || !result->accepted)
         return;
     metrics_.count("control_pool_moves_total", {}, moves.size());
+    callNodes();
     for (const auto& move : moves)
         controlLog().info("pool " + state_.config().pools.at(move.pool).name + " is assigned to " + describe(move.owner)
             + (move.previousOwner.isValid() ? ", handed over by " + describe(move.previousOwner) : ""));
--- a/src/control/LeaseTable.cpp
+++ b/src/control/LeaseTable.cpp
@@ -5,6 +5,7 @@
 void LeaseTable::becomeLeader(Instant now)
 {
     answeredAt_.clear();
+    leadsSince_ = now;
     waitEnd_ = now + settings_.longestHold();
 }
 
@@ -24,6 +25,11 @@
     return it != answeredAt_.end() && now < it->second + settings_.longestHold();
 }
 
+bool LeaseTable::isSilent(NodeId node, Incarnation incarnation, Duration silence, Instant now) const
+{
+    return now >= leadsSince_ + silence && age(node, incarnation, now) >= silence;
+}
+
 Duration LeaseTable::age(NodeId node, Incarnation incarnation, Instant now) const
 {
     auto it = answeredAt_.find({ node, incarnation });
--- a/src/control/PoolAssigner.cpp
+++ b/src/control/PoolAssigner.cpp
@@ -48,10 +48,10 @@
 
 /** Live nodes that may get pools, with what they own. */
 struct PoolAssigner::Candidates {
-    Candidates(const ClusterConfig& config, const LeaseTable& leases, Instant now)
+    Candidates(const ClusterConfig& config, const LeaseTable& leases, Duration longestSilence, Instant now)
     {
         for (const auto& [id, node] : config.nodes) {
-            if (!node.lost && !node.draining && leases.isLive(id, node.incarnation, now))
+            if (!node.lost && !node.draining && leases.isLive(id, node.incarnation, now) && leases.age(id, node.incarnation, now) < longestSilence)
                 nodes.push_back(&node);
         }
         for (const auto& [id, pool] : config.pools) {
@@ -72,7 +72,9 @@
     {
         auto rank = [&](const NodeRecord* node) {
             bool isFar = pool.kind != PoolKind::Ceiling && node->zone != pool.scope && node->region == region && pool.scope != region;
-            return std::tuple(!node->prefersPools, isFar, poolsByNode[node->id], poolsByZone[node->zone], stableHash(pool.name, node->id.value()));
+            // One that only restarted keeps what it had, so that few nodes have to find a new owner.
+            bool isOther = node->id != pool.owner;
+            return std::tuple(!node->prefersPools, isFar, isOther, poolsByNode[node->id], poolsByZone[node->zone], stableHash(pool.name, node->id.value()));
         };
         const NodeRecord* best = nullptr;
         for (const auto* node : nodes) {
@@ -103,16 +105,22 @@
     return now >= handover.seenAt + leases.settings().longestHold();
 }
 
+bool PoolAssigner::isOwnerSilent(const PoolAssignment& pool, const LeaseTable& leases, Instant now) const
+{
+    // The account of a ceiling must be in one place.
+    return takeoverSilence_ && pool.kind != PoolKind::Ceiling && leases.isSilent(pool.owner, pool.ownerIncarnation, *takeoverSilence_, now);
+}
+
 std::vector<PoolMove> PoolAssigner::decide(const ClusterConfig& config, const LeaseTable& leases, const ChangedAtHook& nodeChangedAt, Instant now)
 {
     std::vector<PoolMove> moves;
-    Candidates candidates(config, leases, now);
+    Candidates candidates(config, leases, takeoverSilence_.value_or(Duration::max()), now);
     auto regions = regionsOf(config);
     bool isPreferredLive = candidates.hasPreferred();
     for (const auto& [id, pool] : config.pools) {
         // Until then the owner before the present one may hold a lease without knowing that it lost the pool.
         bool settled = isSettled(pool, leases, now);
-        auto need = needOf(pool, config, leases, isPreferredLive, now);
+        auto need = isOwnerSilent(pool, leases, now) ? Need::Takeover : needOf(pool, config, leases, isPreferredLive, now);
         if (need == Need::None || !settled)
             continue;
         const auto* owner = candidates.pick(pool, regions[id]);
--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -51,7 +51,7 @@
             if (answered)
                 wake.waitFor(settings.heartbeatInterval);
             else
-                sleepFor(loop, retryPause);
+                wake.waitFor(retryPause);
         }
     }
 
@@ -73,8 +73,24 @@
 
     void dial(const HostPort& address)
     {
-        if (!knows(address))
-            voters.push_back({ address, std::make_shared<LinkClient>(loop, address.host, address.port, settings.link, LinkHooks {}) });
+        if (knows(address))
+            return;
+        LinkHooks hooks;
+        hooks.onPost = [weak = weak_from_this(), address](const Peer&, MessageType type, std::string_view) {
+            auto self = weak.lock();
+            if (self && type == MessageType::HeartbeatCall)
+                self->onHeartbeatCall(address);
+        };
+        voters.push_back({ address, std::make_shared<LinkClient>(loop, address.host, address.port, settings.link, std::move(hooks)) });
+    }
+
+    void onHeartbeatCall(const HostPort& caller)
+    {
+        auto it = std::find_if(voters.begin(), voters.end(), [&](const Voter& voter) { return voter.address == caller; });
+        if (it == voters.end())
+            return;
+        leaderIndex = static_cast<size_t>(it - voters.begin());
+        wake.set();
     }
 
     /** Links are kept to the seeds and to the processes that the leader named last. */
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -82,6 +82,7 @@
         host.incarnation = self.incarnation;
         host.region = self.region;
         host.pool = settings.pool;
+        host.collectTime = settings.limits.collectTime;
         return host;
     }
 
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -75,6 +75,7 @@
         limits.linkHeartbeat = readMs(reader, "link_heartbeat_ms", 10, 10000, limits.linkHeartbeat);
         limits.linkSilence = readMs(reader, "link_silence_ms", 30, 60000, limits.linkSilence);
         limits.soloAfter = readMs(reader, "solo_after_ms", 0, 60000, limits.soloAfter);
+        limits.collectTime = readMs(reader, "pool_collect_ms", 0, 60000, limits.collectTime);
         limits.lameDuckTime = readMs(reader, "lame_duck_ms", 0, 600000, limits.lameDuckTime);
         limits.drainTimeout = readMs(reader, "drain_timeout_ms", 0, 3600000, limits.drainTimeout);
     }
--- a/src/settings/ControlSettings.cpp
+++ b/src/settings/ControlSettings.cpp
@@ -110,6 +110,8 @@
         settings.linkSilence = std::chrono::milliseconds(reader.integer("link_silence_ms", 30, 60000, toMs(settings.linkSilence)));
         settings.electionTimeout = std::chrono::milliseconds(reader.integer("election_timeout_ms", 50, 60000, toMs(settings.electionTimeout)));
         settings.lease = std::chrono::milliseconds(reader.integer("lease_ms", 100, 60000, toMs(settings.lease)));
+        if (auto silence = std::chrono::milliseconds(reader.integer("pool_takeover_ms", 0, 60000, 0)); silence.count() > 0)
+            settings.takeoverSilence = silence;
         if (settings.fleet) {
             addSeeds(settings);
             if (!settings.node.isValid())
--- a/src/wire/LinkClient.cpp
+++ b/src/wire/LinkClient.cpp
@@ -1,9 +1,9 @@
 #include "briarhitch/core/Random.h"
 #include "briarhitch/runtime/Loop.h"
 #include "runtime/FiberWaiter.h"
+#include "wire/DialTimes.h"
 #include "wire/LinkConnection.h"
 
-#include <algorithm>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
 
@@ -12,11 +12,6 @@
 namespace {
 
     using boost::asio::ip::tcp;
-    using namespace std::chrono_literals;
-
-    constexpr Duration connectTimeout = 1s;
-    constexpr Duration firstRedialDelay = 50ms;
-    constexpr Duration maxRedialDelay = 1s;
 
 }
 
@@ -34,21 +29,21 @@
 
     void dialUntilClosed()
     {
-        Duration delay = firstRedialDelay;
+        Instant downSince = BootClock::now();
         while (!closed) {
-            if (auto candidate = dial()) {
-                delay = firstRedialDelay;
+            if (auto candidate = dial(DialTimes::after(BootClock::now() - downSince).timeout)) {
                 serve(candidate);
+                downSince = BootClock::now();
             }
             if (closed)
                 return;
+            auto pause = DialTimes::after(BootClock::now() - downSince).pause;
             // Jitter keeps the nodes of a fleet from dialling a restarted process all at once.
-            sleepFor(loop, delay / 2 + Duration(random.below(static_cast<uint64_t>(delay.count()))));
-            delay = std::min(2 * delay, maxRedialDelay);
+            sleepFor(loop, pause / 2 + Duration(random.below(static_cast<uint64_t>(pause.count()))));
         }
     }
 
-    std::shared_ptr<LinkConnection> dial()
+    std::shared_ptr<LinkConnection> dial(Duration timeout)
     {
         boost::system::error_code error;
         auto address = boost::asio::ip::make_address(host, error);
@@ -56,7 +51,7 @@
             return nullptr;
         auto socket = std::make_shared<tcp::socket>(loop.context());
         auto connected = std::make_shared<bool>(false);
-        loop.after(connectTimeout, [socket, connected] {
+        loop.after(timeout, [socket, connected] {
             boost::system::error_code ignored;
             if (!*connected)
                 socket->close(ignored);
--- a/src/wire/LinkServer.cpp
+++ b/src/wire/LinkServer.cpp
@@ -98,6 +98,14 @@
         it->second->post(type, std::move(body));
 }
 
+void LinkServer::postToAll(LinkRole role, MessageType type, const std::string& body)
+{
+    for (const auto& [id, connection] : impl_->links) {
+        if (connection->peer().identity.role == role)
+            connection->post(type, body);
+    }
+}
+
 void LinkServer::close()
 {
     if (impl_->listener->isClosed())
--- a/tests/ControlServerTest.cpp
+++ b/tests/ControlServerTest.cpp
@@ -48,7 +48,7 @@
     /** A control process on free ports of this machine, with a log in memory. */
     struct Voter {
         Voter(Loop& loopToUse, uint32_t id, bool isLeader, const std::vector<ControlVoter>& voters = {}, Duration lease = 3s)
-            : server(loopToUse, settingsOf(id, voters, lease), state, metrics)
+            : server(loopToUse, settingsOf(id, voters, lease, [this] { callNodes(); }), state, metrics)
             , admin(loopToUse, { NodeId(id), voters, { sha256Hex(operatorKey) }, PoolScope::Region, {} }, server, metrics)
             , log(NodeId(id), hooks())
         {
@@ -64,7 +64,13 @@
             http = std::move(*HttpServer::listen(loopToUse, {}, [this](const HttpRequest& request, HttpExchange& exchange) { admin.handle(request, exchange); }));
         }
 
-        static ControlServerSettings settingsOf(uint32_t id, const std::vector<ControlVoter>& voters, Duration lease)
+        void callNodes() const
+        {
+            if (links)
+                links->postToAll(LinkRole::Entry, MessageType::HeartbeatCall, {});
+        }
+
+        static ControlServerSettings settingsOf(uint32_t id, const std::vector<ControlVoter>& voters, Duration lease, std::function<void()> callNodes)
         {
             ControlServerSettings settings;
             settings.self = NodeId(id);
@@ -72,6 +78,7 @@
             settings.lease.lease = lease;
             settings.maxRunRecords = settings.maxAnswerBytes = TestState::noLimit;
             settings.tickInterval = 5ms;
+            settings.callNodes = std::move(callNodes);
             return settings;
         }
 
@@ -96,15 +103,15 @@
     };
 
     struct Entry {
-        Entry(Loop& loop, uint32_t id, std::vector<HostPort> voters, uint64_t incarnation = 1)
-            : client(loop, settingsOf(id, std::move(voters), incarnation), view, metrics)
+        Entry(Loop& loop, uint32_t id, std::vector<HostPort> voters, uint64_t incarnation = 1, Duration heartbeatInterval = 20ms)
+            : client(loop, settingsOf(id, std::move(voters), incarnation, heartbeatInterval), view, metrics)
         {
             client.start();
         }
 
-        static ControlClientSettings settingsOf(uint32_t id, std::vector<HostPort> voters, uint64_t incarnation)
+        static ControlClientSettings settingsOf(uint32_t id, std::vector<HostPort> voters, uint64_t incarnation, Duration heartbeatInterval)
         {
-            return { std::move(voters), linkOf(LinkRole::Entry, id, incarnation), nodeRecord(id, incarnation), 20ms };
+            return { std::move(voters), linkOf(LinkRole::Entry, id, incarnation), nodeRecord(id, incarnation), heartbeatInterval };
         }
 
         MetricRegistry metrics;
@@ -194,6 +201,20 @@
         });
     }
 
+    // Pattern: all processes come back after a loss of power. Guards against owners and entries that hear of an assignment
+    // only with their next heartbeat, one interval later at each step.
+    TEST(ControlServerTest, NodesAreCalledWhenPoolsMove)
+    {
+        runInLoop([](Loop& loop) {
+            Voter leader(loop, 1, true);
+            Entry entry(loop, 7, { leader.address() }, 1, 1h);
+            waitUntil(loop, "its own pools at the node", [&] {
+                const auto& pools = entry.view.config().pools;
+                return !pools.empty() && pools.begin()->second.owner == NodeId(7);
+            });
+        });
+    }
+
     // Guards against a pool that stays with a node that has gone, and against runs that stay claimed.
     TEST(ControlServerTest, PoolsAndRunsOfALostNodeAreTakenOver)
     {
--- a/tests/RaftCoreTest.cpp
+++ b/tests/RaftCoreTest.cpp
@@ -140,6 +140,26 @@
         EXPECT_EQ(voter->term(), 3U);
     }
 
+    // Pattern: all voters lose power and start within tenths of a second. Guards against a fleet that has no leader for one more
+    // timeout although the last voter that a majority needs may vote.
+    TEST(RaftCoreTest, FirstPollComesRightAfterTheOwnPromise)
+    {
+        RaftCoreSettings settings;
+        for (uint32_t seed = 1; seed <= 20; ++seed) {
+            Voter voter(5, 3, { 1, 2 }, [seed](RaftCoreSettings& changed) { changed.seed = seed; });
+            int polls = 0;
+            for (; voter.now < start + settings.electionTimeoutMin; voter.now += 1ms)
+                voter->tick(voter.now);
+            EXPECT_TRUE(voter.flush().empty()) << "its own promise holds until then";
+            for (; voter.now <= start + settings.electionTimeoutMin + settings.electionTimeoutMax / 8 + 1ms; voter.now += 1ms) {
+                voter->tick(voter.now);
+                for (const auto& sent : voter.flush())
+                    polls += sent.message.kind == RaftMessageKind::PreVote ? 1 : 0;
+            }
+            EXPECT_GE(polls, 4) << "one for each other voter";
+        }
+    }
+
     // Guards against reads by a leader whose followers may already elect another one.
     TEST(RaftCoreTest, LeaseCountsFromSendingAndAllowsForDrift)
     {
