Log and count the rate limits that targets name

The platform adapter decodes Server-Limit into TargetSignals. An entry remembers each target's limit (TargetRateLimits) and writes one line when a limit begins, changes or ends. The counter routed_target_signals_total has the signal rate_limit, and routed_limited_target_requests_total counts requests to targets with a limit by who selected the target (owner or entry). A limit ends with a valid response without one to a request that was sent after the limit became known: earlier responses may have been written before it, and refusals and invalid responses need not name it.

--- a/include/briarhitch/core/Units.h
+++ b/include/briarhitch/core/Units.h
@@ -41,6 +41,9 @@
 /** Tokens of a prompt or of an output. */
 using Tokens = Quantity<struct TokensTag, int64_t>;
 
+/** Requests per second. */
+using RequestRate = Quantity<struct RequestRateTag, double>;
+
 /** Urgency of work: 0 is the most urgent, 3 the least. */
 class Tier {
 public:
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -49,6 +49,8 @@
     void reportStarted(const AttemptStarted& started) override;
     void reportFinished(const AttemptFinished& finished) override;
     void reportAvailability(const TargetAvailabilityNotice& notice) override;
+    void reportRateLimit(PoolId pool, const RateLimitObservation& observation) override;
+    bool isRateLimited(TargetId target) const override { return rateLimits_.find(target).has_value(); }
     bool isRestricted(TargetId target) const override { return restrictions_.isRestricted(target, settings_.self, now_()); }
 
     /** Sends a target's load to its pool owner; dropped if the owner is unreachable. */
@@ -122,6 +124,7 @@
     NodeTransport& transport_;
     ClockHook now_;
     TargetRestrictions restrictions_;
+    TargetRateLimits rateLimits_;
     std::map<PoolId, PoolState> pools_;
     std::map<AttemptId, std::shared_ptr<PendingRequest>> pending_;
     std::map<AttemptId, RunningAttempt> running_;
--- a/include/briarhitch/entry/PoolGateway.h
+++ b/include/briarhitch/entry/PoolGateway.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Error.h"
 #include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/sched/TargetRateLimits.h"
 #include "briarhitch/wire/Messages.h"
 
 #include <string>
@@ -31,6 +32,10 @@
     virtual void reportFinished(const AttemptFinished& finished) = 0;
     /** Reports a leaving target (granted to no node from now on) or a pause (not granted to this node meanwhile). */
     virtual void reportAvailability(const TargetAvailabilityNotice& notice) = 0;
+    /** Records what a target's response says about its rate limit. */
+    virtual void reportRateLimit(PoolId pool, const RateLimitObservation& observation) = 0;
+    /** Whether the target has named a rate limit. */
+    [[nodiscard]] virtual bool isRateLimited(TargetId target) const = 0;
     /** Whether the target currently accepts no new work from this node. */
     [[nodiscard]] virtual bool isRestricted(TargetId target) const = 0;
 };
--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -77,6 +77,10 @@
     bool isDraining { false };
     /** It wants no requests from this node for this long; zero if it did not ask for a pause. */
     Duration pause { 0 };
+    /** Requests that it accepts from all nodes together; none if it names no limit. */
+    std::optional<RequestRate> rateLimit;
+    /** False if it names a limit that cannot be read. */
+    bool isRateLimitReadable { true };
 };
 
 enum class ResponseKind : uint8_t {
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/entry/PoolClient.h"
 
 #include "briarhitch/core/Digest.h"
+#include "briarhitch/core/Log.h"
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "entry/PoolRequests.h"
@@ -24,6 +25,12 @@
     /** Interval at which one grant request is still sent to an unresponsive owner. */
     constexpr Duration ownerProbeInterval = 200ms;
 
+    const Log& poolLog()
+    {
+        static const Log log("pool:");
+        return log;
+    }
+
     /** Error of a request that was not granted a target; a zero `retryAfter` is left out. */
     Error makeRefusalError(ErrorKind kind, const std::string& reason, Duration retryAfter)
     {
@@ -185,6 +192,17 @@
     postToPoolOwner(notice.pool, MessageType::TargetAvailabilityNotice, notice);
 }
 
+void PoolClient::reportRateLimit(PoolId pool, const RateLimitObservation& observation)
+{
+    auto target = view_.config().targets.find(observation.target);
+    if (target == view_.config().targets.end() || !rateLimits_.recordObservation(target->second, observation, now_()))
+        return;
+    if (observation.limit)
+        poolLog().event("target names a rate limit", { { "pool", int64_t(pool.value()) }, { "target", target->second.name }, { "requests_per_second", observation.limit->value() } });
+    else
+        poolLog().event("target ends its rate limit", { { "pool", int64_t(pool.value()) }, { "target", target->second.name } });
+}
+
 void PoolClient::recordRestriction(const TargetAvailabilityNotice& notice)
 {
     auto target = view_.config().targets.find(notice.target);
@@ -304,6 +322,7 @@
 void PoolClient::onConfigChange(const ClusterConfig& config)
 {
     restrictions_.updateTargets(config.targets);
+    rateLimits_.updateTargets(config.targets);
     for (const auto& [id, assignment] : config.pools) {
         if (assignment.kind != PoolKind::Ceiling)
             applyAssignment(assignment);
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -271,6 +271,8 @@
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::dispatch(const Grant& grant, const Target& target)
 {
     recordEvent("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) } });
+    if (runner_.pools.isRateLimited(target.id))
+        count("routed_limited_target_requests_total", "chosen_by", grant.epoch.isValid() ? "owner" : "entry");
     excluded_.push_back(target.id);
     grant_ = grant;
     target_ = target;
@@ -305,9 +307,8 @@
     return failure;
 }
 
-void RoutedRequestRun::reportSignals(const HttpCall& call)
+void RoutedRequestRun::reportAvailability(const TargetSignals& signals)
 {
-    auto signals = runner_.protocol.targetSignals(call.headers(), call.status());
     if (!signals.isDraining && signals.pause <= Duration::zero())
         return;
     recordEvent(signals.isDraining ? "target leaves" : "target asks for a pause", {}, { { "target", target_.name }, { "pause_ms", toMs(signals.pause) } });
@@ -315,10 +316,22 @@
     runner_.pools.reportAvailability({ grant_.pool, target_.id, signals.isDraining, clampMs(signals.pause) });
 }
 
+void RoutedRequestRun::reportRateLimit(const TargetSignals& signals, bool mayEndLimit)
+{
+    if (!signals.isRateLimitReadable || (!signals.rateLimit && !mayEndLimit))
+        return;
+    if (signals.rateLimit)
+        count("routed_target_signals_total", "signal", "rate_limit");
+    runner_.pools.reportRateLimit(grant_.pool, { target_.id, signals.rateLimit, sentAt_ });
+}
+
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::handleResponse(const std::shared_ptr<HttpCall>& call)
 {
-    reportSignals(*call);
+    auto signals = runner_.protocol.targetSignals(call->headers(), call->status());
+    reportAvailability(signals);
     auto kind = runner_.protocol.classifyResponse(request_, call->status(), call->headers());
+    if (kind != ResponseKind::WrongTarget)
+        reportRateLimit(signals, kind == ResponseKind::Valid);
     if (kind == ResponseKind::NotRun || kind == ResponseKind::WrongTarget) {
         // Reading the rest of a short refusal keeps the connection reusable.
         (void)call->readAll(runner_.limits.responseGracePeriod);
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -41,8 +41,10 @@
     [[nodiscard]] std::optional<Failure> checkBeforeSending(const Grant& grant) const;
     std::optional<Failure> dispatch(const Grant& grant, const Target& target);
     [[nodiscard]] HttpCallSettings callSettings(const Target& target);
-    /** Reports the state in a response's headers to the pool. */
-    void reportSignals(const HttpCall& call);
+    /** Reports to the pool that the target leaves or asks for a pause. */
+    void reportAvailability(const TargetSignals& signals);
+    /** `mayEndLimit`: the target names its limit in each response of this kind, so one without it ends the limit. */
+    void reportRateLimit(const TargetSignals& signals, bool mayEndLimit);
     std::optional<Failure> handleResponse(const std::shared_ptr<HttpCall>& call);
     std::optional<Failure> relayCompleteResponse(HttpCall& response);
     std::optional<Failure> relayStream(HttpCall& response);
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -158,8 +158,11 @@
     call.headerTimeout = runner_.limits.migrationCallTimeout;
     call.isResendAllowed = false;
     auto response = runner_.hooks.start(call);
-    if (response)
-        reportSignals(**response);
+    if (response) {
+        auto signals = runner_.protocol.targetSignals((*response)->headers(), (*response)->status());
+        reportAvailability(signals);
+        reportRateLimit(signals, false);
+    }
     auto body = response ? (*response)->readAll(runner_.limits.migrationCallTimeout) : Result<std::string>(tl::unexpected(response.error()));
     auto result = body ? runner_.protocol.parseMigrationResult(target_, (*response)->status(), *body) : MigrationResult {};
     recordEvent(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "events", static_cast<int64_t>(attemptEvents_) } });
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -58,12 +58,13 @@
         { "routed_first_event_seconds", "From a routed request's arrival to its first event, by tier." },
         { "routed_late_total", "Routed requests that were answered after their objective, by cause." },
         { "routed_moves_total", "Tries to move a running stream to a faster target, by result." },
+        { "routed_limited_target_requests_total", "Requests to targets that named a rate limit, by who selected the target." },
         { "routed_queue_seconds", "From a routed request's ask for a target to the grant or refusal, by tier." },
         { "routed_refusals_total", "Routed requests that were refused, by kind of error." },
         { "routed_repeat_refusals_total", "Further attempts that the service's budget did not allow, by reason." },
         { "routed_repeats_total", "Further attempts at another target, by reason." },
         { "routed_request_seconds", "From a routed request's arrival to the end of its answer, by tier." },
-        { "routed_target_signals_total", "Answers in which a target said that it leaves or wants a pause, by signal." },
+        { "routed_target_signals_total", "Answers in which a target said that it leaves, wants a pause or limits its requests, by signal." },
         { "routed_unsent_total", "Grants whose target could not be reached, by reason." },
     };
 
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -38,7 +38,12 @@
         };
         protocol.responseOwner = [](const RoutedRequest&, const HttpHeaders&) { return ResponseOwner::ThisRequest; };
         protocol.targetSignals = [](const HttpHeaders& headers, int) {
-            return TargetSignals { !findHeader(headers, "Leaving").empty(), findHeader(headers, "Pause").empty() ? 0ms : 1500ms };
+            TargetSignals signals { !findHeader(headers, "Leaving").empty(), findHeader(headers, "Pause").empty() ? 0ms : 1500ms, {}, true };
+            auto limit = findHeader(headers, "Limit");
+            signals.isRateLimitReadable = limit != "unreadable";
+            if (signals.isRateLimitReadable && !limit.empty())
+                signals.rateLimit = RequestRate(std::stod(std::string(limit)));
+            return signals;
         };
         protocol.migrationCall = [](const RoutedRequest& request, const Target& from, const Target& to) {
             HttpCallSettings call;
@@ -208,6 +213,25 @@
         EXPECT_EQ(fixture.header(1, "Instance"), "t2");
     }
 
+    // Guards against rate limits that do not reach the pool, and against limits that end because of a response that the
+    // target did not write, or that does not tell.
+    TEST(RoutedRequestRunnerTest, RateLimitsOfTargetsAreReported)
+    {
+        Fixture fixture;
+        fixture.pools.grants = { TargetId(1), TargetId(1), TargetId(1), TargetId(2), TargetId(1), TargetId(1) };
+        fixture.targets.script = { respondWith(200, "found", { { "Limit", "3.2" } }), respondWith(200, "found"), respondWith(421, "", { { "Limit", "9" } }),
+            respondWith(503, "full", { { "Not-Run", "1" } }), respondWith(200, "found", { { "Limit", "unreadable" } }), respondWith(200, "?", { { "Unsound", "1" } }) };
+        auto sentAt = fixture.clock.now;
+        for (const auto* path : { "/lookup/1", "/lookup/2", "/charge/3", "/charge/4", "/lookup/5", "/charge/6" })
+            fixture.run(path);
+        const auto& observations = fixture.pools.rateLimitObservations;
+        ASSERT_EQ(observations.size(), 2u);
+        EXPECT_EQ(observations[0].target, TargetId(1));
+        EXPECT_EQ(observations[0].limit, RequestRate(3.2));
+        EXPECT_EQ(observations[0].requestSentAt, sentAt);
+        EXPECT_FALSE(observations[1].limit) << "a valid response without a limit ends it";
+    }
+
     /** A stream with a delay before each chunk except the first. */
     ScriptedResponse slowStream(Duration delay, std::vector<Result<std::string>> chunks)
     {
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -164,6 +164,20 @@
         EXPECT_GT(signals(503, { { "Retry-After", "1e300" } }).pause, 1min);
     }
 
+    // Guards against a server's request limit that is not read, and against limits from invalid headers.
+    TEST(WireTest, RequestLimitsAreReadFromHeaders)
+    {
+        auto signals = [](const HttpHeaders& headers) { return serverProtocol().targetSignals(headers, 200); };
+        EXPECT_EQ(signals({ { "Server-Limit", "3.2" } }).rateLimit, RequestRate(3.2));
+        EXPECT_EQ(signals({ { "server-limit", "0" } }).rateLimit, RequestRate(0));
+        EXPECT_FALSE(signals({}).rateLimit);
+        EXPECT_TRUE(signals({}).isRateLimitReadable) << "the server names no limit";
+        for (const auto* invalid : { "-1", "few", "nan", "inf", "3.2 a second" }) {
+            EXPECT_FALSE(signals({ { "Server-Limit", invalid } }).rateLimit) << invalid;
+            EXPECT_FALSE(signals({ { "Server-Limit", invalid } }).isRateLimitReadable) << invalid;
+        }
+    }
+
     // Guards against attempts without the expected target, customer, time left, or position to resume a stream.
     TEST(WireTest, AttemptHeadersCarryTargetTimeLeftAndResumption)
     {
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -280,6 +280,8 @@
         availabilityNotices.push_back(message);
         restricted.insert(message.target);
     }
+    void reportRateLimit(PoolId, const RateLimitObservation& observation) override { rateLimitObservations.push_back(observation); }
+    bool isRateLimited(TargetId) const override { return false; }
     bool isRestricted(TargetId target) const override { return restricted.contains(target); }
 
     std::deque<TargetId> grants;
@@ -288,6 +290,7 @@
     std::vector<GrantRequest> grantRequests;
     std::vector<AttemptOutcome> outcomes;
     std::vector<TargetAvailabilityNotice> availabilityNotices;
+    std::vector<RateLimitObservation> rateLimitObservations;
     std::set<TargetId> restricted;
     int abandoned { 0 };
     int released { 0 };
