--- /dev/null
+++ b/tests/support/PoolFleet.h
@@ -0,0 +1,397 @@
+#pragma once
+
+#include "briarhitch/core/Random.h"
+#include "briarhitch/entry/PoolClient.h"
+#include "briarhitch/entry/PoolHost.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "support/EntryFakes.h"
+
+#include <algorithm>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <vector>
+
+namespace briarhitch {
+
+struct PoolFleetOptions {
+    uint32_t entries { 9 };
+    uint32_t targets { 3 };
+    uint32_t slots { 6 };
+    PoolKind kind { PoolKind::Service };
+    /** From a request's arrival at its target to the response. */
+    Duration serviceTime { std::chrono::milliseconds(60) };
+    double requestsPerSecond { 60 };
+    uint64_t seed { 1 };
+};
+
+/**
+ * Entries, pool owners and targets of one pool under a simulated clock, with links that can be cut and nodes that can be
+ * suspended. Entries have the ids 1, 2, ..., owners 101 and 102, targets 1, 2, ... Must be used in a fiber of the loop.
+ */
+class PoolFleet {
+public:
+    static constexpr uint32_t firstOwner = 101;
+    static constexpr uint32_t secondOwner = 102;
+
+    PoolFleet(Loop& loop, const PoolFleetOptions& options)
+        : loop_(loop)
+        , options_(options)
+        , random_(options.seed)
+    {
+        for (uint32_t id = 1; id <= options.targets; ++id) {
+            Target target;
+            target.id = TargetId(id);
+            target.name = "t" + std::to_string(id);
+            target.pool = pool_;
+            target.slots = options.slots;
+            config_.targets[target.id] = target;
+        }
+        for (uint32_t owner : { firstOwner, secondOwner }) {
+            config_.nodes[NodeId(owner)] = nodeRecord(owner);
+            config_.nodes[NodeId(owner)].servesCallers = false;
+            startOwner(owner);
+        }
+        for (uint32_t id = 1; id <= options.entries; ++id) {
+            config_.nodes[NodeId(id)] = nodeRecord(id);
+            config_.nodes[NodeId(id)].servesCallers = true;
+            startEntry(id);
+        }
+        assignPool(firstOwner);
+    }
+
+    ~PoolFleet()
+    {
+        for (auto& [id, entry] : entries_) {
+            for (const auto& [attempt, deadline] : waiting_)
+                entry->client.cancelAcquire(attempt);
+        }
+        sleepFor(loop_, Duration(0));
+    }
+    PoolFleet(const PoolFleet&) = delete;
+    PoolFleet& operator=(const PoolFleet&) = delete;
+
+    [[nodiscard]] Instant now() const { return clock_.now; }
+
+    void run(Duration time)
+    {
+        for (auto end = clock_.now + time; clock_.now < end;)
+            step();
+    }
+
+    /** The limit that the target names in its responses from now on; none to end it. */
+    void nameLimit(uint32_t target, std::optional<double> requestsPerSecond)
+    {
+        namedLimits_.erase(target);
+        if (requestsPerSecond)
+            namedLimits_[target] = RequestRate(*requestsPerSecond);
+    }
+
+    void setRequestsPerSecond(double rate) { options_.requestsPerSecond = rate; }
+
+    /** Gives the pool to this owner, with a new epoch. The previous owner's lease has ended. */
+    void assignPool(uint32_t owner)
+    {
+        PoolAssignment assignment { pool_, "service:shop@lakes", options_.kind, "lakes", Epoch(++epoch_), NodeId(owner), Incarnation(1), NodeId() };
+        config_.pools[pool_] = assignment;
+        config_.version = Version(config_.version.value() + 1);
+        for (auto& [id, host] : owners_)
+            host->onConfigChange(config_);
+        for (auto& [id, entry] : entries_)
+            entry->apply(config_);
+    }
+
+    void setLinkCut(uint32_t entry, uint32_t owner, bool isCut)
+    {
+        if (isCut) {
+            cutLinks_.insert({ entry, owner });
+            owners_.at(owner)->onEntryDisconnected(NodeId(entry));
+        } else if (cutLinks_.erase({ entry, owner }) > 0) {
+            openLink(entry, owner);
+        }
+    }
+
+    void setOwnerCut(uint32_t owner, bool isCut)
+    {
+        for (uint32_t entry = 1; entry <= options_.entries; ++entry)
+            setLinkCut(entry, owner, isCut);
+    }
+
+    /** A suspended node neither runs nor reads; its messages wait. */
+    void setSuspended(uint32_t node, bool isSuspended)
+    {
+        if (isSuspended)
+            suspended_.insert(node);
+        else
+            suspended_.erase(node);
+    }
+
+    /** Replaces the owner's process by a new one without state. */
+    void restartOwner(uint32_t owner)
+    {
+        startOwner(owner);
+        owners_.at(owner)->onConfigChange(config_);
+        for (uint32_t entry = 1; entry <= options_.entries; ++entry) {
+            if (!cutLinks_.contains({ entry, owner }))
+                openLink(entry, owner);
+        }
+    }
+
+    /** Most requests that the target got in any window of this length that began at `from` or later. */
+    [[nodiscard]] size_t mostInWindow(uint32_t target, Duration window, Instant from) const
+    {
+        size_t most = 0;
+        auto it = arrivals_.find(target);
+        if (it == arrivals_.end())
+            return 0;
+        const auto& times = it->second;
+        auto begin = std::lower_bound(times.begin(), times.end(), from);
+        for (auto end = begin; end != times.end(); ++end) {
+            while (*begin <= *end - window)
+                ++begin;
+            most = std::max(most, static_cast<size_t>(end - begin) + 1);
+        }
+        return most;
+    }
+
+    [[nodiscard]] size_t arrivals(uint32_t target, Instant from) const
+    {
+        auto it = arrivals_.find(target);
+        return it == arrivals_.end() ? 0 : static_cast<size_t>(std::count_if(it->second.begin(), it->second.end(), [&](Instant time) { return time >= from; }));
+    }
+
+    size_t answered { 0 };
+    std::vector<Error> refusals;
+
+private:
+    class Transport : public NodeTransport {
+    public:
+        Transport(PoolFleet& fleet, uint32_t self)
+            : fleet_(fleet)
+            , self_(self)
+        {
+        }
+
+        bool isReachable(NodeId node) override { return !fleet_.cutLinks_.contains({ self_, node.value() }); }
+        bool postToOwner(NodeId node, MessageType type, std::string body) override
+        {
+            if (!isReachable(node))
+                return false;
+            fleet_.messages_.push_back({ fleet_.clock_.now + messageDelay, self_, node.value(), type, std::move(body) });
+            return true;
+        }
+        void postToEntry(NodeId node, MessageType type, std::string body) override
+        {
+            fleet_.messages_.push_back({ fleet_.clock_.now + messageDelay, self_, node.value(), type, std::move(body) });
+        }
+        Result<std::string> call(NodeId, MessageType, std::string, Duration) override { return fail(ErrorKind::Unavailable, "no calls in this test"); }
+
+    private:
+        static constexpr Duration messageDelay { std::chrono::milliseconds(1) };
+
+        PoolFleet& fleet_;
+        uint32_t self_;
+    };
+
+    struct Entry {
+        Entry(PoolFleet& fleet, uint32_t id)
+            : transport(fleet, id)
+            , client(fleet.loop_, settings(id), view, transport, fleet.clock_.hook())
+        {
+        }
+
+        static PoolClientSettings settings(uint32_t id)
+        {
+            PoolClientSettings settings { NodeId(id), "lakes", "duluth", std::chrono::seconds(6), [] { return true; } };
+            settings.localSelectionAfter = std::chrono::milliseconds(150);
+            settings.localSelectionPolicy.policy = "slots";
+            return settings;
+        }
+
+        void apply(const ClusterConfig& config)
+        {
+            HeartbeatReply reply;
+            reply.snapshot = config;
+            view.apply(reply);
+            client.onConfigChange(view.config());
+        }
+
+        ClusterView view;
+        Transport transport;
+        PoolClient client;
+    };
+
+    struct Message {
+        Instant deliverAt;
+        uint32_t from { 0 };
+        uint32_t to { 0 };
+        MessageType type {};
+        std::string body;
+    };
+
+    struct RunningRequest {
+        Instant finishesAt;
+        uint32_t entry { 0 };
+        Grant grant;
+        Instant sentAt;
+    };
+
+    static bool isOwner(uint32_t node) { return node >= firstOwner; }
+
+    void startOwner(uint32_t id)
+    {
+        PoolHostSettings settings;
+        settings.self = NodeId(id);
+        settings.incarnation = Incarnation(1);
+        settings.region = "lakes";
+        settings.pool.policy = "slots";
+        settings.poolSyncTimeout = std::chrono::milliseconds(150);
+        if (!transports_.contains(id))
+            transports_[id] = std::make_unique<Transport>(*this, id);
+        owners_[id] = std::make_unique<PoolHost>(settings, *transports_[id], metrics_, PoolHostHooks { [] { return true; }, [] {}, clock_.hook() });
+    }
+
+    void startEntry(uint32_t id)
+    {
+        entries_[id] = std::make_unique<Entry>(*this, id);
+        for (auto& [owner, host] : owners_)
+            host->onEntryConnected(NodeId(id));
+    }
+
+    void openLink(uint32_t entry, uint32_t owner)
+    {
+        ++link_;
+        owners_.at(owner)->onEntryConnected(NodeId(entry));
+        entries_.at(entry)->client.onOutgoingLinkOpen(NodeId(owner));
+    }
+
+    void step()
+    {
+        constexpr Duration stepTime = std::chrono::milliseconds(1);
+        constexpr int stepsPerTick = 20;
+        clock_.now += stepTime;
+        deliverMessages();
+        finishRequests();
+        addRequests(toSeconds(stepTime));
+        if (++steps_ % stepsPerTick == 0)
+            tick();
+        sleepFor(loop_, Duration(0));
+    }
+
+    void deliverMessages()
+    {
+        auto messages = std::move(messages_);
+        messages_.clear();
+        for (auto& message : messages) {
+            if (message.deliverAt > clock_.now || suspended_.contains(message.to)) {
+                messages_.push_back(std::move(message));
+                continue;
+            }
+            bool isToOwner = isOwner(message.to);
+            auto link = isToOwner ? std::pair(message.from, message.to) : std::pair(message.to, message.from);
+            if (cutLinks_.contains(link))
+                continue;
+            if (isToOwner)
+                owners_.at(message.to)->onMessage(NodeId(message.from), LinkId(link_), message.type, message.body);
+            else
+                entries_.at(message.to)->client.onMessage(message.type, message.body);
+        }
+    }
+
+    void finishRequests()
+    {
+        auto running = std::move(running_);
+        running_.clear();
+        for (auto& request : running) {
+            if (request.finishesAt > clock_.now || suspended_.contains(request.entry)) {
+                running_.push_back(std::move(request));
+                continue;
+            }
+            ++answered;
+            auto& client = entries_.at(request.entry)->client;
+            auto limit = namedLimits_.find(request.grant.target.value());
+            client.reportRateLimit(pool_, { request.grant.target, limit == namedLimits_.end() ? std::nullopt : std::optional(limit->second), request.sentAt });
+            client.reportStarted({ pool_, request.grant.attempt, clampMs(options_.serviceTime) });
+            AttemptFinished finished;
+            finished.pool = pool_;
+            finished.attempt = request.grant.attempt;
+            finished.durationMs = clampMs(options_.serviceTime);
+            client.reportFinished(finished);
+        }
+    }
+
+    void addRequests(double seconds)
+    {
+        if (random_.chance(options_.requestsPerSecond * seconds)) {
+            auto entry = static_cast<uint32_t>(1 + random_.below(options_.entries));
+            if (!suspended_.contains(entry))
+                addRequest(entry);
+        }
+        auto waiting = waiting_;
+        for (const auto& [attempt, deadline] : waiting) {
+            if (deadline <= clock_.now) {
+                for (auto& [id, entry] : entries_)
+                    entry->client.cancelAcquire(attempt);
+            }
+        }
+    }
+
+    void addRequest(uint32_t entry)
+    {
+        constexpr Duration timeout = std::chrono::milliseconds(2500);
+        GrantRequest request;
+        request.pool = pool_;
+        request.attempt = { RequestId(++lastRequest_), 1 };
+        request.deadlineMs = clampMs(timeout);
+        request.objectiveMs = 300;
+        request.responseMs = clampMs(timeout);
+        waiting_[request.attempt] = clock_.now + timeout;
+        loop_.spawn([this, entry, request] {
+            auto grant = entries_.at(entry)->client.acquire(request, clock_.now + std::chrono::hours(1));
+            waiting_.erase(request.attempt);
+            if (!grant) {
+                refusals.push_back(grant.error());
+                return;
+            }
+            arrivals_[grant->target.value()].push_back(clock_.now);
+            running_.push_back({ clock_.now + options_.serviceTime, entry, *grant, clock_.now });
+        });
+    }
+
+    void tick()
+    {
+        for (auto& [id, host] : owners_) {
+            if (!suspended_.contains(id))
+                host->tick();
+        }
+        for (auto& [id, entry] : entries_) {
+            if (!suspended_.contains(id))
+                entry->client.checkOwners();
+        }
+    }
+
+    Loop& loop_;
+    PoolFleetOptions options_;
+    Random random_;
+    ManualClock clock_;
+    MetricRegistry metrics_;
+    const PoolId pool_ { 10 };
+    ClusterConfig config_;
+    uint64_t epoch_ { 0 };
+    uint64_t link_ { 1 };
+    uint64_t steps_ { 0 };
+    uint64_t lastRequest_ { 0 };
+    std::map<uint32_t, std::unique_ptr<Transport>> transports_;
+    std::map<uint32_t, std::unique_ptr<PoolHost>> owners_;
+    std::map<uint32_t, std::unique_ptr<Entry>> entries_;
+    std::set<std::pair<uint32_t, uint32_t>> cutLinks_;
+    std::set<uint32_t> suspended_;
+    std::vector<Message> messages_;
+    std::vector<RunningRequest> running_;
+    std::map<AttemptId, Instant> waiting_;
+    std::map<uint32_t, RequestRate> namedLimits_;
+    std::map<uint32_t, std::vector<Instant>> arrivals_;
+};
+
+}
