Keep the rate limits that targets name, over all nodes

Cause: nothing in the fleet followed from the limit. The adapter did not decode it, and neither the owner of a pool nor entries that select targets themselves had a rate for a target; slots bound only how many requests run at once.

Change: an entry reports a changed limit to the pool's owner (TargetRateLimitNotice), which tells all entries; what entries know reaches the next owner with PoolSync. Owner and entries space the requests to limited targets with token buckets (TargetRateLimiter). Entries without the owner divide the limit among themselves (divideRateLimit), and the owner leaves them their shares while it has no link to them. A response changes what is known only if its request was sent after it became known, since responses arrive out of order. Migrations count at both targets. SlotScheduler counts limits in the pool's capacity, so requests that find no room are refused at once, with the time until there is some. Targets without a limit go first while they have free slots.

Ruled out: a limit for each node by itself (the sum is up to nine times the limit), and pacing only at the owner (entries select targets themselves for up to four seconds after its loss).

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -94,6 +94,12 @@
     void onGrant(const Grant& grant);
     void onRefusal(const GrantRefusal& refusal);
     void onQueued(const GrantQueued& queued);
+    void onRateLimitNotice(const TargetRateLimitNotice& notice);
+    [[nodiscard]] std::vector<TargetRateLimitNotice> knownRateLimits(PoolId pool) const;
+    /** Recomputes this entry's shares after a change of limits or entries. */
+    void updateRateLimitShares();
+    /** Sets the rates for local selection, by the state of each pool's owner. */
+    void updateLocalRates();
     void recordRestriction(const TargetAvailabilityNotice& notice);
     /** The grant request with the remaining deadline, and with targets excluded that accept no work from this node now. */
     [[nodiscard]] GrantRequest prepareRequest(const PendingRequest& pending) const;
@@ -125,6 +131,11 @@
     ClockHook now_;
     TargetRestrictions restrictions_;
     TargetRateLimits rateLimits_;
+    /** For local selection: this entry's shares of the rate limits. Schedulers refer to it. */
+    TargetRateLimiter localRateLimiter_;
+    /** This entry's share of each limited target's rate when the target's owner is unreachable. */
+    std::map<TargetId, RequestRate> localRateShares_;
+    Instant unreadableRateLimitLoggedAt_ {};
     std::map<PoolId, PoolState> pools_;
     std::map<AttemptId, std::shared_ptr<PendingRequest>> pending_;
     std::map<AttemptId, RunningAttempt> running_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -3,6 +3,7 @@
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/TargetRateLimits.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -121,6 +122,14 @@
     /** Presents targets that accept no work from any node to the schedulers as draining, until the restriction ends. */
     void applyRestrictions();
     [[nodiscard]] std::set<TargetId> findRestrictedForAll() const;
+    void onRateLimitNotice(NodeId from, const TargetRateLimitNotice& notice);
+    /** Adopts what an entry knows of the targets' rate limits; tells all entries what has changed. */
+    void mergeRateLimits(NodeId from, const PoolSync& sync);
+    void postRateLimit(NodeId entry, const Target& target) const;
+    void onRateLimitChange(NodeId from, const Target& target, std::optional<RequestRate> previous, uint32_t ageMs);
+    /** Sets the rate of each limited target, less what entries without a link to this node may send meanwhile. */
+    void updateRateLimiter();
+    [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     void removeRequest(Pool& pool, AttemptId attempt);
     void applyActions(Pool& pool);
@@ -129,11 +138,15 @@
     void removeRequestsOfLostEntries();
     void sendReleases();
     void publishStats();
+    void publishRateLimits(const Pool& pool, const PoolStats& stats);
 
     PoolHostSettings settings_;
     NodeTransport& transport_;
     MetricRegistry& metrics_;
     PoolHostHooks hooks_;
+    TargetRateLimits rateLimits_;
+    /** Schedulers refer to it. */
+    TargetRateLimiter rateLimiter_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
@@ -141,6 +154,8 @@
     std::map<NodeId, Instant> disconnectedSince_;
     std::set<NodeId> connectedEntries_;
     TargetRestrictions restrictions_;
+    /** Entries that may send requests. */
+    std::vector<NodeId> entries_;
     /** Targets that accept no work from any node; schedulers see them as draining. */
     std::set<TargetId> restrictedForAll_;
     std::vector<PendingRelease> pendingReleases_;
--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Registry.h"
 #include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/sched/TargetRateLimiter.h"
 #include "briarhitch/wire/Messages.h"
 
 #include <array>
@@ -57,6 +58,8 @@
     Duration retryAfter { 0 };
     /** Short explanation for the request's history. */
     std::string reason;
+    /** The rate limits of the targets leave no room before the deadline. */
+    bool isForRateLimit { false };
 };
 
 using PoolAction = std::variant<PoolGrant, PoolRefusal>;
@@ -66,6 +69,8 @@
     std::array<size_t, Tier::count> running {};
     Tokens queuedTokens;
     Tokens runningTokens;
+    /** Queued requests while a target has a free slot, but its rate limit allows no request. */
+    size_t heldByRateLimit { 0 };
 };
 
 /** Settings of a pool's scheduler; the defaults suit both kinds of pools. */
@@ -81,6 +86,8 @@
     std::set<std::string> disabledFeatures;
     /** Fraction of the pool's capacity, 0 to 0.5, that a kind of work gets even under more urgent load. */
     std::map<WorkKindId, double> floors;
+    /** Rate limits of the pool's targets; not owned. Null: none. */
+    TargetRateLimiter* rateLimiter { nullptr };
 };
 
 /**
--- a/include/briarhitch/sched/TargetRateLimits.h
+++ b/include/briarhitch/sched/TargetRateLimits.h
@@ -17,30 +17,41 @@
     std::optional<RequestRate> limit;
     /** When the request was sent that the target responded to. */
     Instant requestSentAt;
+    /** False if the response names a limit that cannot be read; `limit` is none then, and the known limit stays. */
+    bool isReadable { true };
 };
 
-/** Rate limits that targets name in their responses, each in force until a later response names none. */
+/**
+ * Rate limits that targets name in their responses, each in force until a later response names another one or none.
+ * Responses arrive in another order than they were written in, so what is known changes only by a response that was
+ * certainly written later: its request was sent after the known limit, or its end, became known.
+ */
 class TargetRateLimits {
 public:
     struct Entry {
-        RequestRate limit;
-        /** When this limit became known here. */
+        /** None if the target has ended its limit. */
+        std::optional<RequestRate> limit;
         Instant since;
         uint64_t targetBornMs { 0 };
     };
 
     /** True if the target's limit has changed. */
     bool recordObservation(const Target& target, const RateLimitObservation& observation, Instant now);
-    /** Records a limit, or its end if there is none, that another node reports. True if it has changed. */
-    bool set(const Target& target, std::optional<RequestRate> limit, Instant now);
-    /** Removes the limits of targets that are not listed any more or were restarted. */
+    /** Records what another node has known since this time, unless this node knows something later. True if it has changed. */
+    bool merge(const Target& target, std::optional<RequestRate> limit, Instant since);
+    /** Replaces what is known. True if it has changed. */
+    bool replace(const Target& target, std::optional<RequestRate> limit, Instant since);
+    /** Forgets targets that are not listed any more or were restarted. */
     void updateTargets(const std::map<TargetId, Target>& targets);
+    void remove(TargetId target) { entries_.erase(target); }
+    /** Forgets limits that ended so long ago that no earlier response is still on its way. */
+    void tick(Instant now);
 
     [[nodiscard]] std::optional<RequestRate> find(TargetId target) const;
-    [[nodiscard]] const std::map<TargetId, Entry>& all() const { return limits_; }
+    [[nodiscard]] const std::map<TargetId, Entry>& all() const { return entries_; }
 
 private:
-    std::map<TargetId, Entry> limits_;
+    std::map<TargetId, Entry> entries_;
 };
 
 }
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -38,6 +38,7 @@
      * wait for.
      */
     HeartbeatSolicitation = 24,
+    TargetRateLimitNotice = 25,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -222,11 +223,13 @@
 struct GrantCancellation {
     PoolId pool;
     AttemptId attempt;
+    /** The entry has received the grant and does not use it; otherwise a grant may still be on its way to the entry. */
+    bool isGrantReturned { false };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt);
+        visit(pool, attempt, isGrantReturned);
     }
 };
 
@@ -289,6 +292,22 @@
     }
 };
 
+/** Entry to pool owner: what a response said about a target's rate limit. Owner to entries: the limit in force. */
+struct TargetRateLimitNotice {
+    PoolId pool;
+    TargetId target;
+    /** Requests per second that the target accepts from all nodes together; none: no limit. */
+    std::optional<double> requestsPerSecond;
+    /** From an entry: time since the request of that response was sent. Otherwise: time for which this has been known. */
+    uint32_t ageMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, target, requestsPerSecond, ageMs);
+    }
+};
+
 /** An attempt that an earlier pool owner granted. */
 struct RunningAttempt {
     GrantRequest request;
@@ -322,11 +341,13 @@
     Epoch epoch;
     std::vector<RunningAttempt> running;
     std::vector<RecentAttempt> recent;
+    /** What the entry knows of the targets' rate limits. */
+    std::vector<TargetRateLimitNotice> rateLimits;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, epoch, running, recent);
+        visit(pool, epoch, running, recent, rateLimits);
     }
 };
 
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
+#include "briarhitch/sched/RateLimitShares.h"
 #include "entry/PoolRequests.h"
 #include "wire/Codec.h"
 
@@ -44,6 +45,7 @@
     , metrics_(metrics)
     , hooks_(std::move(hooks))
 {
+    settings_.pool.rateLimiter = &rateLimiter_;
 }
 
 PoolHost::~PoolHost() = default;
@@ -67,6 +69,13 @@
         targets_.push_back(target);
     restrictions_.updateTargets(config.targets);
     restrictedForAll_ = findRestrictedForAll();
+    entries_.clear();
+    for (const auto& [id, node] : config.nodes) {
+        if (node.servesCallers && !node.lost)
+            entries_.push_back(id);
+    }
+    rateLimits_.updateTargets(config.targets);
+    updateRateLimiter();
     updateActivePools(config);
     dropReassignedPools(config);
     recordLostNodes(config);
@@ -118,6 +127,11 @@
             continue;
         }
         poolLog().info("Pool " + it->second.assignment.name + " is no longer assigned to this node.");
+        // The next owner is told when a limit changes, so what is known here becomes outdated.
+        for (const auto& target : targets_) {
+            if (target.pool == it->first)
+                rateLimits_.remove(target.id);
+        }
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
@@ -256,6 +270,12 @@
     case MessageType::TargetAvailabilityNotice:
         decodeAndHandle<TargetAvailabilityNotice>(body, [&](const TargetAvailabilityNotice& notice) { onAvailabilityNotice(from, notice); });
         break;
+    case MessageType::TargetRateLimitNotice:
+        decodeAndHandle<TargetRateLimitNotice>(body, [&](const TargetRateLimitNotice& notice) {
+            if (isKnown(notice.pool, Epoch()))
+                onRateLimitNotice(from, notice);
+        });
+        break;
     case MessageType::LoadReport:
         decodeAndHandle<LoadReport>(body, [&](const LoadReport& report) { onLoadReport(report); });
         break;
@@ -312,6 +332,7 @@
     // A sync with an older epoch was meant for an earlier owner and lacks what this node may have granted since.
     if (sync.epoch < pool.assignment.epoch)
         return;
+    mergeRateLimits(from, sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -364,6 +385,9 @@
     auto* pool = find(cancel.pool);
     if (!pool)
         return;
+    auto it = pool->requests.find(cancel.attempt);
+    if (it != pool->requests.end() && it->second.target.isValid() && cancel.isGrantReturned)
+        rateLimiter_.refundRequest(it->second.target, hooks_.now());
     removeRequest(*pool, cancel.attempt);
     applyActions(*pool);
 }
@@ -428,6 +452,92 @@
     applyRestrictions();
 }
 
+const Target* PoolHost::findTarget(TargetId target) const
+{
+    auto it = std::find_if(targets_.begin(), targets_.end(), [&](const Target& known) { return known.id == target; });
+    return it == targets_.end() ? nullptr : &*it;
+}
+
+void PoolHost::onRateLimitNotice(NodeId from, const TargetRateLimitNotice& notice)
+{
+    const auto* target = findTarget(notice.target);
+    if (!target)
+        return;
+    auto now = hooks_.now();
+    auto previous = rateLimits_.find(target->id);
+    RateLimitObservation observation { target->id, {}, now - std::chrono::milliseconds(notice.ageMs) };
+    if (notice.requestsPerSecond)
+        observation.limit = RequestRate(*notice.requestsPerSecond);
+    if (rateLimits_.recordObservation(*target, observation, now))
+        onRateLimitChange(from, *target, previous, notice.ageMs);
+    else
+        postRateLimit(from, *target);
+}
+
+void PoolHost::mergeRateLimits(NodeId from, const PoolSync& sync)
+{
+    for (const auto& known : sync.rateLimits) {
+        const auto* target = findTarget(known.target);
+        if (!target)
+            continue;
+        auto previous = rateLimits_.find(target->id);
+        auto limit = known.requestsPerSecond ? std::optional(RequestRate(*known.requestsPerSecond)) : std::nullopt;
+        if (rateLimits_.merge(*target, limit, hooks_.now() - std::chrono::milliseconds(known.ageMs)))
+            onRateLimitChange(from, *target, previous, known.ageMs);
+    }
+}
+
+void PoolHost::onRateLimitChange(NodeId from, const Target& target, std::optional<RequestRate> previous, uint32_t ageMs)
+{
+    auto limit = rateLimits_.find(target.id);
+    LogFields fields { { "target", target.name }, { "told_by", int64_t(from.value()) }, { "age_ms", int64_t(ageMs) } };
+    if (limit)
+        fields.emplace_back("requests_per_second", limit->value());
+    if (previous)
+        fields.emplace_back("previous_requests_per_second", previous->value());
+    poolLog().event(limit ? "target rate limit in force" : "target rate limit ended", fields);
+    updateRateLimiter();
+    // Entries need it while they select targets locally, and tell the next owner.
+    for (NodeId entry : connectedEntries_)
+        postRateLimit(entry, target);
+}
+
+void PoolHost::postRateLimit(NodeId entry, const Target& target) const
+{
+    TargetRateLimitNotice notice { target.pool, target.id, {}, 0 };
+    if (auto limit = rateLimits_.find(target.id))
+        notice.requestsPerSecond = limit->value();
+    transport_.postToEntry(entry, MessageType::TargetRateLimitNotice, encode(notice));
+}
+
+void PoolHost::updateRateLimiter()
+{
+    auto now = hooks_.now();
+    std::vector<TargetId> ended;
+    for (const auto& [id, bucket] : rateLimiter_.targets()) {
+        if (!rateLimits_.find(id))
+            ended.push_back(id);
+    }
+    for (TargetId id : ended) {
+        if (rateLimits_.all().contains(id))
+            rateLimiter_.endLimit(id, now);
+        else
+            rateLimiter_.remove(id);
+    }
+    for (const auto& [id, known] : rateLimits_.all()) {
+        const auto* target = findTarget(id);
+        if (!target || !known.limit)
+            continue;
+        auto limit = std::max(*known.limit, minProbeRate);
+        auto shares = divideRateLimit(target->name, limit, entries_);
+        for (NodeId entry : shares.entries) {
+            if (entry != settings_.self && !connectedEntries_.contains(entry))
+                limit -= shares.rate;
+        }
+        rateLimiter_.setRate(id, std::max(limit, minProbeRate), now);
+    }
+}
+
 std::set<TargetId> PoolHost::findRestrictedForAll() const
 {
     std::set<TargetId> result;
@@ -497,6 +607,8 @@
     if (it == pool.requests.end())
         return;
     auto entry = it->second.entry;
+    if (refusal.isForRateLimit)
+        metrics_.count("pool_rate_limit_refusals_total", "pool=\"" + pool.assignment.name + "\"");
     pool.requests.erase(it);
     GrantRefusal message { pool.assignment.id, refusal.attempt, refusal.kind, static_cast<uint32_t>(std::max<int64_t>(0, toMs(refusal.retryAfter))), refusal.reason };
     transport_.postToEntry(entry, MessageType::GrantRefusal, encode(message));
@@ -512,12 +624,18 @@
 {
     connectedEntries_.insert(node);
     disconnectedSince_.erase(node);
+    updateRateLimiter();
+    for (const auto& target : targets_) {
+        if (rateLimits_.find(target.id) && find(target.pool))
+            postRateLimit(node, target);
+    }
 }
 
 void PoolHost::onEntryDisconnected(NodeId node)
 {
     connectedEntries_.erase(node);
     disconnectedSince_.try_emplace(node, hooks_.now());
+    updateRateLimiter();
 }
 
 void PoolHost::removeRequestsOfLostEntries()
@@ -556,6 +674,8 @@
     removeRequestsOfLostEntries();
     applyRestrictions();
     auto now = hooks_.now();
+    rateLimits_.tick(now);
+    rateLimiter_.tick(now);
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
             // Without a lease this node may soon lose the pool; otherwise the scheduler is rebuilt from `requests`.
@@ -583,6 +703,23 @@
     });
 }
 
+void PoolHost::publishRateLimits(const Pool& pool, const PoolStats& stats)
+{
+    RequestRate sum;
+    size_t count = 0;
+    for (const auto& target : targets_) {
+        auto limit = target.pool == pool.assignment.id ? rateLimits_.find(target.id) : std::nullopt;
+        if (!limit)
+            continue;
+        sum += *limit;
+        ++count;
+    }
+    auto labels = "pool=\"" + pool.assignment.name + "\"";
+    metrics_.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
+    metrics_.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
+    metrics_.setGauge("pool_rate_limit_held", labels, static_cast<double>(stats.heldByRateLimit));
+}
+
 void PoolHost::publishStats()
 {
     if (hooks_.now() - statsPublishedAt_ < statsInterval)
@@ -592,6 +729,7 @@
         if (!pool.scheduler)
             continue;
         auto stats = pool.scheduler->stats();
+        publishRateLimits(pool, stats);
         for (size_t tier = 0; tier < Tier::count; ++tier) {
             auto labels = "pool=\"" + pool.assignment.name + "\",tier=\"" + std::to_string(tier) + "\"";
             metrics_.setGauge("pool_queued", labels, static_cast<double>(stats.queued[tier]));
--- a/src/sched/BaselineScheduler.cpp
+++ b/src/sched/BaselineScheduler.cpp
@@ -53,10 +53,11 @@
     return std::find(excluded.begin(), excluded.end(), target) == excluded.end() && !recentAttempts_.wasAttempted(request.idempotencyKeyHash, target);
 }
 
-bool BaselineScheduler::hasCapacity(TargetId target) const
+bool BaselineScheduler::hasCapacity(TargetId target, Instant now) const
 {
     const auto& load = loads_.at(target);
-    return load.reachable && load.inFlight < load.slots * maxInFlightPerSlot_;
+    bool isAllowed = !settings_.rateLimiter || settings_.rateLimiter->allowsRequest(target, now);
+    return isAllowed && load.reachable && load.inFlight < load.slots * maxInFlightPerSlot_;
 }
 
 bool BaselineScheduler::hasEligibleTarget(const PoolRequest& request) const
@@ -70,29 +71,29 @@
     return static_cast<double>(load.reported + load.sentSinceReport) / load.slots;
 }
 
-std::optional<TargetId> BaselineScheduler::nextRoundRobin(const PoolRequest& request)
+std::optional<TargetId> BaselineScheduler::nextRoundRobin(const PoolRequest& request, Instant now)
 {
     for (size_t i = 0; i < active_.size(); ++i) {
         const TargetId target = active_[nextTargetIndex_++ % active_.size()];
-        if (isEligible(request, target) && hasCapacity(target))
+        if (isEligible(request, target) && hasCapacity(target, now))
             return target;
     }
     return std::nullopt;
 }
 
-std::optional<TargetId> BaselineScheduler::selectTarget(const PoolRequest& request)
+std::optional<TargetId> BaselineScheduler::selectTarget(const PoolRequest& request, Instant now)
 {
     if (targetSelection_ == TargetSelection::RoundRobin || active_.empty())
-        return nextRoundRobin(request);
+        return nextRoundRobin(request, now);
     const TargetId first = active_[random_.below(active_.size())];
     const TargetId second = active_[random_.below(active_.size())];
-    const bool firstFits = isEligible(request, first) && hasCapacity(first);
-    const bool secondFits = isEligible(request, second) && hasCapacity(second);
+    const bool firstFits = isEligible(request, first) && hasCapacity(first, now);
+    const bool secondFits = isEligible(request, second) && hasCapacity(second, now);
     if (firstFits && secondFits)
         return loadOf(first) <= loadOf(second) ? first : second;
     if (firstFits || secondFits)
         return firstFits ? first : second;
-    return nextRoundRobin(request);
+    return nextRoundRobin(request, now);
 }
 
 void BaselineScheduler::submit(PoolRequest request, Instant now)
@@ -121,7 +122,7 @@
         const bool isQueued = queued_.contains(head.attempt);
         std::optional<TargetId> target;
         if (isQueued) {
-            target = selectTarget(head);
+            target = selectTarget(head, now);
             if (!target && hasEligibleTarget(head))
                 return;
             queued_.erase(head.attempt);
@@ -141,6 +142,8 @@
     auto& load = loads_[target];
     ++load.inFlight;
     ++load.sentSinceReport;
+    if (settings_.rateLimiter)
+        settings_.rateLimiter->recordRequests(target, 1, now);
     running_.emplace(request.attempt, Running { target, request.tier });
     ++stats_.running[request.tier.value()];
     recentAttempts_.recordAttempt(request.idempotencyKeyHash, target, now);
--- a/src/sched/BaselineScheduler.h
+++ b/src/sched/BaselineScheduler.h
@@ -52,11 +52,11 @@
     };
 
     [[nodiscard]] bool isEligible(const PoolRequest& request, TargetId target) const;
-    [[nodiscard]] bool hasCapacity(TargetId target) const;
+    [[nodiscard]] bool hasCapacity(TargetId target, Instant now) const;
     [[nodiscard]] bool hasEligibleTarget(const PoolRequest& request) const;
     [[nodiscard]] double loadOf(TargetId target) const;
-    std::optional<TargetId> selectTarget(const PoolRequest& request);
-    std::optional<TargetId> nextRoundRobin(const PoolRequest& request);
+    std::optional<TargetId> selectTarget(const PoolRequest& request, Instant now);
+    std::optional<TargetId> nextRoundRobin(const PoolRequest& request, Instant now);
     void dispatch(Instant now);
     void grant(const PoolRequest& request, TargetId target, Instant now);
     void refuse(const PoolRequest& request, ErrorKind kind, std::string_view reason);
--- a/src/sched/BriarhitchScheduler.cpp
+++ b/src/sched/BriarhitchScheduler.cpp
@@ -64,6 +64,7 @@
     if (!options.adjustsWindows)
         options.initialCostPerSlot = options.maxCostPerSlot;
     options.backsOff = !settings.disabledFeatures.contains("backoff");
+    options.rateLimiter = settings.rateLimiter;
     return options;
 }
 
@@ -430,6 +431,8 @@
     record.isCharged = true;
     record.target = target;
     const int64_t cost = record.entry.item.cost;
+    if (settings_.rateLimiter)
+        settings_.rateLimiter->recordRequests(target, 1, now);
     targets_.charge(target, cost, now);
     predictor_.recordGrantedCost(cost);
     if (features_.prefix)
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -41,6 +41,8 @@
      */
     constexpr double fillPenalty = 0.2;
     constexpr double otherZonePenalty = 0.5;
+    /** The same for a target with a rate limit: it is overloaded, so targets without one go first. */
+    constexpr double rateLimitPenalty = 1.0;
     /** A running request migrates only to a target that is faster by this factor. */
     constexpr double minSpeedup = 1.5;
     /** Fraction of its time to the objective that any request may wait for a better slot. */
@@ -54,8 +56,12 @@
     constexpr double minSlotFraction = 0.25;
     constexpr double minRetryAfterMs = 500;
     constexpr double maxRetryAfterMs = 5000;
+    /** While rate limits decide: a target may allow one request in several seconds. */
+    constexpr double maxRateLimitedRetryAfterMs = 30000;
     constexpr double retryJitter = 0.3;
 
+    constexpr std::string_view rateLimitReason = "the targets' rate limits leave no room before the deadline";
+
     double toMsExact(Duration duration) { return toSeconds(duration) * 1000; }
     Duration fromMs(double ms) { return fromSeconds(ms / 1000); }
 
@@ -186,7 +192,32 @@
 
 bool SlotScheduler::hasEligibleTarget(const RequestRecord& record) const
 {
-    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.isActive() && isEligible(record, entry.second); });
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) {
+        bool isBlocked = settings_.rateLimiter && settings_.rateLimiter->isBlocked(entry.first);
+        return entry.second.isActive() && !isBlocked && isEligible(record, entry.second);
+    });
+}
+
+bool SlotScheduler::allowsRequest(const SlotTarget& target, Instant now) const
+{
+    return !settings_.rateLimiter || settings_.rateLimiter->allowsRequest(target.target.id, now);
+}
+
+void SlotScheduler::updateRateLimitWait(Instant now)
+{
+    rateLimitWait_ = Duration::zero();
+    if (!settings_.rateLimiter)
+        return;
+    std::optional<Duration> shortest;
+    for (const auto& [id, target] : targets_) {
+        if (!target.isActive())
+            continue;
+        if (!settings_.rateLimiter->isLimited(id))
+            return;
+        auto wait = settings_.rateLimiter->timeUntilAllowed(id, now);
+        shortest = std::min(wait, shortest.value_or(wait));
+    }
+    rateLimitWait_ = shortest.value_or(Duration::zero());
 }
 
 double SlotScheduler::queuedWorkAheadMs(const Rank& rank) const
@@ -203,7 +234,8 @@
 bool SlotScheduler::cannotMeetDeadline(const RequestRecord& record, double aheadMs, Instant now) const
 {
     double minFirstTokenMs = record.request.migratesFrom.isValid() ? 0 : bestFirstTokenMs(record);
-    return queueDrainMs(aheadMs, record.rank) * refusalFactor + minFirstTokenMs > toMsExact(record.request.deadline - now);
+    double waitMs = queueDrainMs(aheadMs, record.rank) * refusalFactor + toMsExact(rateLimitWait_);
+    return waitMs + minFirstTokenMs > toMsExact(record.request.deadline - now);
 }
 
 double SlotScheduler::queueDrainMs(double queuedWorkMs, const Rank& rank) const
@@ -219,7 +251,9 @@
     // A retry misses its objective, so all requests that meet theirs are granted before it.
     auto rank = record.rank;
     rank.missesObjective = true;
-    double ms = std::clamp(queueDrainMs(queuedWorkAheadMs(rank), rank), minRetryAfterMs, maxRetryAfterMs);
+    double rateLimitMs = toMsExact(rateLimitWait_);
+    double longestMs = rateLimitMs > 0 ? maxRateLimitedRetryAfterMs : maxRetryAfterMs;
+    double ms = std::clamp(queueDrainMs(queuedWorkAheadMs(rank), rank) + rateLimitMs, minRetryAfterMs, longestMs);
     // Jitter, so that callers refused together do not retry together.
     double fraction = static_cast<double>((record.request.attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
     return fromMs(ms * (1 + retryJitter * fraction));
@@ -260,7 +294,8 @@
 void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, std::string_view reason, Instant now)
 {
     const auto& record = *records_.at(attempt);
-    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(record), std::string(reason) });
+    bool isForRateLimit = kind == ErrorKind::DeadlineUnreachable && rateLimitWait_ > Duration::zero();
+    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(record), std::string(isForRateLimit ? rateLimitReason : reason), isForRateLimit });
     if (!record.request.migratesFrom.isValid())
         refusals_.recordRefusal(record.request, now);
     records_.erase(attempt);
@@ -272,14 +307,15 @@
         return;
     auto& record = addRequest(std::move(request), now);
     auto attempt = record.request.attempt;
+    updateRateLimitWait(now);
     if (!hasEligibleTarget(record)) {
         refuse(attempt, ErrorKind::NoTarget, "no target can take the request", now);
         return;
     }
     if (!record.rank.missesObjective && !record.request.migratesFrom.isValid())
         deficits_.recordSubmission(record.request.urgency);
-    // A request that reduces its kind's deficit is granted before the work ahead of it.
-    bool isForDeficit = !record.rank.missesObjective && static_cast<double>(queuedMeetingObjective_[record.rank.urgency]) + 1 <= deficits_.deficit(record.request.urgency);
+    // A request that reduces its kind's deficit is granted before the work ahead of it, but rate limits hold for it too.
+    bool isForDeficit = rateLimitWait_ == Duration::zero() && !record.rank.missesObjective && static_cast<double>(queuedMeetingObjective_[record.rank.urgency]) + 1 <= deficits_.deficit(record.request.urgency);
     if ((!isForDeficit && cannotMeetDeadline(record, queuedWorkAheadMs(record.rank), now)) || queue_.size() >= settings_.maxQueued) {
         refuse(attempt, ErrorKind::DeadlineUnreachable, "predicted first token is after the deadline", now);
         return;
@@ -419,7 +455,7 @@
         }
     }
     releaseSlot(*record);
-    updateCapacity();
+    updateCapacity(now);
     dispatch(now);
 }
 
@@ -467,7 +503,7 @@
         target.isListed = true;
     }
     std::erase_if(targets_, [](const auto& entry) { return !entry.second.isListed && entry.second.running == 0; });
-    updateCapacity();
+    updateCapacity(now);
     std::vector<AttemptId> ineligible;
     for (const auto& [rank, attempt] : queue_) {
         if (!hasEligibleTarget(*records_.at(attempt)))
@@ -480,7 +516,7 @@
     dispatch(now);
 }
 
-void SlotScheduler::updateCapacity()
+void SlotScheduler::updateCapacity(Instant now)
 {
     capacity_ = 0;
     fastestServiceTimeMs_ = 0;
@@ -490,7 +526,10 @@
         if (!target.isActive() || target.outlierDetector.isBackedOff())
             continue;
         double serviceMs = serviceTimeMsOf(target);
-        capacity_ += target.slots() * typicalMs / std::max(serviceMs, 0.01);
+        double capacity = target.slots() * typicalMs / std::max(serviceMs, 0.01);
+        if (auto rate = settings_.rateLimiter ? settings_.rateLimiter->rate(id, now) : std::nullopt)
+            capacity = std::min(capacity, rate->value() * grantedCostMs_.valueOr(typicalMs) / 1000);
+        capacity_ += capacity;
         if (fastestServiceTimeMs_ == 0 || serviceMs < fastestServiceTimeMs_) {
             fastestServiceTimeMs_ = serviceMs;
             fastestPrefillTokenMs_ = prefillTokenMsOf(target);
@@ -501,12 +540,13 @@
 SlotTarget* SlotScheduler::selectFasterTarget(const RequestRecord& record, Instant now)
 {
     auto current = targets_.find(record.request.migratesFrom);
-    if (current == targets_.end())
+    // A migration also sends requests to the target that it leaves.
+    if (current == targets_.end() || !allowsRequest(current->second, now))
         return nullptr;
     SlotTarget* best = nullptr;
     for (auto& [id, target] : targets_) {
         bool isFaster = serviceTimeMsOf(target) * minSpeedup <= serviceTimeMsOf(current->second);
-        if (isFaster && target.hasFreeSlot(now) && isEligible(record, target) && (!best || serviceTimeMsOf(target) < serviceTimeMsOf(*best)))
+        if (isFaster && hasFreeSlot(target, now) && isEligible(record, target) && (!best || serviceTimeMsOf(target) < serviceTimeMsOf(*best)))
             best = &target;
     }
     return best;
@@ -520,7 +560,7 @@
     Placement bestPlacement;
     double neededTokens = static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
     for (auto& [id, target] : targets_) {
-        if (!target.hasFreeSlot(now) || !isEligible(record, target))
+        if (!hasFreeSlot(target, now) || !isEligible(record, target))
             continue;
         auto memory = static_cast<double>(target.target.memoryTokens);
         if (memory > 0 && target.running > 0 && target.memoryTokens + neededTokens > usableMemoryFraction * memory)
@@ -530,6 +570,8 @@
         placement.durationMs *= 1 + fillPenalty * target.running / target.slots();
         if (!record.request.zone.empty() && record.request.zone != target.target.zone)
             placement.durationMs *= 1 + otherZonePenalty;
+        if (settings_.rateLimiter && settings_.rateLimiter->isLimited(id) && !settings_.rateLimiter->needsProbe(id, now))
+            placement.durationMs *= 1 + rateLimitPenalty;
         bool isBetter = !best || placement.expectedLoss < bestPlacement.expectedLoss - acceptedLoss
             || (placement.expectedLoss < bestPlacement.expectedLoss + acceptedLoss && placement.durationMs < bestPlacement.durationMs);
         if (isBetter) {
@@ -546,15 +588,28 @@
     return now + margin < latestStartForObjective(record) ? nullptr : best;
 }
 
-bool SlotScheduler::hasFreeSlot(Instant now) const
+bool SlotScheduler::hasAnyFreeSlot(Instant now) const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return hasFreeSlot(entry.second, now); });
+}
+
+void SlotScheduler::countTowardsRateLimits(const RequestRecord& record, Instant now)
 {
-    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasFreeSlot(now); });
+    if (!settings_.rateLimiter)
+        return;
+    settings_.rateLimiter->recordRequests(record.target, 1, now);
+    // The call that stops the generation, and its resumption there if its memory cannot be transferred.
+    constexpr double requestsToSource = 2;
+    if (record.request.migratesFrom.isValid())
+        settings_.rateLimiter->recordRequests(record.request.migratesFrom, requestsToSource, now);
 }
 
-void SlotScheduler::grant(RequestRecord& record, SlotTarget& target, bool isForDeficit)
+void SlotScheduler::grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now)
 {
     dequeue(record);
     occupySlot(record, target);
+    countTowardsRateLimits(record, now);
+    grantedCostMs_.addSample(record.queuedCostMs);
     workFractions_.recordGrant(record.request.urgency, record.rank.missesObjective, record.queuedCostMs);
     if (!record.rank.missesObjective && !record.request.migratesFrom.isValid())
         deficits_.recordGrant(record.request.urgency, record.queuedCostMs, isForDeficit);
@@ -574,12 +629,12 @@
 void SlotScheduler::dispatchDeficits(Instant now)
 {
     for (uint8_t urgency = 1; urgency < Tier::count; ++urgency) {
-        while (deficits_.hasDeficit(Tier(urgency)) && hasFreeSlot(now)) {
+        while (deficits_.hasDeficit(Tier(urgency)) && hasAnyFreeSlot(now)) {
             auto* record = firstMeetingObjective(Tier(urgency));
             auto* target = record ? selectTarget(*record, now) : nullptr;
             if (!target)
                 break;
-            grant(*record, *target, true);
+            grant(*record, *target, true, now);
         }
     }
 }
@@ -588,11 +643,11 @@
 {
     dispatchDeficits(now);
     size_t examined = 0;
-    for (auto it = queue_.begin(); it != queue_.end() && examined < maxExaminedRequests && hasFreeSlot(now); ++examined) {
+    for (auto it = queue_.begin(); it != queue_.end() && examined < maxExaminedRequests && hasAnyFreeSlot(now); ++examined) {
         auto& record = *records_.at(it->second);
         ++it;
         if (auto* target = selectTarget(record, now))
-            grant(record, *target, false);
+            grant(record, *target, false, now);
     }
 }
 
@@ -614,6 +669,7 @@
 
 void SlotScheduler::refusePredictedDeadlineMisses(Instant now)
 {
+    updateRateLimitWait(now);
     double ahead = 0;
     std::array<double, Tier::count> deficits {};
     for (uint8_t urgency = 0; urgency < Tier::count; ++urgency)
@@ -621,7 +677,7 @@
     std::vector<AttemptId> unmeetable;
     for (const auto& [rank, attempt] : queue_) {
         const auto& record = *records_.at(attempt);
-        bool isForDeficit = !rank.missesObjective && --deficits[rank.urgency] >= 0;
+        bool isForDeficit = rateLimitWait_ == Duration::zero() && !rank.missesObjective && --deficits[rank.urgency] >= 0;
         if (!isForDeficit && cannotMeetDeadline(record, ahead, now))
             unmeetable.push_back(attempt);
         else
@@ -640,8 +696,10 @@
     workFractions_.tick(now, !queue_.empty());
     updateRanks(now);
     refusePredictedDeadlineMisses(now);
-    updateCapacity();
+    updateCapacity(now);
     dispatch(now);
+    bool isHeld = std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasFreeSlot(now) && !allowsRequest(entry.second, now); });
+    stats_.heldByRateLimit = isHeld ? queue_.size() : 0;
 }
 
 std::vector<PoolAction> SlotScheduler::takeActions()
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -84,6 +84,9 @@
     [[nodiscard]] Instant latestStartForObjective(const RequestRecord& record) const;
     [[nodiscard]] Rank rankOf(const RequestRecord& record, Instant now) const;
     [[nodiscard]] bool isEligible(const RequestRecord& record, const SlotTarget& target) const;
+    [[nodiscard]] bool allowsRequest(const SlotTarget& target, Instant now) const;
+    [[nodiscard]] bool hasFreeSlot(const SlotTarget& target, Instant now) const { return target.hasFreeSlot(now) && allowsRequest(target, now); }
+    void updateRateLimitWait(Instant now);
     [[nodiscard]] bool hasEligibleTarget(const RequestRecord& record) const;
     /** Queued work before this rank, in milliseconds of slot time. */
     [[nodiscard]] double queuedWorkAheadMs(const Rank& rank) const;
@@ -104,10 +107,11 @@
     void dispatch(Instant now);
     /** Grants requests of less urgent kinds that have a deficit, before more urgent ones. */
     void dispatchDeficits(Instant now);
-    [[nodiscard]] bool hasFreeSlot(Instant now) const;
+    [[nodiscard]] bool hasAnyFreeSlot(Instant now) const;
     /** First queued request of this urgency, by tier, that can meet its objective; nullptr if there is none. */
     [[nodiscard]] RequestRecord* firstMeetingObjective(Tier urgency) const;
-    void grant(RequestRecord& record, SlotTarget& target, bool isForDeficit);
+    void grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now);
+    void countTowardsRateLimits(const RequestRecord& record, Instant now);
     SlotTarget* selectTarget(const RequestRecord& record, Instant now);
     /** A target with a free slot that is much faster than the one that runs the request; nullptr if there is none. */
     SlotTarget* selectFasterTarget(const RequestRecord& record, Instant now);
@@ -115,7 +119,7 @@
     /** Whether the request is predicted to miss its deadline behind this much queued work. */
     [[nodiscard]] bool cannotMeetDeadline(const RequestRecord& record, double aheadMs, Instant now) const;
     void refusePredictedDeadlineMisses(Instant now);
-    void updateCapacity();
+    void updateCapacity(Instant now);
 
     PoolSettings settings_;
     LengthEstimator lengths_;
@@ -128,6 +132,8 @@
     /** Means over all targets; fallbacks for targets without samples. */
     MovingAverage poolServiceTimeMs_ { 0.02 };
     MovingAverage poolPrefillTokenMs_ { 0.02 };
+    /** Slot time of granted requests, in milliseconds. */
+    MovingAverage grantedCostMs_ { 0.02 };
     UrgencyDeficits deficits_;
     /** Number of queued requests that can still meet their objective, by the urgency of their kind. */
     std::array<size_t, Tier::count> queuedMeetingObjective_ {};
@@ -138,6 +144,8 @@
     double capacity_ { 0 };
     double fastestServiceTimeMs_ { 0 };
     double fastestPrefillTokenMs_ { 0 };
+    /** Time until the rate limits allow a request; zero if any target has no limit. */
+    Duration rateLimitWait_ { 0 };
 };
 
 }
--- a/src/sched/TargetRateLimits.cpp
+++ b/src/sched/TargetRateLimits.cpp
@@ -2,39 +2,56 @@
 
 namespace briarhitch {
 
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** Longer than any request lasts. */
+    constexpr Duration endedLimitRetention = 60s;
+
+}
+
 bool TargetRateLimits::recordObservation(const Target& target, const RateLimitObservation& observation, Instant now)
 {
-    auto known = limits_.find(target.id);
-    // A response to an earlier request may have been written before the target named the limit.
-    bool mayPrecedeLimit = known != limits_.end() && observation.requestSentAt <= known->second.since;
-    if (!observation.limit && mayPrecedeLimit)
+    auto known = entries_.find(target.id);
+    if (known != entries_.end() && observation.requestSentAt <= known->second.since)
+        return false;
+    return replace(target, observation.limit, now);
+}
+
+bool TargetRateLimits::merge(const Target& target, std::optional<RequestRate> limit, Instant since)
+{
+    auto known = entries_.find(target.id);
+    if (known != entries_.end() && since <= known->second.since)
         return false;
-    return set(target, observation.limit, now);
+    return replace(target, limit, since);
 }
 
-bool TargetRateLimits::set(const Target& target, std::optional<RequestRate> limit, Instant now)
+bool TargetRateLimits::replace(const Target& target, std::optional<RequestRate> limit, Instant since)
 {
     if (find(target.id) == limit)
         return false;
-    if (limit)
-        limits_[target.id] = { *limit, now, target.incarnationStartMs };
-    else
-        limits_.erase(target.id);
+    entries_[target.id] = { limit, since, target.incarnationStartMs };
     return true;
 }
 
 void TargetRateLimits::updateTargets(const std::map<TargetId, Target>& targets)
 {
-    std::erase_if(limits_, [&](const auto& item) {
+    std::erase_if(entries_, [&](const auto& item) {
         auto listed = targets.find(item.first);
         return listed == targets.end() || listed->second.incarnationStartMs != item.second.targetBornMs;
     });
 }
 
+void TargetRateLimits::tick(Instant now)
+{
+    std::erase_if(entries_, [&](const auto& item) { return !item.second.limit && now - item.second.since > endedLimitRetention; });
+}
+
 std::optional<RequestRate> TargetRateLimits::find(TargetId target) const
 {
-    auto it = limits_.find(target);
-    return it == limits_.end() ? std::nullopt : std::optional(it->second.limit);
+    auto it = entries_.find(target);
+    return it == entries_.end() ? std::nullopt : it->second.limit;
 }
 
 }
--- a/src/sched/TargetTable.cpp
+++ b/src/sched/TargetTable.cpp
@@ -82,6 +82,8 @@
         return false;
     if (options_.backsOff && !targetEntry.backoff.allowsRequest(targetEntry.running, now))
         return false;
+    if (options_.rateLimiter && !options_.rateLimiter->allowsRequest(targetEntry.target.id, now))
+        return false;
     // A request may overshoot the window; otherwise one larger than the window would never be sent.
     return targetEntry.running < std::max(1U, targetEntry.target.slots) && targetEntry.used < targetEntry.window.size();
 }
@@ -223,6 +225,12 @@
         if (auto* targetEntry = find(target))
             updateAvailability(*targetEntry, now);
     }
+    if (!options_.rateLimiter)
+        return;
+    for (const auto& [target, bucket] : options_.rateLimiter->targets()) {
+        if (auto* targetEntry = find(target))
+            updateAvailability(*targetEntry, now);
+    }
 }
 
 double TargetTable::slowness(TargetId target, Instant now) const
--- a/src/sched/TargetTable.h
+++ b/src/sched/TargetTable.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Units.h"
 #include "briarhitch/model/Target.h"
+#include "briarhitch/sched/TargetRateLimiter.h"
 #include "sched/TargetBackoff.h"
 #include "sched/TargetWindow.h"
 
@@ -30,6 +31,8 @@
         bool adjustsWindows { true };
         /** Whether failing targets are backed off. */
         bool backsOff { true };
+        /** Rate limits of the targets; not owned. Null: none. */
+        TargetRateLimiter* rateLimiter { nullptr };
     };
 
     explicit TargetTable(const Options& options);
@@ -57,7 +60,7 @@
     void recordSuccess(TargetId target, Instant now);
     void recordFailure(TargetId target, Instant now);
     void recordTargetRefusal(TargetId target, Instant now);
-    /** Makes targets available whose back-off ended. */
+    /** Makes targets available whose back-off ended or whose rate limit allows a request again. */
     void tick(Instant now);
 
     /** Sum of the windows of all active, reachable targets that are not failing. */
--- a/tests/support/PoolFleet.h
+++ b/tests/support/PoolFleet.h
@@ -28,12 +28,12 @@
 
 /**
  * Entries, pool owners and targets of one pool under a simulated clock, with links that can be cut and nodes that can be
- * suspended. Entries have the ids 1, 2, ..., owners 101 and 102, targets 1, 2, ... Must be used in a fiber of the loop.
+ * suspended. Entries have the ids 1, 2, ..., owners 1001 and 1002, targets 1, 2, ... Must be used in a fiber of the loop.
  */
 class PoolFleet {
 public:
-    static constexpr uint32_t firstOwner = 101;
-    static constexpr uint32_t secondOwner = 102;
+    static constexpr uint32_t firstOwner = 1001;
+    static constexpr uint32_t secondOwner = 1002;
 
     PoolFleet(Loop& loop, const PoolFleetOptions& options)
         : loop_(loop)
@@ -63,11 +63,8 @@
 
     ~PoolFleet()
     {
-        for (auto& [id, entry] : entries_) {
-            for (const auto& [attempt, deadline] : waiting_)
-                entry->client.cancelAcquire(attempt);
-        }
-        sleepFor(loop_, Duration(0));
+        for (uint32_t entry = 1; entry <= options_.entries; ++entry)
+            cancelRequests(entry);
     }
     PoolFleet(const PoolFleet&) = delete;
     PoolFleet& operator=(const PoolFleet&) = delete;
@@ -102,12 +99,14 @@
             entry->apply(config_);
     }
 
+    /** A cut link loses all messages; both ends close it after the idle timeout. */
     void setLinkCut(uint32_t entry, uint32_t owner, bool isCut)
     {
+        std::pair link { entry, owner };
         if (isCut) {
-            cutLinks_.insert({ entry, owner });
-            owners_.at(owner)->onEntryDisconnected(NodeId(entry));
-        } else if (cutLinks_.erase({ entry, owner }) > 0) {
+            cutLinks_.try_emplace(link, clock_.now);
+        } else if (cutLinks_.erase(link) > 0) {
+            closeLink(entry, owner);
             openLink(entry, owner);
         }
     }
@@ -138,6 +137,24 @@
         }
     }
 
+    /** Replaces the entry's process by a new one without state; its requests end. */
+    void restartEntry(uint32_t entry)
+    {
+        cancelRequests(entry);
+        std::erase_if(running_, [&](const auto& request) { return request.entry == entry; });
+        std::erase_if(messages_, [&](const auto& message) { return message.from == entry || message.to == entry; });
+        for (auto& [owner, host] : owners_) {
+            if (!closedLinks_.contains({ entry, owner }))
+                host->onEntryDisconnected(NodeId(entry));
+        }
+        entries_[entry] = std::make_unique<Entry>(*this, entry);
+        entries_.at(entry)->apply(config_);
+        for (auto& [owner, host] : owners_) {
+            if (!cutLinks_.contains({ entry, owner }))
+                openLink(entry, owner);
+        }
+    }
+
     /** Most requests that the target got in any window of this length that began at `from` or later. */
     [[nodiscard]] size_t mostInWindow(uint32_t target, Duration window, Instant from) const
     {
@@ -173,11 +190,13 @@
         {
         }
 
-        bool isReachable(NodeId node) override { return !fleet_.cutLinks_.contains({ self_, node.value() }); }
+        bool isReachable(NodeId node) override { return !fleet_.closedLinks_.contains({ self_, node.value() }); }
         bool postToOwner(NodeId node, MessageType type, std::string body) override
         {
             if (!isReachable(node))
                 return false;
+            if (type == MessageType::GrantRequest)
+                body = fleet_.withSimulatedDeadline(body);
             fleet_.messages_.push_back({ fleet_.clock_.now + messageDelay, self_, node.value(), type, std::move(body) });
             return true;
         }
@@ -230,6 +249,11 @@
         std::string body;
     };
 
+    struct WaitingRequest {
+        uint32_t entry { 0 };
+        Instant deadline;
+    };
+
     struct RunningRequest {
         Instant finishesAt;
         uint32_t entry { 0 };
@@ -262,21 +286,42 @@
     void openLink(uint32_t entry, uint32_t owner)
     {
         ++link_;
+        closedLinks_.erase({ entry, owner });
         owners_.at(owner)->onEntryConnected(NodeId(entry));
         entries_.at(entry)->client.onOutgoingLinkOpen(NodeId(owner));
     }
 
+    void closeLink(uint32_t entry, uint32_t owner)
+    {
+        if (closedLinks_.insert({ entry, owner }).second)
+            owners_.at(owner)->onEntryDisconnected(NodeId(entry));
+    }
+
+    void closeIdleLinks()
+    {
+        constexpr Duration idleTimeout = std::chrono::milliseconds(600);
+        for (const auto& [link, since] : cutLinks_) {
+            if (clock_.now - since >= idleTimeout)
+                closeLink(link.first, link.second);
+        }
+    }
+
     void step()
     {
         constexpr Duration stepTime = std::chrono::milliseconds(1);
         constexpr int stepsPerTick = 20;
         clock_.now += stepTime;
+        bool hasWork = !messages_.empty() || !running_.empty();
         deliverMessages();
         finishRequests();
-        addRequests(toSeconds(stepTime));
-        if (++steps_ % stepsPerTick == 0)
+        hasWork = addRequests(toSeconds(stepTime)) || hasWork;
+        if (++steps_ % stepsPerTick == 0) {
+            closeIdleLinks();
             tick();
-        sleepFor(loop_, Duration(0));
+            hasWork = true;
+        }
+        if (hasWork)
+            sleepFor(loop_, Duration(0));
     }
 
     void deliverMessages()
@@ -321,20 +366,43 @@
         }
     }
 
-    void addRequests(double seconds)
+    /** True if there was any request to start or to give up. */
+    bool addRequests(double seconds)
     {
-        if (random_.chance(options_.requestsPerSecond * seconds)) {
+        bool isAdding = random_.chance(options_.requestsPerSecond * seconds);
+        if (isAdding) {
             auto entry = static_cast<uint32_t>(1 + random_.below(options_.entries));
             if (!suspended_.contains(entry))
                 addRequest(entry);
         }
         auto waiting = waiting_;
-        for (const auto& [attempt, deadline] : waiting) {
-            if (deadline <= clock_.now) {
-                for (auto& [id, entry] : entries_)
-                    entry->client.cancelAcquire(attempt);
-            }
+        for (const auto& [attempt, request] : waiting) {
+            if (request.deadline > clock_.now)
+                continue;
+            entries_.at(request.entry)->client.cancelAcquire(attempt);
+            isAdding = true;
         }
+        return isAdding;
+    }
+
+    /** The deadline that the client waits for runs on the real clock, so it is out of reach; owners get the simulated one. */
+    std::string withSimulatedDeadline(const std::string& body)
+    {
+        auto request = *decode<GrantRequest>(body);
+        if (auto waiting = waiting_.find(request.attempt); waiting != waiting_.end())
+            request.deadlineMs = request.responseMs = clampMs(waiting->second.deadline - clock_.now);
+        return encode(request);
+    }
+
+    void cancelRequests(uint32_t entry)
+    {
+        auto waiting = waiting_;
+        for (const auto& [attempt, request] : waiting) {
+            if (request.entry == entry)
+                entries_.at(entry)->client.cancelAcquire(attempt);
+        }
+        // The fibers that wait must end before their entry does.
+        sleepFor(loop_, Duration(0));
     }
 
     void addRequest(uint32_t entry)
@@ -346,7 +414,7 @@
         request.deadlineMs = clampMs(timeout);
         request.objectiveMs = 300;
         request.responseMs = clampMs(timeout);
-        waiting_[request.attempt] = clock_.now + timeout;
+        waiting_[request.attempt] = { entry, clock_.now + timeout };
         loop_.spawn([this, entry, request] {
             auto grant = entries_.at(entry)->client.acquire(request, clock_.now + std::chrono::hours(1));
             waiting_.erase(request.attempt);
@@ -385,11 +453,13 @@
     std::map<uint32_t, std::unique_ptr<Transport>> transports_;
     std::map<uint32_t, std::unique_ptr<PoolHost>> owners_;
     std::map<uint32_t, std::unique_ptr<Entry>> entries_;
-    std::set<std::pair<uint32_t, uint32_t>> cutLinks_;
+    /** Entry and owner of cut links, and when they were cut. */
+    std::map<std::pair<uint32_t, uint32_t>, Instant> cutLinks_;
+    std::set<std::pair<uint32_t, uint32_t>> closedLinks_;
     std::set<uint32_t> suspended_;
     std::vector<Message> messages_;
     std::vector<RunningRequest> running_;
-    std::map<AttemptId, Instant> waiting_;
+    std::map<AttemptId, WaitingRequest> waiting_;
     std::map<uint32_t, RequestRate> namedLimits_;
     std::map<uint32_t, std::vector<Instant>> arrivals_;
 };
