Define the meaning of malformed and repeated rate limits

A Server-Limit that was given twice, as a list, empty or huge had no defined meaning: the first header decided, a list was unreadable, and an empty value ended the limit. Values above a million requests a second are cut to that.

--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -318,11 +318,11 @@
 
 void RoutedRequestRun::reportRateLimit(const TargetSignals& signals, bool mayEndLimit)
 {
-    if (!signals.isRateLimitReadable || (!signals.rateLimit && !mayEndLimit))
+    if (signals.isRateLimitReadable && !signals.rateLimit && !mayEndLimit)
         return;
-    if (signals.rateLimit)
-        count("routed_target_signals_total", "signal", "rate_limit");
-    runner_.pools.reportRateLimit(grant_.pool, { target_.id, signals.rateLimit, sentAt_ });
+    if (signals.rateLimit || !signals.isRateLimitReadable)
+        count("routed_target_signals_total", "signal", signals.rateLimit ? "rate_limit" : "unreadable_rate_limit");
+    runner_.pools.reportRateLimit(grant_.pool, { target_.id, signals.rateLimit, sentAt_, signals.isRateLimitReadable });
 }
 
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::handleResponse(const std::shared_ptr<HttpCall>& call)
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -313,6 +313,30 @@
         });
     }
 
+    // Guards against a limit that a malformed header ends, against a report of each response instead of each change, and against
+    // a new owner that is not told what the entry knows.
+    TEST(PoolClientTest, RateLimitChangesAreReportedToTheOwnerAndToTheNextOwner)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            auto notices = [&] { return entry.transport.posted<TargetRateLimitNotice>(MessageType::TargetRateLimitNotice, NodeId(2)); };
+            entry.client.reportRateLimit(PoolId(10), { TargetId(7), RequestRate(2.5), entry.clock.now - 40ms });
+            entry.client.reportRateLimit(PoolId(10), { TargetId(7), RequestRate(2.5), entry.clock.now });
+            entry.clock.now += 1s;
+            entry.client.reportRateLimit(PoolId(10), { TargetId(7), {}, entry.clock.now, false });
+            EXPECT_TRUE(entry.client.isRateLimited(TargetId(7)));
+            ASSERT_EQ(notices().size(), 1u);
+            EXPECT_EQ(notices()[0].requestsPerSecond, 2.5);
+            EXPECT_EQ(notices()[0].ageMs, 40u);
+            entry.assign(modelPool(10, Epoch(6), 3));
+            auto sync = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(3));
+            ASSERT_EQ(sync.size(), 1u);
+            ASSERT_EQ(sync[0].rateLimits.size(), 1u);
+            EXPECT_EQ(sync[0].rateLimits[0].requestsPerSecond, 2.5);
+            EXPECT_EQ(sync[0].rateLimits[0].ageMs, 1000u);
+        });
+    }
+
     // Guards against an entry that selects a leaving target, or a new owner that grants it, because only other nodes were
     // notified.
     TEST(PoolClientTest, LeavingTargetIsLearnedFromTheOwnerAndReportedToTheNextOwner)
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -225,7 +225,8 @@
         for (const auto* path : { "/lookup/1", "/lookup/2", "/charge/3", "/charge/4", "/lookup/5", "/charge/6" })
             fixture.run(path);
         const auto& observations = fixture.pools.rateLimitObservations;
-        ASSERT_EQ(observations.size(), 2u);
+        ASSERT_EQ(observations.size(), 3u);
+        EXPECT_FALSE(observations[2].isReadable) << "counted, but without effect";
         EXPECT_EQ(observations[0].target, TargetId(1));
         EXPECT_EQ(observations[0].limit, RequestRate(3.2));
         EXPECT_EQ(observations[0].requestSentAt, sentAt);
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -172,7 +172,11 @@
         EXPECT_EQ(signals({ { "server-limit", "0" } }).rateLimit, RequestRate(0));
         EXPECT_FALSE(signals({}).rateLimit);
         EXPECT_TRUE(signals({}).isRateLimitReadable) << "the server names no limit";
-        for (const auto* invalid : { "-1", "few", "nan", "inf", "3.2 a second" }) {
+        EXPECT_EQ(signals({ { "Server-Limit", "4, 2.5" } }).rateLimit, RequestRate(2.5)) << "the lowest value counts";
+        EXPECT_EQ(signals({ { "Server-Limit", "2.5" }, { "Server-Limit", "none" }, { "Server-Limit", "4" } }).rateLimit, RequestRate(2.5));
+        EXPECT_TRUE(signals({ { "Server-Limit", "2.5" }, { "Server-Limit", "none" } }).isRateLimitReadable);
+        EXPECT_EQ(signals({ { "Server-Limit", "1e300" } }).rateLimit, RequestRate(1e6));
+        for (const auto* invalid : { "", "-1", "few", "nan", "inf", "3.2 a second", "," }) {
             EXPECT_FALSE(signals({ { "Server-Limit", invalid } }).rateLimit) << invalid;
             EXPECT_FALSE(signals({ { "Server-Limit", invalid } }).isRateLimitReadable) << invalid;
         }
