Tell new owners and later entries which targets leave

A notice that a target leaves was sent after PoolSync, so a new owner could grant the target in between; an owner that did not know the pool yet dropped the notice, while it keeps other early messages; and an entry that connected after the notice was never told, so it could select the target itself.

Now notices go before the sync, are kept with the other early messages, and are sent to each entry that connects. Three tests fail without the change: PoolClientTest.LeavingTargetIsLearnedFromTheOwnerAndReportedToTheNextOwner (order), TargetAvailabilityTest.ReportBeforeTheAssignmentIsKept and .EntryThatConnectsLaterIsNotified.

--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -476,9 +476,10 @@
         if (recent.pool == pool)
             message.recent.push_back(recent.attempt);
     }
-    postToPoolOwner(pool, MessageType::PoolSync, message);
+    // The owner may grant as soon as it has the sync.
     for (TargetId target : restrictions_.restrictedTargets(settings_.self, now_()))
         postToPoolOwner(pool, MessageType::TargetAvailabilityNotice, TargetAvailabilityNotice { pool, target, restrictions_.isLeaving(target, now_()), clampMs(restrictions_.shortestPause({ target }, settings_.self, now_())) });
+    postToPoolOwner(pool, MessageType::PoolSync, message);
     // An owner on this node decides synchronously while requests are sent, which changes pending_.
     std::vector<std::shared_ptr<PendingRequest>> waiting;
     for (const auto& [attempt, pending] : pending_) {
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -268,7 +268,10 @@
         decodeAndHandle<AttemptFinished>(body, [&](const AttemptFinished& finished) { onFinished(finished); });
         break;
     case MessageType::TargetAvailabilityNotice:
-        decodeAndHandle<TargetAvailabilityNotice>(body, [&](const TargetAvailabilityNotice& notice) { onAvailabilityNotice(from, notice); });
+        decodeAndHandle<TargetAvailabilityNotice>(body, [&](const TargetAvailabilityNotice& notice) {
+            if (isKnown(notice.pool, Epoch()))
+                onAvailabilityNotice(from, notice);
+        });
         break;
     case MessageType::TargetRateLimitNotice:
         decodeAndHandle<TargetRateLimitNotice>(body, [&](const TargetRateLimitNotice& notice) {
@@ -626,8 +629,12 @@
     disconnectedSince_.erase(node);
     updateRateLimiter();
     for (const auto& target : targets_) {
-        if (rateLimits_.find(target.id) && find(target.pool))
+        if (!find(target.pool))
+            continue;
+        if (rateLimits_.find(target.id))
             postRateLimit(node, target);
+        if (restrictions_.isLeaving(target.id, hooks_.now()))
+            transport_.postToEntry(node, MessageType::TargetAvailabilityNotice, encode(TargetAvailabilityNotice { target.pool, target.id, true, 0 }));
     }
 }
 
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -345,10 +345,12 @@
             Entry entry(loop, 150ms);
             entry.client.onMessage(MessageType::TargetAvailabilityNotice, encode(TargetAvailabilityNotice { PoolId(10), TargetId(7), true, 0 }));
             EXPECT_TRUE(entry.client.isRestricted(TargetId(7)));
+            entry.transport.posts.clear();
             entry.assign(modelPool(10, Epoch(6), 3));
             auto notices = entry.transport.posted<TargetAvailabilityNotice>(MessageType::TargetAvailabilityNotice, NodeId(3));
             ASSERT_EQ(notices.size(), 1u);
             EXPECT_TRUE(notices[0].isLeaving);
+            EXPECT_EQ(entry.transport.posts.front().type, MessageType::TargetAvailabilityNotice) << "the owner may grant as soon as it has the sync";
             entry.transport.unreachable.insert(NodeId(3));
             auto result = entry.requestGrant(101);
             ASSERT_TRUE(result->has_value());
--- a/tests/PoolHostTest.cpp
+++ b/tests/PoolHostTest.cpp
@@ -345,6 +345,28 @@
         EXPECT_EQ(grantsTo(3).size(), 5u) << "the target's new incarnation is granted";
     }
 
+    // Guards against a new owner that grants a leaving target, because the report came before it knew of the pool.
+    TEST_F(TargetAvailabilityTest, ReportBeforeTheAssignmentIsKept)
+    {
+        auto targets = std::exchange(config_.targets, {});
+        config_.pools.clear();
+        host_->onConfigChange(config_);
+        send(2, MessageType::TargetAvailabilityNotice, TargetAvailabilityNotice { PoolId(10), TargetId(1), true, 0 });
+        config_.targets = targets;
+        takeOverPool();
+        requestGrant(3, 1);
+        requestGrant(3, 2);
+        EXPECT_EQ(grantsTo(3), std::vector<TargetId> { TargetId(2) });
+    }
+
+    // Guards against an entry that starts again and selects a leaving target itself.
+    TEST_F(TargetAvailabilityTest, EntryThatConnectsLaterIsNotified)
+    {
+        send(2, MessageType::TargetAvailabilityNotice, TargetAvailabilityNotice { PoolId(10), TargetId(1), true, 0 });
+        host_->onEntryConnected(NodeId(3));
+        EXPECT_EQ(transport_.replied<TargetAvailabilityNotice>(MessageType::TargetAvailabilityNotice, NodeId(3)).size(), 1u);
+    }
+
     // Guards against granting a target to one node after another while it asks each for a pause, and against never
     // granting it again after the pause.
     TEST_F(TargetAvailabilityTest, TargetThatPausesSeveralNodesIsNotGrantedDuringThePause)
