Read rate limits on the own API and let the stand-in service name one

A response's X-Request-Rate-Limit is read like the platform's header (one parser, RateLimitHeader) and takes the same path to the pool's owner.

--- a/include/briarhitch/entry/TargetClient.h
+++ b/include/briarhitch/entry/TargetClient.h
@@ -37,7 +37,10 @@
     /** HttpClient::start, or a fake. */
     using StartHook = std::function<Result<std::shared_ptr<HttpCall>>(const HttpCallSettings&)>;
 
-    explicit TargetClient(StartHook start);
+    /** Called with the header of each response to send(), and when its request was sent. */
+    using ResponseHook = std::function<void(const TargetCall&, const HttpCall&, Instant requestSentAt)>;
+
+    explicit TargetClient(StartHook start, ResponseHook onResponse = {});
 
     /** Blocks until the response's header has arrived. The error's `ran` is No only if no byte can have reached the target. */
     Result<std::shared_ptr<HttpCall>> send(const TargetCall& call);
@@ -48,6 +51,7 @@
 
 private:
     StartHook start_;
+    ResponseHook onResponse_;
 };
 
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -11,6 +11,7 @@
 #include "briarhitch/entry/PoolClient.h"
 #include "briarhitch/entry/PoolHost.h"
 #include "briarhitch/entry/RequestRunner.h"
+#include "briarhitch/http/RateLimitHeader.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Guard.h"
 #include "briarhitch/runtime/Loop.h"
@@ -25,6 +26,9 @@
 
     using namespace std::chrono_literals;
 
+    /** Requests per second that a target accepts from all nodes together. */
+    constexpr auto rateLimitHeader = "X-Request-Rate-Limit";
+    constexpr int firstNonSuccessStatus = 300;
     constexpr Duration busyTickInterval = 20ms;
     constexpr Duration idleTickInterval = 50ms;
     constexpr Duration ownerCheckInterval = 100ms;
@@ -97,7 +101,7 @@
         , history(settings.limits.historySize, &BootClock::now)
         , controlClient(loop, makeControlClientSettings(settings, self), clusterView, metrics)
         , httpClient(loop)
-        , targetClient([this](const HttpCallSettings& call) { return httpClient.start(call); })
+        , targetClient([this](const HttpCallSettings& call) { return httpClient.start(call); }, [this](const TargetCall& call, const HttpCall& response, Instant sentAt) { reportRateLimit(call, response, sentAt); })
         , ceilingHost(
               self.id, self.incarnation, [this] { return controlClient.hasLease(); }, &BootClock::now, settings.ceilingTolerance)
         , serviceRetryBudget(settings.routed.retryBudget)
@@ -204,6 +208,16 @@
         return hooks;
     }
 
+    /** Routed requests report the limits of their targets themselves. */
+    void reportRateLimit(const TargetCall& call, const HttpCall& response, Instant sentAt)
+    {
+        auto rateLimit = readRateLimit(response.headers(), rateLimitHeader);
+        // A target that refuses a request need not name its limit.
+        bool mayEndLimit = response.status() < firstNonSuccessStatus;
+        if (rateLimit.limit || !rateLimit.isReadable || mayEndLimit)
+            poolClient->reportRateLimit(call.target.pool, { call.target.id, rateLimit.limit, sentAt, rateLimit.isReadable });
+    }
+
     void handleCaller(const HttpRequest& request, HttpExchange& exchange)
     {
         auto routedRequest = extensions ? extensions->readRequest(request) : std::nullopt;
--- a/src/entry/TargetClient.cpp
+++ b/src/entry/TargetClient.cpp
@@ -38,8 +38,9 @@
 
 }
 
-TargetClient::TargetClient(StartHook start)
+TargetClient::TargetClient(StartHook start, ResponseHook onResponse)
     : start_(std::move(start))
+    , onResponse_(std::move(onResponse))
 {
 }
 
@@ -55,7 +56,11 @@
     // The HTTP client sends a GET again in that case, which would send it to this target twice.
     settings.isReuseAllowed = call.isIdempotent && call.method != "GET";
     settings.onSending = call.onSending;
-    return start_(settings);
+    auto sentAt = BootClock::now();
+    auto response = start_(settings);
+    if (response && onResponse_)
+        onResponse_(call, **response, sentAt);
+    return response;
 }
 
 Result<std::shared_ptr<HttpCall>> TargetClient::resume(const TargetCall& call, std::optional<uint64_t> lastEventId, Duration headerTimeout)
--- a/tools/fake_service/ServiceApi.cpp
+++ b/tools/fake_service/ServiceApi.cpp
@@ -56,13 +56,14 @@
 {
     std::string requestId(request.header("X-Request-Id"));
     auto call = absl::StrCat(request.method, " ", request.path);
+    auto arrivedMs = toMs(BootClock::now().time_since_epoch());
     if (faults_.take(FaultMode::Refuse)) {
-        receipts_.push_back({ requestId, call, false });
+        receipts_.push_back({ requestId, call, false, arrivedMs });
         exchange.send(503, { { "Content-Type", "application/json" }, { "X-Not-Run", "1" } }, R"({"error":{"type":"refused"}})");
         return false;
     }
     // The charge is booked when it is read, whatever becomes of the answer.
-    receipts_.push_back({ requestId, call, true });
+    receipts_.push_back({ requestId, call, true, arrivedMs });
     if (!chargeId.empty())
         ++charges_[chargeId];
     if (faults_.take(FaultMode::Reset)) {
@@ -80,6 +81,14 @@
     return true;
 }
 
+void ServiceApi::sendAnswer(HttpExchange& exchange, int status, const std::string& json) const
+{
+    HttpHeaders headers { { "Content-Type", "application/json" } };
+    if (auto limit = faults_.rateLimit())
+        headers.emplace_back("X-Request-Rate-Limit", absl::StrCat(*limit));
+    exchange.send(status, headers, json);
+}
+
 void ServiceApi::handleCharge(const HttpRequest& request, HttpExchange& exchange)
 {
     auto body = nlohmann::json::parse(request.body, nullptr, false);
@@ -91,7 +100,7 @@
     if (!work(request, exchange, chargeId))
         return;
     nlohmann::json answer = { { "charge_id", chargeId }, { "state", "charged" }, { "checksum", checksumOf(chargeId) } };
-    sendJson(exchange, 201, answer.dump());
+    sendAnswer(exchange, 201, answer.dump());
 }
 
 void ServiceApi::handleStatus(const HttpRequest& request, HttpExchange& exchange)
@@ -101,7 +110,7 @@
         return;
     auto it = charges_.find(id);
     nlohmann::json answer = { { "id", id }, { "charged", it != charges_.end() }, { "checksum", checksumOf(id) } };
-    sendJson(exchange, 200, answer.dump());
+    sendAnswer(exchange, 200, answer.dump());
 }
 
 void ServiceApi::answerMetrics(HttpExchange& exchange) const
@@ -117,7 +126,7 @@
 {
     auto requests = nlohmann::json::array();
     for (const auto& receipt : receipts_)
-        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran } });
+        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran }, { "arrived_ms", receipt.arrivedMs } });
     sendJson(exchange, 200, nlohmann::json { { "charges", charges_ }, { "requests", requests } }.dump());
 }
 
--- a/tools/fake_service/ServiceApi.h
+++ b/tools/fake_service/ServiceApi.h
@@ -33,12 +33,16 @@
         std::string requestId;
         std::string call;
         bool ran;
+        /** On the clock that counts suspended time; the same for all processes of a machine. */
+        int64_t arrivedMs;
     };
 
     void handleCharge(const HttpRequest& request, HttpExchange& exchange);
     void handleStatus(const HttpRequest& request, HttpExchange& exchange);
     /** Notes the call and takes its time; false if a fault refused it or cut the connection. */
     bool work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId);
+    /** Names the rate limit, if there is one. */
+    void sendAnswer(HttpExchange& exchange, int status, const std::string& json) const;
     void answerMetrics(HttpExchange& exchange) const;
     void answerLedger(HttpExchange& exchange) const;
 
--- a/tools/support/FaultSwitch.h
+++ b/tools/support/FaultSwitch.h
@@ -4,6 +4,7 @@
 #include "briarhitch/http/HttpServer.h"
 
 #include <cstdint>
+#include <optional>
 #include <string_view>
 
 namespace briarhitch {
@@ -28,9 +29,10 @@
     explicit FaultSwitch(Loop& loop);
 
     /**
-     * Reads {"mode", "count", "after_events", "late_ms", "slowdown"}; all are optional. `count` is the
+     * Reads {"mode", "count", "after_events", "late_ms", "slowdown", "rate_limit"}; all are optional. `count` is the
      * number of connections that the mode hits (0: all), `after_events` the events that a stream sends
-     * before it does. An empty object ends all faults. BadRequest if a field is wrong.
+     * before it does, `rate_limit` the requests per second that responses name as limit. An empty object ends all
+     * faults. BadRequest if a field is wrong.
      */
     Result<void> set(std::string_view json);
     /** True if the mode hits a connection that has sent this many events; uses up one of the count. */
@@ -38,6 +40,9 @@
     /** Factor on the time that work takes, at least 0.01. */
     [[nodiscard]] double slowdown() const { return slowdown_; }
     [[nodiscard]] Duration lateness() const { return lateness_; }
+    /** Requests per second that responses name as limit; none without a limit. */
+    [[nodiscard]] std::optional<double> rateLimit() const { return rateLimit_; }
+    void setRateLimit(double requestsPerSecond) { rateLimit_ = requestsPerSecond; }
     /** Blocks the fiber until the faults change or the caller leaves. */
     void holdConnection(HttpExchange& exchange);
     /** Handles POST /admin/faults. */
@@ -51,6 +56,7 @@
     int64_t afterEvents_ { 0 };
     Duration lateness_ { 0 };
     double slowdown_ { 1 };
+    std::optional<double> rateLimit_;
     uint64_t orders_ { 0 };
 };
 
