Play rate limits in the soak and with the real processes of the platform

The soak has the fault target_limits_rate: a stand-in service names 0.5 to 11.5 calls a second for six to nine seconds. Judged from the stand-in's ledger: calls in any 4 s window, from 0.5 s after the first answer with the limit, over all entries. The number of entries is a flag (--entries, up to 100), so that a run can go up to the machine's limits. PlatformFleetTest.RateLimitHoldsWhileThePoolOwnerFails does the same with the platform's programs: two fronts, the owner suspended for 1.5 s and then killed.

--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -9,6 +9,7 @@
 #include <filesystem>
 #include <fstream>
 #include <gtest/gtest.h>
+#include <mutex>
 #include <nlohmann/json.hpp>
 #include <thread>
 #include <unistd.h>
@@ -52,6 +53,16 @@
         }
 
         std::atomic<int> charges { 0 };
+        /** Requests per second that responses to charges name as limit; zero: none. */
+        std::atomic<double> chargeLimit { 0 };
+
+        /** When the charges arrived that came after the first response with a limit. */
+        std::vector<Instant> limitedCharges()
+        {
+            std::scoped_lock lock(limitedChargesMutex_);
+            return limitedCharges_;
+        }
+
         std::atomic<int> slots { engineSlots };
 
     private:
@@ -84,6 +95,11 @@
             HttpHeaders headers { { "Briarhitch-Request-Id", std::string(request.header("Briarhitch-Request-Id")) }, { "Briarhitch-Response-Stamp", "s" } };
             if (request.path.starts_with("/charge/")) {
                 ++charges;
+                if (chargeLimit > 0) {
+                    std::scoped_lock lock(limitedChargesMutex_);
+                    limitedCharges_.push_back(BootClock::now());
+                    headers.emplace_back("Server-Limit", std::to_string(chargeLimit));
+                }
                 if (request.path == abortedCharge) {
                     exchange.abort();
                     return;
@@ -125,6 +141,8 @@
         std::string host_;
         Loop* loop_ { nullptr };
         std::atomic<bool> isServing_ { false };
+        std::mutex limitedChargesMutex_;
+        std::vector<Instant> limitedCharges_;
     };
 
     class PlatformFleetTest : public testing::Test {
@@ -481,6 +499,57 @@
         EXPECT_LT(peakMemoryKb(front.pid()), smallestEntryVmKb);
     }
 
+    // Guards against a server's rate limit that the real processes exceed together while the owner of its pool is suspended,
+    // killed and replaced, and against a limit under which nothing is served any more.
+    TEST_F(PlatformFleetTest, RateLimitHoldsWhileThePoolOwnerFails)
+    {
+        constexpr double limit = 4;
+        constexpr Duration window = 4s;
+        constexpr auto allowedInWindow = static_cast<size_t>(1.5 * limit * 4 + 5);
+        constexpr size_t suspendAfter = 12;
+        constexpr size_t killAfter = 24;
+        constexpr size_t enough = 40;
+        startServingFleet();
+        startFront(21);
+        waitUntil("the second front to be ready", [&] { return call(host(21), readyPort, "GET", "/v1/ready").status == 200; });
+        waitUntil("the second front to serve", [&] { return call(host(21), callerPort, "POST", "/charge/1", "body", requestHeaders("warm-up-21", "key", 20000)).status == 200; });
+        platform_.chargeLimit = limit;
+        size_t served = 0;
+        size_t callers = 12;
+        for (size_t i = 0; i < callers; ++i) {
+            loop_.spawn([&, i] {
+                for (int number = 0; served < enough; ++number) {
+                    auto id = "limited-" + std::to_string(i) + "-" + std::to_string(number);
+                    auto response = fetch(client_, callSettings(host(i % 2 ? 20 : 21), callerPort, "POST", "/charge/1", "body", requestHeaders(id, "key", 2500)));
+                    served += response && response->status == 200 ? 1 : 0;
+                    sleepFor(loop_, 30ms);
+                }
+                if (--callers == 0)
+                    loop_.stop();
+            });
+        }
+        loop_.spawn([&] {
+            auto waitForServed = [&](size_t count) {
+                while (served < count)
+                    sleepFor(loop_, 10ms);
+            };
+            waitForServed(suspendAfter);
+            processes_.at("pools-4")->signal(SIGSTOP);
+            sleepFor(loop_, 1500ms);
+            processes_.at("pools-4")->signal(SIGCONT);
+            waitForServed(killAfter);
+            processes_.at("pools-4")->kill();
+        });
+        loop_.run();
+        auto arrivals = platform_.limitedCharges();
+        auto begin = std::lower_bound(arrivals.begin(), arrivals.end(), arrivals.front() + 500ms);
+        for (auto end = begin; end != arrivals.end(); ++end) {
+            while (*begin <= *end - window)
+                ++begin;
+            ASSERT_LE(static_cast<size_t>(end - begin) + 1, allowedInWindow) << toMs(*end - arrivals.front()) << " ms after the limit was named";
+        }
+    }
+
     // Guards against a voter that acknowledges entries it could not write, or does not recover from a full disk.
     TEST_F(PlatformFleetTest, ControlExitsIfItsLogCannotGrowAndRecoversAllDocuments)
     {
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -16,9 +16,15 @@
     using std::chrono::milliseconds;
 
     constexpr int voters = 3;
-    constexpr uint32_t entries = 3;
     constexpr int stepMs = 20;
     constexpr milliseconds drainBound = 5s;
+    /** Added to the duration of a rate limit, so that whole windows are within it. */
+    constexpr milliseconds rateLimitTime = 6s;
+    constexpr milliseconds rateLimitWindow = 4s;
+    /** From the first answer that names a limit until it must be kept. */
+    constexpr milliseconds rateLimitNotice = 500ms;
+    constexpr double smallestRateLimit = 0.5;
+    constexpr uint32_t rateLimitSpread = 12;
     constexpr uint32_t longestLinkDelayMs = 300;
     const std::vector<std::string> engineNames { "engine-1", "engine-2" };
     const std::vector<std::string> serviceNames { "booking-1", "booking-2" };
@@ -46,7 +52,7 @@
         putTarget(daemon(name), "engine", forwarderPort(daemon(name).port));
     for (const auto& name : serviceNames)
         putTarget(daemon(name), "service", forwarderPort(daemon(name).port));
-    for (uint32_t node = 1; node <= entries; ++node) {
+    for (uint32_t node = 1; node <= entries_; ++node) {
         startEntry(
             node, "fleet key of the tests", [this](int, uint16_t port) { return forwarderPort(port); }, [this](uint16_t port) { return forwarderPort(port); });
         callerPorts_.push_back(forwarderPort(entry(node).port));
@@ -100,7 +106,7 @@
     case FaultKind::KillEntry:
     case FaultKind::FreezeEntry:
     case FaultKind::StopEntry:
-        return beginOnProcess(fault, "entry-" + std::to_string(1 + fault.victim % entries));
+        return beginOnProcess(fault, "entry-" + std::to_string(1 + fault.victim % entries_));
     case FaultKind::KillControl:
     case FaultKind::FreezeControl:
     case FaultKind::WipeControl:
@@ -119,6 +125,8 @@
         bool isEngine = fault.victim % 2 == 0;
         return beginOnTarget(fault, daemon(pick(isEngine ? engineNames : serviceNames, fault.victim / 2)));
     }
+    case FaultKind::TargetLimitsRate:
+        return beginRateLimit(fault, pick(serviceNames, fault.victim));
     case FaultKind::OperatorChange:
         return changeCustomers();
     }
@@ -194,8 +202,64 @@
     Json order { { "mode", mode }, { "count", fault.victim / 2 % 3 }, { "late_ms", fault.duration.count() } };
     if (target.name.starts_with("engine"))
         order["after_events"] = fault.victim / 4 % 10;
-    orderFaults(target, order);
-    later(fault.duration, [this, &target] { orderFaults(target, Json::object()); });
+    orderTargetFaults(target, order);
+    later(fault.duration, [this, &target] { orderTargetFaults(target, Json::object()); });
+}
+
+void SoakFleet::orderTargetFaults(const Daemon& target, Json faults)
+{
+    if (auto limit = rateLimits_.find(target.name); limit != rateLimits_.end())
+        faults["rate_limit"] = limit->second;
+    orderFaults(target, faults);
+}
+
+void SoakFleet::beginRateLimit(const Fault& fault, const std::string& target)
+{
+    double limit = smallestRateLimit + fault.victim / 2 % rateLimitSpread;
+    if (!rateLimits_.try_emplace(target, limit).second)
+        return;
+    auto begin = BootClock::now();
+    orderTargetFaults(daemon(target), Json::object());
+    later(fault.duration + rateLimitTime, [this, target, limit, begin] {
+        rateLimitPeriods_.push_back({ target, limit, begin, BootClock::now() });
+        rateLimits_.erase(target);
+        orderTargetFaults(daemon(target), Json::object());
+    });
+}
+
+void SoakFleet::judgeRateLimits()
+{
+    constexpr double excessFactor = 1.5;
+    constexpr double slack = 5;
+    for (const auto& period : rateLimitPeriods_) {
+        auto book = ledger(daemon(period.target));
+        auto beginMs = toMs(period.begin.time_since_epoch());
+        auto endMs = toMs(period.end.time_since_epoch());
+        auto keptFromMs = endMs;
+        for (const auto& call : book["requests"]) {
+            // An answer names the limit that is in force when it is sent.
+            if (call["answered_ms"] >= beginMs)
+                keptFromMs = std::min(keptFromMs, call["answered_ms"].get<int64_t>() + rateLimitNotice.count());
+        }
+        std::vector<int64_t> arrivalsMs;
+        for (const auto& call : book["requests"]) {
+            if (call["arrived_ms"] >= keptFromMs && call["arrived_ms"] < endMs)
+                arrivalsMs.push_back(call["arrived_ms"]);
+        }
+        result_.rateLimitedCalls += arrivalsMs.size();
+        result_.rateLimitedCapacity += period.requestsPerSecond * static_cast<double>(endMs - keptFromMs) / 1000;
+        double windowSeconds = static_cast<double>(rateLimitWindow.count()) / 1000;
+        auto allowed = static_cast<size_t>(excessFactor * period.requestsPerSecond * windowSeconds + slack);
+        size_t begin = 0;
+        for (size_t end = 0; end < arrivalsMs.size(); ++end) {
+            while (arrivalsMs[begin] <= arrivalsMs[end] - rateLimitWindow.count())
+                ++begin;
+            if (end - begin + 1 > allowed) {
+                violation(period.target + ", which named a limit of " + std::to_string(period.requestsPerSecond) + " calls a second, got " + std::to_string(end - begin + 1) + " in 4 s; allowed " + std::to_string(allowed));
+                break;
+            }
+        }
+    }
 }
 
 void SoakFleet::changeCustomers()
@@ -215,7 +279,7 @@
 
 void SoakFleet::recover()
 {
-    for (uint32_t node = 1; node <= entries; ++node) {
+    for (uint32_t node = 1; node <= entries_; ++node) {
         waitReady(entry(node));
         for (uint16_t port : { entry(node).port, callerPorts_.at(node - 1) }) {
             waitUntil("entry " + std::to_string(node) + " reaches an engine", [&] { return callPlain(port, chat("recovery", 1, false), 5s).status == 200; });
@@ -230,6 +294,7 @@
     result_.answered = traffic.answered;
     result_.charges = traffic.charges.size();
     result_.violations.insert(result_.violations.end(), traffic.violations.begin(), traffic.violations.end());
+    judgeRateLimits();
     std::map<std::string, uint64_t> charged;
     for (const auto& name : serviceNames) {
         auto book = ledger(daemon(name));
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -3,12 +3,14 @@
 #include <absl/flags/flag.h>
 #include <absl/flags/parse.h>
 #include <absl/flags/usage.h>
+#include <algorithm>
 #include <cstdio>
 #include <iostream>
 
 ABSL_FLAG(uint64_t, first_seed, 1, "first seed");
 ABSL_FLAG(uint64_t, last_seed, 1, "last seed");
 ABSL_FLAG(int, seconds, 10, "length of each seed's schedule");
+ABSL_FLAG(uint32_t, entries, 3, "entries of the fleet, 1 to 100");
 ABSL_FLAG(bool, shrink, false, "drops faults from a failing schedule while it still fails");
 ABSL_FLAG(std::string, keep, "soak-logs", "folder for the logs of seeds that fail");
 
@@ -18,7 +20,7 @@
 
 SoakResult playOnce(uint64_t seed, const std::vector<Fault>& schedule, std::chrono::seconds length)
 {
-    SoakFleet fleet;
+    SoakFleet fleet(std::clamp(absl::GetFlag(FLAGS_entries), 1U, 100U));
     auto result = fleet.play(seed, schedule, length);
     if (!result.violations.empty())
         fleet.copyLogsTo(absl::GetFlag(FLAGS_keep) + "/seed-" + std::to_string(seed));
@@ -56,7 +58,8 @@
         auto schedule = makeSchedule(seed, length);
         auto result = playOnce(seed, schedule, length);
         std::cout << "seed " << seed << ": " << schedule.size() << " faults, asked " << result.asked << ", answered " << result.answered << ", charges " << result.charges
-                  << ", told not run " << result.promisedNotRun << ", changes " << result.acknowledgedChanges << ", violations " << result.violations.size() << std::endl;
+                  << ", told not run " << result.promisedNotRun << ", changes " << result.acknowledgedChanges
+                  << ", calls under a rate limit " << result.rateLimitedCalls << " of " << static_cast<int>(result.rateLimitedCapacity) << ", violations " << result.violations.size() << std::endl;
         for (size_t kind = 0; kind < faultKindCount; ++kind)
             injected[kind] += result.injected[kind];
         if (result.violations.empty())
--- a/tests/soak/SoakSchedule.cpp
+++ b/tests/soak/SoakSchedule.cpp
@@ -14,7 +14,7 @@
 
     constexpr std::array<const char*, faultKindCount> names { "kill_entry", "freeze_entry", "stop_entry", "kill_control", "freeze_control",
         "wipe_control", "silence_link", "cut_link", "cut_link_one_way", "delay_link", "reset_link", "break_link", "target_stalls",
-        "target_resets", "target_refuses", "target_is_late", "operator_change" };
+        "target_resets", "target_refuses", "target_is_late", "target_limits_rate", "operator_change" };
     constexpr milliseconds shortestPause = 100ms;
     constexpr uint64_t pauseSpreadMs = 600;
     constexpr milliseconds shortestFault = 200ms;
--- a/tests/soak/SoakSchedule.h
+++ b/tests/soak/SoakSchedule.h
@@ -24,9 +24,10 @@
     TargetResets,
     TargetRefuses,
     TargetIsLate,
+    TargetLimitsRate,
     OperatorChange,
 };
-constexpr size_t faultKindCount = 17;
+constexpr size_t faultKindCount = 18;
 
 struct Fault {
     std::chrono::milliseconds at { 0 };
--- a/tools/fake_service/ServiceApi.cpp
+++ b/tools/fake_service/ServiceApi.cpp
@@ -52,7 +52,7 @@
         sendJson(exchange, 404, R"({"error":{"type":"not_found"}})");
 }
 
-bool ServiceApi::work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId)
+std::optional<size_t> ServiceApi::work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId)
 {
     std::string requestId(request.header("X-Request-Id"));
     auto call = absl::StrCat(request.method, " ", request.path);
@@ -60,15 +60,16 @@
     if (faults_.take(FaultMode::Refuse)) {
         receipts_.push_back({ requestId, call, false, arrivedMs });
         exchange.send(503, { { "Content-Type", "application/json" }, { "X-Not-Run", "1" } }, R"({"error":{"type":"refused"}})");
-        return false;
+        return std::nullopt;
     }
     // The charge is booked when it is read, whatever becomes of the answer.
+    size_t receipt = receipts_.size();
     receipts_.push_back({ requestId, call, true, arrivedMs });
     if (!chargeId.empty())
         ++charges_[chargeId];
     if (faults_.take(FaultMode::Reset)) {
         exchange.abort();
-        return false;
+        return std::nullopt;
     }
     ++running_;
     double crowding = std::max(1.0, static_cast<double>(running_) / static_cast<double>(settings_.slots));
@@ -78,14 +79,15 @@
     if (faults_.take(FaultMode::Late))
         sleepFor(loop_, faults_.lateness());
     --running_;
-    return true;
+    return receipt;
 }
 
-void ServiceApi::sendAnswer(HttpExchange& exchange, int status, const std::string& json) const
+void ServiceApi::sendAnswer(HttpExchange& exchange, size_t receipt, int status, const std::string& json)
 {
     HttpHeaders headers { { "Content-Type", "application/json" } };
     if (auto limit = faults_.rateLimit())
         headers.emplace_back("X-Request-Rate-Limit", absl::StrCat(*limit));
+    receipts_[receipt].answeredMs = toMs(BootClock::now().time_since_epoch());
     exchange.send(status, headers, json);
 }
 
@@ -97,20 +99,22 @@
         return;
     }
     auto chargeId = body["charge_id"].get<std::string>();
-    if (!work(request, exchange, chargeId))
+    auto receipt = work(request, exchange, chargeId);
+    if (!receipt)
         return;
     nlohmann::json answer = { { "charge_id", chargeId }, { "state", "charged" }, { "checksum", checksumOf(chargeId) } };
-    sendAnswer(exchange, 201, answer.dump());
+    sendAnswer(exchange, *receipt, 201, answer.dump());
 }
 
 void ServiceApi::handleStatus(const HttpRequest& request, HttpExchange& exchange)
 {
     auto id = request.path.substr(statusPath.size());
-    if (!work(request, exchange, {}))
+    auto receipt = work(request, exchange, {});
+    if (!receipt)
         return;
     auto it = charges_.find(id);
     nlohmann::json answer = { { "id", id }, { "charged", it != charges_.end() }, { "checksum", checksumOf(id) } };
-    sendAnswer(exchange, 200, answer.dump());
+    sendAnswer(exchange, *receipt, 200, answer.dump());
 }
 
 void ServiceApi::answerMetrics(HttpExchange& exchange) const
@@ -126,7 +130,7 @@
 {
     auto requests = nlohmann::json::array();
     for (const auto& receipt : receipts_)
-        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran }, { "arrived_ms", receipt.arrivedMs } });
+        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran }, { "arrived_ms", receipt.arrivedMs }, { "answered_ms", receipt.answeredMs } });
     sendJson(exchange, 200, nlohmann::json { { "charges", charges_ }, { "requests", requests } }.dump());
 }
 
--- a/tools/fake_service/ServiceApi.h
+++ b/tools/fake_service/ServiceApi.h
@@ -3,6 +3,7 @@
 #include "support/FaultSwitch.h"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -35,14 +36,16 @@
         bool ran;
         /** On the clock that counts suspended time; the same for all processes of a machine. */
         int64_t arrivedMs;
+        /** When the answer was sent; zero without one. */
+        int64_t answeredMs { 0 };
     };
 
     void handleCharge(const HttpRequest& request, HttpExchange& exchange);
     void handleStatus(const HttpRequest& request, HttpExchange& exchange);
-    /** Notes the call and takes its time; false if a fault refused it or cut the connection. */
-    bool work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId);
+    /** Notes the call and takes its time; the index of its receipt, none if a fault refused it or cut the connection. */
+    std::optional<size_t> work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId);
     /** Names the rate limit, if there is one. */
-    void sendAnswer(HttpExchange& exchange, int status, const std::string& json) const;
+    void sendAnswer(HttpExchange& exchange, size_t receipt, int status, const std::string& json);
     void answerMetrics(HttpExchange& exchange) const;
     void answerLedger(HttpExchange& exchange) const;
 
