Count only charges served after the limit must be kept in the process test

With the limiter disabled the test passed: all 40 charges were served in the half second in which the limit need not be kept yet. Now charges count from there on; without the limiter the test sees 30 charges in 4 s where 29 are allowed, and fails.

--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -505,6 +505,8 @@
     {
         constexpr double limit = 4;
         constexpr Duration window = 4s;
+        /** From the first response that names the limit until it must be kept. */
+        constexpr Duration noticeTime = 500ms;
         constexpr auto allowedInWindow = static_cast<size_t>(1.5 * limit * 4 + 5);
         constexpr size_t suspendAfter = 12;
         constexpr size_t killAfter = 24;
@@ -521,7 +523,9 @@
                 for (int number = 0; served < enough; ++number) {
                     auto id = "limited-" + std::to_string(i) + "-" + std::to_string(number);
                     auto response = fetch(client_, callSettings(host(i % 2 ? 20 : 21), callerPort, "POST", "/charge/1", "body", requestHeaders(id, "key", 2500)));
-                    served += response && response->status == 200 ? 1 : 0;
+                    auto arrivals = platform_.limitedCharges();
+                    bool isLimitKnown = !arrivals.empty() && BootClock::now() >= arrivals.front() + noticeTime;
+                    served += isLimitKnown && response && response->status == 200 ? 1 : 0;
                     sleepFor(loop_, 30ms);
                 }
                 if (--callers == 0)
@@ -542,7 +546,7 @@
         });
         loop_.run();
         auto arrivals = platform_.limitedCharges();
-        auto begin = std::lower_bound(arrivals.begin(), arrivals.end(), arrivals.front() + 500ms);
+        auto begin = std::lower_bound(arrivals.begin(), arrivals.end(), arrivals.front() + noticeTime);
         for (auto end = begin; end != arrivals.end(); ++end) {
             while (*begin <= *end - window)
                 ++begin;
