Tell callers that rate limits leave no room for when there will be room for each

When all targets limit their rate, everybody refused in the same moment was told to return at about the same time, where the limits have room for one. Now each refused caller gets the next free time, 1/rate after the one before, up to 30 s. The log line of a grant says whether its target has a rate limit.

--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -270,7 +270,7 @@
 
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::dispatch(const Grant& grant, const Target& target)
 {
-    recordEvent("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) } });
+    recordEvent("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) }, { "rate_limited", int64_t(runner_.pools.isRateLimited(target.id)) } });
     if (runner_.pools.isRateLimited(target.id))
         count("routed_limited_target_requests_total", "chosen_by", grant.epoch.isValid() ? "owner" : "entry");
     excluded_.push_back(target.id);
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -56,8 +56,11 @@
     constexpr double minSlotFraction = 0.25;
     constexpr double minRetryAfterMs = 500;
     constexpr double maxRetryAfterMs = 5000;
-    /** While rate limits decide: a target may allow one request in several seconds. */
-    constexpr double maxRateLimitedRetryAfterMs = 30000;
+    /** Shortest and longest time until a caller returns that the rate limits of all targets had no room for. */
+    constexpr Duration minRateLimitedRetryAfter = 500ms;
+    constexpr Duration maxRateLimitedRetryAfter = 30s;
+    /** Requests per second; keeps the interval between returning callers finite. */
+    constexpr double minRateLimitSum = 0.01;
     constexpr double retryJitter = 0.3;
 
     constexpr std::string_view rateLimitReason = "the targets' rate limits leave no room before the deadline";
@@ -206,18 +209,25 @@
 void SlotScheduler::updateRateLimitWait(Instant now)
 {
     rateLimitWait_ = Duration::zero();
+    rateLimitSum_.reset();
     if (!settings_.rateLimiter)
         return;
     std::optional<Duration> shortest;
+    RequestRate sum;
     for (const auto& [id, target] : targets_) {
         if (!target.isActive())
             continue;
-        if (!settings_.rateLimiter->isLimited(id))
+        auto rate = settings_.rateLimiter->rate(id, now);
+        if (!rate)
             return;
+        sum += *rate;
         auto wait = settings_.rateLimiter->timeUntilAllowed(id, now);
         shortest = std::min(wait, shortest.value_or(wait));
     }
-    rateLimitWait_ = shortest.value_or(Duration::zero());
+    if (!shortest)
+        return;
+    rateLimitWait_ = *shortest;
+    rateLimitSum_ = sum;
 }
 
 double SlotScheduler::queuedWorkAheadMs(const Rank& rank) const
@@ -251,14 +261,21 @@
     // A retry misses its objective, so all requests that meet theirs are granted before it.
     auto rank = record.rank;
     rank.missesObjective = true;
-    double rateLimitMs = toMsExact(rateLimitWait_);
-    double longestMs = rateLimitMs > 0 ? maxRateLimitedRetryAfterMs : maxRetryAfterMs;
-    double ms = std::clamp(queueDrainMs(queuedWorkAheadMs(rank), rank) + rateLimitMs, minRetryAfterMs, longestMs);
+    double ms = std::clamp(queueDrainMs(queuedWorkAheadMs(rank), rank), minRetryAfterMs, maxRetryAfterMs);
     // Jitter, so that callers refused together do not retry together.
     double fraction = static_cast<double>((record.request.attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
     return fromMs(ms * (1 + retryJitter * fraction));
 }
 
+Duration SlotScheduler::retryAfterRateLimit(Instant now)
+{
+    // Each refused caller gets a time of its own, at which the limits have room for one more.
+    auto interval = fromSeconds(1 / std::max(rateLimitSum_->value(), minRateLimitSum));
+    auto earliest = now + std::max<Duration>(rateLimitWait_, minRateLimitedRetryAfter);
+    nextRateLimitedReturn_ = std::min(std::max<Instant>(earliest, nextRateLimitedReturn_ + interval), now + maxRateLimitedRetryAfter);
+    return nextRateLimitedReturn_ - now;
+}
+
 SlotScheduler::RequestRecord& SlotScheduler::addRequest(PoolRequest request, Instant now)
 {
     auto record = std::make_unique<RequestRecord>();
@@ -294,8 +311,9 @@
 void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, std::string_view reason, Instant now)
 {
     const auto& record = *records_.at(attempt);
-    bool isForRateLimit = kind == ErrorKind::DeadlineUnreachable && rateLimitWait_ > Duration::zero();
-    actions_.emplace_back(PoolRefusal { attempt, kind, retryAfter(record), std::string(isForRateLimit ? rateLimitReason : reason), isForRateLimit });
+    bool isForRateLimit = kind == ErrorKind::DeadlineUnreachable && rateLimitSum_.has_value();
+    auto wait = isForRateLimit ? retryAfterRateLimit(now) : retryAfter(record);
+    actions_.emplace_back(PoolRefusal { attempt, kind, wait, std::string(isForRateLimit ? rateLimitReason : reason), isForRateLimit });
     if (!record.request.migratesFrom.isValid())
         refusals_.recordRefusal(record.request, now);
     records_.erase(attempt);
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -11,6 +11,7 @@
 #include <array>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 
 namespace briarhitch {
@@ -93,6 +94,8 @@
     /** Time in milliseconds until this much work before a rank is granted, together with arrivals that overtake the rank meanwhile. */
     [[nodiscard]] double queueDrainMs(double queuedWorkMs, const Rank& rank) const;
     [[nodiscard]] Duration retryAfter(const RequestRecord& record) const;
+    /** For a caller that the rate limits of all targets left no room for. */
+    [[nodiscard]] Duration retryAfterRateLimit(Instant now);
 
     RequestRecord& addRequest(PoolRequest request, Instant now);
     void enqueue(RequestRecord& record);
@@ -146,6 +149,10 @@
     double fastestPrefillTokenMs_ { 0 };
     /** Time until the rate limits allow a request; zero if any target has no limit. */
     Duration rateLimitWait_ { 0 };
+    /** Sum of the targets' rate limits; none if any target has no limit. */
+    std::optional<RequestRate> rateLimitSum_;
+    /** When the caller refused last for the rate limits was told to return. */
+    Instant nextRateLimitedReturn_ {};
 };
 
 }
