Move the rate limits of entries and owners into classes of their own

PoolClient and PoolHost had each grown by their part of the rate limits, with the end of limits handled twice. EntryRateLimits and OwnerRateLimits now hold what each knows, its limiter and its log lines; the notice carries a RequestRate. A limit in a message that no rate can have is ignored.

The codec now decodes a Quantity by its representation. The process test names a fractional limit.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/entry/ClusterView.h"
+#include "briarhitch/entry/EntryRateLimits.h"
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/sched/PoolScheduler.h"
@@ -94,10 +95,6 @@
     void onGrant(const Grant& grant);
     void onRefusal(const GrantRefusal& refusal);
     void onQueued(const GrantQueued& queued);
-    void onRateLimitNotice(const TargetRateLimitNotice& notice);
-    [[nodiscard]] std::vector<TargetRateLimitNotice> knownRateLimits(PoolId pool) const;
-    /** Recomputes this entry's shares after a change of limits or entries. */
-    void updateRateLimitShares();
     /** Sets the rates for local selection, by the state of each pool's owner. */
     void updateLocalRates();
     void recordRestriction(const TargetAvailabilityNotice& notice);
@@ -130,12 +127,7 @@
     NodeTransport& transport_;
     ClockHook now_;
     TargetRestrictions restrictions_;
-    TargetRateLimits rateLimits_;
-    /** For local selection: this entry's shares of the rate limits. Schedulers refer to it. */
-    TargetRateLimiter localRateLimiter_;
-    /** This entry's share of each limited target's rate when the target's owner is unreachable. */
-    std::map<TargetId, RequestRate> localRateShares_;
-    Instant unreadableRateLimitLoggedAt_ {};
+    EntryRateLimits rateLimits_;
     std::map<PoolId, PoolState> pools_;
     std::map<AttemptId, std::shared_ptr<PendingRequest>> pending_;
     std::map<AttemptId, RunningAttempt> running_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "briarhitch/entry/NodeTransport.h"
+#include "briarhitch/entry/OwnerRateLimits.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "briarhitch/sched/TargetRateLimits.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -126,9 +126,7 @@
     /** Adopts what an entry knows of the targets' rate limits; tells all entries what has changed. */
     void mergeRateLimits(NodeId from, const PoolSync& sync);
     void postRateLimit(NodeId entry, const Target& target) const;
-    void onRateLimitChange(NodeId from, const Target& target, std::optional<RequestRate> previous, uint32_t ageMs);
-    /** Sets the rate of each limited target, less what entries without a link to this node may send meanwhile. */
-    void updateRateLimiter();
+    void postRateLimitToAll(const Target& target) const;
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     void removeRequest(Pool& pool, AttemptId attempt);
@@ -144,9 +142,8 @@
     NodeTransport& transport_;
     MetricRegistry& metrics_;
     PoolHostHooks hooks_;
-    TargetRateLimits rateLimits_;
-    /** Schedulers refer to it. */
-    TargetRateLimiter rateLimiter_;
+    /** The schedulers refer to its limiter. */
+    OwnerRateLimits rateLimits_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
@@ -154,8 +151,6 @@
     std::map<NodeId, Instant> disconnectedSince_;
     std::set<NodeId> connectedEntries_;
     TargetRestrictions restrictions_;
-    /** Entries that may send requests. */
-    std::vector<NodeId> entries_;
     /** Targets that accept no work from any node; schedulers see them as draining. */
     std::set<TargetId> restrictedForAll_;
     std::vector<PendingRelease> pendingReleases_;
--- a/include/briarhitch/model/ClusterConfig.h
+++ b/include/briarhitch/model/ClusterConfig.h
@@ -88,6 +88,9 @@
     }
 };
 
+/** Entries that serve callers and are not lost. */
+std::vector<NodeId> callerServingNodes(const ClusterConfig& config);
+
 /** All objects that one configuration version changed, with their new values. */
 struct ConfigDelta {
     Version version;
--- a/include/briarhitch/sched/TargetRateLimiter.h
+++ b/include/briarhitch/sched/TargetRateLimiter.h
@@ -3,6 +3,7 @@
 #include "briarhitch/core/Clock.h"
 #include "briarhitch/core/Ids.h"
 #include "briarhitch/core/Units.h"
+#include "briarhitch/sched/TargetRateLimits.h"
 
 #include <map>
 #include <optional>
@@ -18,7 +19,8 @@
     /** Limits a target's requests; a rate of zero blocks it. A target that had no limit starts without saved-up requests. */
     void setRate(TargetId target, RequestRate rate, Instant now);
     void endLimit(TargetId target, Instant now);
-    void remove(TargetId target) { buckets_.erase(target); }
+    /** Ends the limits that have ended, and removes those of targets that are not known any more. */
+    void followEnds(const TargetRateLimits& limits, Instant now);
     /** Removes targets whose rate has risen to its end after a limit. */
     void tick(Instant now);
 
--- a/include/briarhitch/sched/TargetRateLimits.h
+++ b/include/briarhitch/sched/TargetRateLimits.h
@@ -32,6 +32,7 @@
         /** None if the target has ended its limit. */
         std::optional<RequestRate> limit;
         Instant since;
+        PoolId pool;
         uint64_t targetBornMs { 0 };
     };
 
@@ -43,7 +44,7 @@
     bool replace(const Target& target, std::optional<RequestRate> limit, Instant since);
     /** Forgets targets that are not listed any more or were restarted. */
     void updateTargets(const std::map<TargetId, Target>& targets);
-    void remove(TargetId target) { entries_.erase(target); }
+    void removePool(PoolId pool);
     /** Forgets limits that ended so long ago that no earlier response is still on its way. */
     void tick(Instant now);
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -296,15 +296,15 @@
 struct TargetRateLimitNotice {
     PoolId pool;
     TargetId target;
-    /** Requests per second that the target accepts from all nodes together; none: no limit. */
-    std::optional<double> requestsPerSecond;
+    /** Requests that the target accepts from all nodes together; none: no limit. */
+    std::optional<RequestRate> limit;
     /** From an entry: time since the request of that response was sent. Otherwise: time for which this has been known. */
     uint32_t ageMs { 0 };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, target, requestsPerSecond, ageMs);
+        visit(pool, target, limit, ageMs);
     }
 };
 
--- a/src/entry/ClusterView.cpp
+++ b/src/entry/ClusterView.cpp
@@ -66,8 +66,7 @@
 
 size_t ClusterView::entryCount() const
 {
-    auto count = std::count_if(config_.nodes.begin(), config_.nodes.end(), [](const auto& entry) { return entry.second.servesCallers && !entry.second.lost; });
-    return static_cast<size_t>(std::max<std::ptrdiff_t>(1, count));
+    return std::max<size_t>(1, callerServingNodes(config_).size());
 }
 
 }
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -1,10 +1,8 @@
 #include "briarhitch/entry/PoolClient.h"
 
 #include "briarhitch/core/Digest.h"
-#include "briarhitch/core/Log.h"
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
-#include "briarhitch/sched/RateLimitShares.h"
 #include "entry/PoolRequests.h"
 #include "wire/Codec.h"
 
@@ -28,26 +26,9 @@
      * still grant requests at the full rate to others.
      */
     constexpr double unresponsiveOwnerRateFraction = 0.4;
-    constexpr Duration unreadableRateLimitLogInterval = 10s;
     /** Interval at which one grant request is still sent to an unresponsive owner. */
     constexpr Duration ownerProbeInterval = 200ms;
 
-    const Log& poolLog()
-    {
-        static const Log log("pool:");
-        return log;
-    }
-
-    void logRateLimit(const Target& target, std::optional<RequestRate> limit, std::optional<RequestRate> previous, const std::string& toldBy, uint32_t ageMs)
-    {
-        LogFields fields { { "target", target.name }, { "told_by", toldBy }, { "age_ms", int64_t(ageMs) } };
-        if (limit)
-            fields.emplace_back("requests_per_second", limit->value());
-        if (previous)
-            fields.emplace_back("previous_requests_per_second", previous->value());
-        poolLog().event(limit ? "target names a rate limit" : "target ends its rate limit", fields);
-    }
-
     /** Error of a request that was not granted a target; a zero `retryAfter` is left out. */
     Error makeRefusalError(ErrorKind kind, const std::string& reason, Duration retryAfter)
     {
@@ -101,6 +82,7 @@
     , view_(view)
     , transport_(transport)
     , now_(std::move(now))
+    , rateLimits_(settings_.self)
 {
 }
 
@@ -173,7 +155,7 @@
 {
     running_.erase(grant.attempt);
     if (localAttempts_.contains(grant.attempt))
-        localRateLimiter_.refundRequest(grant.target, now_());
+        rateLimits_.limiter().refundRequest(grant.target, now_());
     cancelLocally(grant.pool, grant.attempt);
     postToPoolOwner(grant.pool, MessageType::GrantCancellation, GrantCancellation { grant.pool, grant.attempt, true });
 }
@@ -216,92 +198,19 @@
     auto target = view_.config().targets.find(observation.target);
     if (target == view_.config().targets.end())
         return;
-    if (!observation.isReadable) {
-        if (now_() - unreadableRateLimitLoggedAt_ >= unreadableRateLimitLogInterval) {
-            unreadableRateLimitLoggedAt_ = now_();
-            poolLog().event("target names an unreadable rate limit", { { "target", target->second.name } });
-        }
-        return;
-    }
-    auto previous = rateLimits_.find(observation.target);
-    if (!rateLimits_.recordObservation(target->second, observation, now_()))
-        return;
-    logRateLimit(target->second, observation.limit, previous, "response", clampMs(now_() - observation.requestSentAt));
-    TargetRateLimitNotice notice { pool, observation.target, {}, clampMs(now_() - observation.requestSentAt) };
-    if (observation.limit)
-        notice.requestsPerSecond = observation.limit->value();
-    postToPoolOwner(pool, MessageType::TargetRateLimitNotice, notice);
-    updateRateLimitShares();
-}
-
-void PoolClient::onRateLimitNotice(const TargetRateLimitNotice& notice)
-{
-    auto target = view_.config().targets.find(notice.target);
-    if (target == view_.config().targets.end())
-        return;
-    auto previous = rateLimits_.find(notice.target);
-    auto limit = notice.requestsPerSecond ? std::optional(RequestRate(*notice.requestsPerSecond)) : std::nullopt;
-    // The owner sees the responses of all entries, so it knows best which one was written last.
-    if (!rateLimits_.replace(target->second, limit, now_()))
-        return;
-    logRateLimit(target->second, limit, previous, "owner", 0);
-    updateRateLimitShares();
-}
-
-std::vector<TargetRateLimitNotice> PoolClient::knownRateLimits(PoolId pool) const
-{
-    std::vector<TargetRateLimitNotice> result;
-    for (const auto& [id, known] : rateLimits_.all()) {
-        auto target = view_.config().targets.find(id);
-        if (target == view_.config().targets.end() || target->second.pool != pool)
-            continue;
-        result.push_back({ pool, id, {}, clampMs(now_() - known.since) });
-        if (known.limit)
-            result.back().requestsPerSecond = known.limit->value();
-    }
-    return result;
-}
-
-void PoolClient::updateRateLimitShares()
-{
-    localRateShares_.clear();
-    std::vector<NodeId> entries;
-    for (const auto& [id, node] : view_.config().nodes) {
-        if (node.servesCallers && !node.lost)
-            entries.push_back(id);
-    }
-    for (const auto& [id, known] : rateLimits_.all()) {
-        auto target = view_.config().targets.find(id);
-        if (known.limit && target != view_.config().targets.end())
-            localRateShares_[id] = divideRateLimit(target->second.name, std::max(*known.limit, minProbeRate), entries).rateOf(settings_.self);
-    }
-    updateLocalRates();
+    if (auto notice = rateLimits_.recordObservation(target->second, observation, now_()))
+        postToPoolOwner(pool, MessageType::TargetRateLimitNotice, *notice);
 }
 
 void PoolClient::updateLocalRates()
 {
-    auto now = now_();
-    std::vector<TargetId> ended;
-    for (const auto& [id, bucket] : localRateLimiter_.targets()) {
-        if (!localRateShares_.contains(id))
-            ended.push_back(id);
-    }
-    for (TargetId id : ended) {
-        if (rateLimits_.all().contains(id))
-            localRateLimiter_.endLimit(id, now);
-        else
-            localRateLimiter_.remove(id);
-    }
-    for (const auto& [id, share] : localRateShares_) {
-        auto target = view_.config().targets.find(id);
-        if (target == view_.config().targets.end())
-            continue;
-        // Without a lease this entry is not counted among those that share the limit.
-        double fraction = !settings_.hasLease() ? 0 : isOwnerReachable(pools_[target->second.pool]) ? unresponsiveOwnerRateFraction
-                                                                                                    : 1;
-        localRateLimiter_.setRate(id, RequestRate(share.value() * fraction), now);
-    }
-    localRateLimiter_.tick(now);
+    auto usableFraction = [this](PoolId pool) {
+        // Without a lease this entry is not counted among those that share a limit.
+        if (!settings_.hasLease())
+            return 0.0;
+        return isOwnerReachable(pools_[pool]) ? unresponsiveOwnerRateFraction : 1.0;
+    };
+    rateLimits_.updateRates(usableFraction, now_());
 }
 
 void PoolClient::recordRestriction(const TargetAvailabilityNotice& notice)
@@ -371,8 +280,10 @@
         if (notice && notice->isLeaving)
             recordRestriction({ notice->pool, notice->target, true, 0 });
     } else if (type == MessageType::TargetRateLimitNotice) {
-        if (auto notice = decode<TargetRateLimitNotice>(body))
-            onRateLimitNotice(*notice);
+        auto notice = decode<TargetRateLimitNotice>(body);
+        auto target = notice ? view_.config().targets.find(notice->target) : view_.config().targets.end();
+        if (target != view_.config().targets.end())
+            rateLimits_.recordNotice(target->second, *notice, now_());
     }
 }
 
@@ -426,8 +337,8 @@
 void PoolClient::onConfigChange(const ClusterConfig& config)
 {
     restrictions_.updateTargets(config.targets);
-    rateLimits_.updateTargets(config.targets);
-    updateRateLimitShares();
+    rateLimits_.onConfigChange(config, now_());
+    updateLocalRates();
     for (const auto& [id, assignment] : config.pools) {
         if (assignment.kind != PoolKind::Ceiling)
             applyAssignment(assignment);
@@ -467,7 +378,7 @@
 void PoolClient::sendPoolSync(PoolId pool)
 {
     dropExpiredAttempts();
-    PoolSync message { pool, pools_[pool].epoch, {}, {}, knownRateLimits(pool) };
+    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()) };
     for (const auto& [attempt, running] : running_) {
         if (running.request.pool == pool)
             message.running.push_back(running);
@@ -528,7 +439,6 @@
 void PoolClient::checkOwners()
 {
     restrictions_.tick(now_());
-    rateLimits_.tick(now_());
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
@@ -576,7 +486,7 @@
     if (scheduler)
         return *scheduler;
     auto settings = settings_.localSelectionPolicy;
-    settings.rateLimiter = &localRateLimiter_;
+    settings.rateLimiter = &rateLimits_.limiter();
     auto assigned = view_.config().pools.find(pool);
     settings.kind = assigned == view_.config().pools.end() ? PoolKind::Service : assigned->second.kind;
     auto created = makePoolScheduler(settings);
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -2,7 +2,6 @@
 
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
-#include "briarhitch/sched/RateLimitShares.h"
 #include "entry/PoolRequests.h"
 #include "wire/Codec.h"
 
@@ -44,8 +43,9 @@
     , transport_(transport)
     , metrics_(metrics)
     , hooks_(std::move(hooks))
+    , rateLimits_(settings_.self)
 {
-    settings_.pool.rateLimiter = &rateLimiter_;
+    settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
 
 PoolHost::~PoolHost() = default;
@@ -69,13 +69,7 @@
         targets_.push_back(target);
     restrictions_.updateTargets(config.targets);
     restrictedForAll_ = findRestrictedForAll();
-    entries_.clear();
-    for (const auto& [id, node] : config.nodes) {
-        if (node.servesCallers && !node.lost)
-            entries_.push_back(id);
-    }
-    rateLimits_.updateTargets(config.targets);
-    updateRateLimiter();
+    rateLimits_.onConfigChange(config, hooks_.now());
     updateActivePools(config);
     dropReassignedPools(config);
     recordLostNodes(config);
@@ -127,11 +121,7 @@
             continue;
         }
         poolLog().info("Pool " + it->second.assignment.name + " is no longer assigned to this node.");
-        // The next owner is told when a limit changes, so what is known here becomes outdated.
-        for (const auto& target : targets_) {
-            if (target.pool == it->first)
-                rateLimits_.remove(target.id);
-        }
+        rateLimits_.forgetPool(it->first, hooks_.now());
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
@@ -390,7 +380,7 @@
         return;
     auto it = pool->requests.find(cancel.attempt);
     if (it != pool->requests.end() && it->second.target.isValid() && cancel.isGrantReturned)
-        rateLimiter_.refundRequest(it->second.target, hooks_.now());
+        rateLimits_.limiter().refundRequest(it->second.target, hooks_.now());
     removeRequest(*pool, cancel.attempt);
     applyActions(*pool);
 }
@@ -466,79 +456,31 @@
     const auto* target = findTarget(notice.target);
     if (!target)
         return;
-    auto now = hooks_.now();
-    auto previous = rateLimits_.find(target->id);
-    RateLimitObservation observation { target->id, {}, now - std::chrono::milliseconds(notice.ageMs) };
-    if (notice.requestsPerSecond)
-        observation.limit = RequestRate(*notice.requestsPerSecond);
-    if (rateLimits_.recordObservation(*target, observation, now))
-        onRateLimitChange(from, *target, previous, notice.ageMs);
+    if (rateLimits_.recordNotice(from, *target, notice, hooks_.now()))
+        postRateLimitToAll(*target);
     else
         postRateLimit(from, *target);
 }
 
 void PoolHost::mergeRateLimits(NodeId from, const PoolSync& sync)
 {
-    for (const auto& known : sync.rateLimits) {
-        const auto* target = findTarget(known.target);
-        if (!target)
-            continue;
-        auto previous = rateLimits_.find(target->id);
-        auto limit = known.requestsPerSecond ? std::optional(RequestRate(*known.requestsPerSecond)) : std::nullopt;
-        if (rateLimits_.merge(*target, limit, hooks_.now() - std::chrono::milliseconds(known.ageMs)))
-            onRateLimitChange(from, *target, previous, known.ageMs);
+    for (const auto& notice : sync.rateLimits) {
+        const auto* target = findTarget(notice.target);
+        if (target && rateLimits_.merge(from, *target, notice, hooks_.now()))
+            postRateLimitToAll(*target);
     }
 }
 
-void PoolHost::onRateLimitChange(NodeId from, const Target& target, std::optional<RequestRate> previous, uint32_t ageMs)
-{
-    auto limit = rateLimits_.find(target.id);
-    LogFields fields { { "target", target.name }, { "told_by", int64_t(from.value()) }, { "age_ms", int64_t(ageMs) } };
-    if (limit)
-        fields.emplace_back("requests_per_second", limit->value());
-    if (previous)
-        fields.emplace_back("previous_requests_per_second", previous->value());
-    poolLog().event(limit ? "target rate limit in force" : "target rate limit ended", fields);
-    updateRateLimiter();
-    // Entries need it while they select targets locally, and tell the next owner.
-    for (NodeId entry : connectedEntries_)
-        postRateLimit(entry, target);
-}
-
 void PoolHost::postRateLimit(NodeId entry, const Target& target) const
 {
-    TargetRateLimitNotice notice { target.pool, target.id, {}, 0 };
-    if (auto limit = rateLimits_.find(target.id))
-        notice.requestsPerSecond = limit->value();
-    transport_.postToEntry(entry, MessageType::TargetRateLimitNotice, encode(notice));
+    transport_.postToEntry(entry, MessageType::TargetRateLimitNotice, encode(rateLimits_.noticeFor(target)));
 }
 
-void PoolHost::updateRateLimiter()
+void PoolHost::postRateLimitToAll(const Target& target) const
 {
-    auto now = hooks_.now();
-    std::vector<TargetId> ended;
-    for (const auto& [id, bucket] : rateLimiter_.targets()) {
-        if (!rateLimits_.find(id))
-            ended.push_back(id);
-    }
-    for (TargetId id : ended) {
-        if (rateLimits_.all().contains(id))
-            rateLimiter_.endLimit(id, now);
-        else
-            rateLimiter_.remove(id);
-    }
-    for (const auto& [id, known] : rateLimits_.all()) {
-        const auto* target = findTarget(id);
-        if (!target || !known.limit)
-            continue;
-        auto limit = std::max(*known.limit, minProbeRate);
-        auto shares = divideRateLimit(target->name, limit, entries_);
-        for (NodeId entry : shares.entries) {
-            if (entry != settings_.self && !connectedEntries_.contains(entry))
-                limit -= shares.rate;
-        }
-        rateLimiter_.setRate(id, std::max(limit, minProbeRate), now);
-    }
+    // Entries need it while they select targets locally, and tell the next owner.
+    for (NodeId entry : connectedEntries_)
+        postRateLimit(entry, target);
 }
 
 std::set<TargetId> PoolHost::findRestrictedForAll() const
@@ -627,7 +569,7 @@
 {
     connectedEntries_.insert(node);
     disconnectedSince_.erase(node);
-    updateRateLimiter();
+    rateLimits_.setConnected(node, true, hooks_.now());
     for (const auto& target : targets_) {
         if (!find(target.pool))
             continue;
@@ -642,7 +584,7 @@
 {
     connectedEntries_.erase(node);
     disconnectedSince_.try_emplace(node, hooks_.now());
-    updateRateLimiter();
+    rateLimits_.setConnected(node, false, hooks_.now());
 }
 
 void PoolHost::removeRequestsOfLostEntries()
@@ -682,7 +624,6 @@
     applyRestrictions();
     auto now = hooks_.now();
     rateLimits_.tick(now);
-    rateLimiter_.tick(now);
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
             // Without a lease this node may soon lose the pool; otherwise the scheduler is rebuilt from `requests`.
--- a/src/model/ClusterConfig.cpp
+++ b/src/model/ClusterConfig.cpp
@@ -22,4 +22,14 @@
     return true;
 }
 
+std::vector<NodeId> callerServingNodes(const ClusterConfig& config)
+{
+    std::vector<NodeId> nodes;
+    for (const auto& [id, node] : config.nodes) {
+        if (node.servesCallers && !node.lost)
+            nodes.push_back(id);
+    }
+    return nodes;
+}
+
 }
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -271,7 +271,7 @@
 {
     // Each refused caller gets a time of its own, at which the limits have room for one more.
     auto interval = fromSeconds(1 / std::max(rateLimitSum_->value(), minRateLimitSum));
-    auto earliest = now + std::max<Duration>(rateLimitWait_, minRateLimitedRetryAfter);
+    auto earliest = now + std::clamp(rateLimitWait_, minRateLimitedRetryAfter, maxRateLimitedRetryAfter);
     nextRateLimitedReturn_ = std::min(std::max<Instant>(earliest, nextRateLimitedReturn_ + interval), now + maxRateLimitedRetryAfter);
     return nextRateLimitedReturn_ - now;
 }
@@ -311,7 +311,7 @@
 void SlotScheduler::refuse(AttemptId attempt, ErrorKind kind, std::string_view reason, Instant now)
 {
     const auto& record = *records_.at(attempt);
-    bool isForRateLimit = kind == ErrorKind::DeadlineUnreachable && rateLimitSum_.has_value();
+    bool isForRateLimit = kind == ErrorKind::DeadlineUnreachable && rateLimitSum_.has_value() && !record.request.migratesFrom.isValid();
     auto wait = isForRateLimit ? retryAfterRateLimit(now) : retryAfter(record);
     actions_.emplace_back(PoolRefusal { attempt, kind, wait, std::string(isForRateLimit ? rateLimitReason : reason), isForRateLimit });
     if (!record.request.migratesFrom.isValid())
--- a/src/sched/TargetRateLimiter.cpp
+++ b/src/sched/TargetRateLimiter.cpp
@@ -65,6 +65,15 @@
     it->second.endedAt = now;
 }
 
+void TargetRateLimiter::followEnds(const TargetRateLimits& limits, Instant now)
+{
+    std::erase_if(buckets_, [&](const auto& item) { return !limits.all().contains(item.first); });
+    for (const auto& [id, known] : limits.all()) {
+        if (!known.limit)
+            endLimit(id, now);
+    }
+}
+
 void TargetRateLimiter::tick(Instant now)
 {
     std::erase_if(buckets_, [&](const auto& item) { return item.second.endedAt && now - *item.second.endedAt >= riseTime; });
--- a/src/sched/TargetRateLimits.cpp
+++ b/src/sched/TargetRateLimits.cpp
@@ -1,5 +1,7 @@
 #include "briarhitch/sched/TargetRateLimits.h"
 
+#include <cmath>
+
 namespace briarhitch {
 
 namespace {
@@ -29,9 +31,11 @@
 
 bool TargetRateLimits::replace(const Target& target, std::optional<RequestRate> limit, Instant since)
 {
-    if (find(target.id) == limit)
+    // Messages of other nodes are not checked for values.
+    bool isValid = !limit || (std::isfinite(limit->value()) && limit->value() >= 0);
+    if (!isValid || find(target.id) == limit)
         return false;
-    entries_[target.id] = { limit, since, target.incarnationStartMs };
+    entries_[target.id] = { limit, since, target.pool, target.incarnationStartMs };
     return true;
 }
 
@@ -43,6 +47,11 @@
     });
 }
 
+void TargetRateLimits::removePool(PoolId pool)
+{
+    std::erase_if(entries_, [&](const auto& item) { return item.second.pool == pool; });
+}
+
 void TargetRateLimits::tick(Instant now)
 {
     std::erase_if(entries_, [&](const auto& item) { return !item.second.limit && now - item.second.since > endedLimitRetention; });
--- a/src/wire/Codec.h
+++ b/src/wire/Codec.h
@@ -199,7 +199,7 @@
             return true;
         } else if constexpr (IsNumericId<T>::value || IsQuantity<T>::value) {
             typename T::Representation raw {};
-            if (!unpackInteger(object, raw))
+            if (!unpack(object, raw))
                 return false;
             value = T(raw);
             return true;
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -326,13 +326,13 @@
             entry.client.reportRateLimit(PoolId(10), { TargetId(7), {}, entry.clock.now, false });
             EXPECT_TRUE(entry.client.isRateLimited(TargetId(7)));
             ASSERT_EQ(notices().size(), 1u);
-            EXPECT_EQ(notices()[0].requestsPerSecond, 2.5);
+            EXPECT_EQ(notices()[0].limit, RequestRate(2.5));
             EXPECT_EQ(notices()[0].ageMs, 40u);
             entry.assign(modelPool(10, Epoch(6), 3));
             auto sync = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(3));
             ASSERT_EQ(sync.size(), 1u);
             ASSERT_EQ(sync[0].rateLimits.size(), 1u);
-            EXPECT_EQ(sync[0].rateLimits[0].requestsPerSecond, 2.5);
+            EXPECT_EQ(sync[0].rateLimits[0].limit, RequestRate(2.5));
             EXPECT_EQ(sync[0].rateLimits[0].ageMs, 1000u);
         });
     }
--- a/tests/TargetRateLimitsTest.cpp
+++ b/tests/TargetRateLimitsTest.cpp
@@ -1,6 +1,8 @@
 #include "briarhitch/sched/TargetRateLimits.h"
 
+#include <cmath>
 #include <gtest/gtest.h>
+#include <limits>
 
 namespace briarhitch {
 namespace {
@@ -39,6 +41,24 @@
         EXPECT_FALSE(limits_.find(target_.id));
     }
 
+    // Guards against values in messages of other nodes that no rate can have.
+    TEST_F(TargetRateLimitsTest, InvalidLimitsAreIgnored)
+    {
+        for (double invalid : { -1.0, std::nan(""), std::numeric_limits<double>::infinity() })
+            EXPECT_FALSE(limits_.merge(target_, RequestRate(invalid), now_)) << invalid;
+        EXPECT_TRUE(limits_.all().empty());
+    }
+
+    // Guards against an older report of another node that replaces what is known, and a newer one that does not.
+    TEST_F(TargetRateLimitsTest, LaterKnowledgeWins)
+    {
+        observe(RequestRate(2), now_);
+        EXPECT_FALSE(limits_.merge(target_, RequestRate(5), now_ - 1s));
+        EXPECT_TRUE(limits_.merge(target_, std::nullopt, now_ + 1s));
+        EXPECT_FALSE(limits_.find(target_.id));
+        EXPECT_FALSE(limits_.merge(target_, RequestRate(2), now_)) << "the limit has ended since";
+    }
+
     // Guards against the limit of a process that has ended being applied to the target's next incarnation.
     TEST_F(TargetRateLimitsTest, NewIncarnationHasNoLimit)
     {
--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -503,7 +503,7 @@
     // killed and replaced, and against a limit under which nothing is served any more.
     TEST_F(PlatformFleetTest, RateLimitHoldsWhileThePoolOwnerFails)
     {
-        constexpr double limit = 4;
+        constexpr double limit = 3.5;
         constexpr Duration window = 4s;
         /** From the first response that names the limit until it must be kept. */
         constexpr Duration noticeTime = 500ms;
