--- a/tools/quickstart.sh
+++ b/tools/quickstart.sh
@@ -85,6 +85,7 @@
            curl -H 'Authorization: Bearer $customer_key' http://127.0.0.1:$other/services/booking/status/deposit-1
 operators: curl -H 'Authorization: Bearer $operator_key' http://127.0.0.1:${fleet_port[control-1]}/v1/status
            build/bin/briarhitch-ctl --servers 127.0.0.1:${fleet_port[control-1]} --key '$operator_key' status
+rate limit: curl -d '{"rate_limit": 2}' http://127.0.0.1:${fleet_port[booking-1]}/admin/faults   # the service names a limit; {} ends it
 files:     $fleet_folder
 Enter or Ctrl-C stops everything.
 END
