--- a/tests/RateLimitedSchedulerTest.cpp
+++ b/tests/RateLimitedSchedulerTest.cpp
@@ -49,10 +49,10 @@
         {
             for (auto end = now + time; now < end;) {
                 now += 10ms;
-                for (auto it = running.begin(); it != running.end();) {
+                for (auto it = running_.begin(); it != running_.end();) {
                     auto id = it->first;
                     bool isDone = now - it->second >= 50ms;
-                    it = isDone ? running.erase(it) : std::next(it);
+                    it = isDone ? running_.erase(it) : std::next(it);
                     if (isDone)
                         scheduler->attemptFinished({ RequestId(id), 1 }, AttemptOutcome::Completed, Tokens(), Tokens(), 50ms, now);
                 }
@@ -78,14 +78,14 @@
             for (const auto& action : scheduler->takeActions()) {
                 if (const auto* grant = std::get_if<PoolGrant>(&action)) {
                     grants.push_back(*grant);
-                    running[grant->attempt.request.value()] = now;
+                    running_[grant->attempt.request.value()] = now;
                 } else {
                     refusals.push_back(std::get<PoolRefusal>(action));
                 }
             }
         }
 
-        std::map<uint64_t, Instant> running;
+        std::map<uint64_t, Instant> running_;
     };
 
     // Guards against a policy that grants beyond the rate limits, or never grants a limited target.
--- a/tests/support/PoolFleet.h
+++ b/tests/support/PoolFleet.h
@@ -350,7 +350,7 @@
         running_.clear();
         for (auto& request : running) {
             if (request.finishesAt > clock_.now || suspended_.contains(request.entry)) {
-                running_.push_back(std::move(request));
+                running_.push_back(request);
                 continue;
             }
             ++answered;
