Log and count who decides requests under customers' ceilings

Decisions now carry what is left, request log lines name the decider, entries log when they begin and cease to decide locally, owners log takeovers, and both count decisions and tokens. No decision changes.

--- a/include/briarhitch/entry/CeilingHost.h
+++ b/include/briarhitch/entry/CeilingHost.h
@@ -12,13 +12,15 @@
 
 namespace briarhitch {
 
+class MetricRegistry;
+
 /** Name of the pool that owns a customer's ceiling. */
 std::string ceilingPoolName(CustomerId customer);
 
 /** The ceilings that this node owns: hands out allocations to entries and decides debits. */
 class CeilingHost {
 public:
-    CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now, CeilingTolerance tolerance = {});
+    CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now, CeilingTolerance tolerance = {});
 
     void onConfigChange(const ClusterConfig& config);
     /** Handles an allocation request. The encoded allocation is not valid if this node may not hand out any. */
@@ -37,10 +39,13 @@
 
     void takeOver(const PoolAssignment& assignment);
     void setCeilings(const ClusterConfig& config);
+    /** Charges what an entry admitted locally to its customer's account. */
+    void charge(Pool& pool, const CeilingDebit& debit);
 
     NodeId self_;
     Incarnation incarnation_;
     std::function<bool()> hasLease_;
+    MetricRegistry& metrics_;
     ClockHook now_;
     CeilingTolerance tolerance_;
     std::map<std::string, Pool> pools_;
--- a/include/briarhitch/entry/RoutedRequestRunner.h
+++ b/include/briarhitch/entry/RoutedRequestRunner.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/core/Random.h"
+#include "briarhitch/entry/CeilingVerdict.h"
 #include "briarhitch/entry/ClusterView.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/entry/RequestHistory.h"
@@ -42,7 +43,7 @@
     std::function<bool()> hasLease;
     std::function<Result<std::shared_ptr<HttpCall>>(const HttpCallSettings&)> start;
     /** Debits a request and its tokens from its customer's ceiling. */
-    std::function<Result<void>(const Contract&, Tokens)> debitCeiling;
+    std::function<CeilingVerdict(const Contract&, Tokens)> debitCeiling;
     /** Refunds the debit of an admitted request that did not run. */
     std::function<void(const Contract&, Tokens)> refundCeiling;
     /** Records a request to a service for the service's retry budget. */
--- a/include/briarhitch/sched/CeilingBuckets.h
+++ b/include/briarhitch/sched/CeilingBuckets.h
@@ -28,10 +28,12 @@
     [[nodiscard]] bool hasCustomer(CustomerId customer) const { return accounts_.contains(customer); }
     /** Debits one request. Errors: CeilingRequests or CeilingTokens, with the time until it would fit; NoOwner for an unknown customer. */
     Result<void> debit(CustomerId customer, Tokens tokens, Instant now);
-    /** Debits tokens of requests that were admitted locally, without a debit here. */
-    void charge(CustomerId customer, Tokens tokens, Instant now);
+    /** Debits tokens of requests that were admitted locally, without a debit here; returns how many of them the level covered. */
+    Tokens charge(CustomerId customer, Tokens tokens, Instant now);
     /** Refunds a request that did not run. */
     void refund(CustomerId customer, Tokens tokens, Instant now);
+    /** Tokens that the customer may still use at this moment; negative if it has used more than its ceiling, zero if it is unknown. */
+    [[nodiscard]] Tokens tokensLeft(CustomerId customer, Instant now) const;
 
 private:
     struct Bucket {
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -418,11 +418,13 @@
     bool admitted { false };
     ErrorKind kind { ErrorKind::CeilingTokens };
     uint32_t retryAfterMs { 0 };
+    /** What is left of the customer's rate and burst after this decision; negative if it is overdrawn. */
+    Tokens tokensLeft;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(decided, admitted, kind, retryAfterMs);
+        visit(decided, admitted, kind, retryAfterMs, tokensLeft);
     }
 };
 
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -1,6 +1,8 @@
 #include "briarhitch/entry/CeilingClient.h"
 
+#include "briarhitch/core/Log.h"
 #include "briarhitch/entry/CeilingHost.h"
+#include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "wire/Codec.h"
@@ -24,6 +26,12 @@
     /** Burst for local decisions; short, because the owner may have admitted the ceiling's full burst just before. */
     constexpr double localBurstSeconds = 0.5;
 
+    const Log& ceilingLog()
+    {
+        static const Log log("ceiling:");
+        return log;
+    }
+
 }
 
 struct CeilingClient::Account {
@@ -39,10 +47,11 @@
     FiberEvent fetchEnded;
 };
 
-CeilingClient::CeilingClient(Loop& loop, const ClusterView& view, NodeTransport& transport, ClockHook now)
+CeilingClient::CeilingClient(Loop& loop, const ClusterView& view, NodeTransport& transport, MetricRegistry& metrics, ClockHook now)
     : loop_(loop)
     , view_(view)
     , transport_(transport)
+    , metrics_(metrics)
     , now_(std::move(now))
 {
 }
@@ -120,31 +129,69 @@
     return true;
 }
 
-Result<void> CeilingClient::debit(const Contract& contract, Tokens tokens)
+CeilingVerdict CeilingClient::debit(const Contract& contract, Tokens tokens)
 {
     if (contract.ceiling == Ceiling {})
         return {};
+    auto verdict = decide(contract, tokens);
+    auto by = "by=\"" + std::string(toString(verdict.decider)) + "\"";
+    metrics_.count("ceiling_decisions_total", by + (verdict.admission ? ",result=\"admitted\"" : ",result=\"refused\""));
+    if (verdict.admission)
+        metrics_.count("ceiling_admitted_tokens_total", by, static_cast<uint64_t>(std::max<int64_t>(0, tokens.value())));
+    return verdict;
+}
+
+CeilingVerdict CeilingClient::decide(const Contract& contract, Tokens tokens)
+{
     const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
     bool isOwnerUnavailable = !pool || !pool->owner.isValid() || now_() < skipOwnerUntil_[pool->id] || !transport_.isReachable(pool->owner);
-    if (isOwnerUnavailable)
+    if (isOwnerUnavailable) {
+        recordDecider(pool, CeilingDecider::Entry, "no link to the owner");
         return debitLocally(contract, tokens);
+    }
     auto id = pool->id;
     auto admittedLocally = std::exchange(locallyAdmitted_[contract.customer], Tokens());
     auto reply = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, admittedLocally }), debitTimeout);
     auto decision = reply.and_then([](const std::string& body) { return decode<CeilingDecision>(body); });
+    // The configuration may have changed while this fiber waited.
+    pool = view_.findPool(ceilingPoolName(contract.customer));
     if (!decision || !decision->decided) {
         skipOwnerUntil_[id] = now_() + unresponsiveOwnerPause;
         locallyAdmitted_[contract.customer] += admittedLocally;
+        recordDecider(pool, CeilingDecider::Entry, decision ? "the owner does not decide" : "no reply from the owner");
         return debitLocally(contract, tokens);
     }
+    recordDecider(pool, CeilingDecider::Owner, {});
+    CeilingVerdict verdict { {}, CeilingDecider::Owner, decision->tokensLeft };
     if (decision->admitted)
-        return {};
+        return verdict;
     auto error = makeError(decision->kind, "the customer has reached its ceiling");
     error.retryAfter = std::chrono::milliseconds(decision->retryAfterMs);
-    return tl::unexpected(error);
+    verdict.admission = tl::unexpected(error);
+    return verdict;
 }
 
-Result<void> CeilingClient::debitLocally(const Contract& contract, Tokens tokens)
+void CeilingClient::recordDecider(const PoolAssignment* pool, CeilingDecider decider, std::string_view reason)
+{
+    if (!pool)
+        return;
+    auto since = localSince_.find(pool->id);
+    bool wasLocal = since != localSince_.end();
+    if (wasLocal == (decider == CeilingDecider::Entry))
+        return;
+    LogFields fields { { "pool", pool->name }, { "owner", int64_t(pool->owner.value()) }, { "epoch", static_cast<int64_t>(pool->epoch.value()) } };
+    if (wasLocal) {
+        fields.emplace_back("local_ms", toMs(now_() - since->second));
+        localSince_.erase(since);
+        ceilingLog().event("ceilings decided by the owner", fields);
+        return;
+    }
+    fields.emplace_back("reason", std::string(reason));
+    localSince_[pool->id] = now_();
+    ceilingLog().event("ceilings decided locally", fields);
+}
+
+CeilingVerdict CeilingClient::debitLocally(const Contract& contract, Tokens tokens)
 {
     auto localCeiling = contract.ceiling;
     auto entryCount = static_cast<double>(view_.entryCount());
@@ -155,7 +202,7 @@
     auto admitted = localBuckets_.debit(contract.customer, tokens, now_());
     if (admitted)
         locallyAdmitted_[contract.customer] += tokens;
-    return admitted;
+    return { std::move(admitted), CeilingDecider::Entry, localBuckets_.tokensLeft(contract.customer, now_()) };
 }
 
 void CeilingClient::refund(const Contract& contract, Tokens tokens)
--- a/src/entry/CeilingHost.cpp
+++ b/src/entry/CeilingHost.cpp
@@ -1,5 +1,7 @@
 #include "briarhitch/entry/CeilingHost.h"
 
+#include "briarhitch/core/Log.h"
+#include "briarhitch/metrics/MetricRegistry.h"
 #include "wire/Codec.h"
 
 namespace briarhitch {
@@ -11,6 +13,12 @@
     /** A previous owner that does not know of the new assignment yet hands out allocations until its lease has ended. */
     constexpr Duration leaseAndClockDrift = 3150ms;
 
+    const Log& ceilingLog()
+    {
+        static const Log log("ceiling:");
+        return log;
+    }
+
 }
 
 std::string ceilingPoolName(CustomerId customer)
@@ -18,10 +26,11 @@
     return "ceiling:" + std::to_string(customer.value() % ceilingPoolCount);
 }
 
-CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, ClockHook now, CeilingTolerance tolerance)
+CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now, CeilingTolerance tolerance)
     : self_(self)
     , incarnation_(incarnation)
     , hasLease_(std::move(hasLease))
+    , metrics_(metrics)
     , now_(std::move(now))
     , tolerance_(tolerance)
 {
@@ -58,6 +67,7 @@
         pool.ledger.setCeiling(customer, ceiling);
         pool.buckets.setCeiling(customer, ceiling, now_());
     }
+    ceilingLog().event("ceilings taken over", { { "pool", assignment.name }, { "epoch", static_cast<int64_t>(assignment.epoch.value()) }, { "previous_owner", int64_t(assignment.previousOwner.value()) } });
 }
 
 void CeilingHost::setCeilings(const ClusterConfig& config)
@@ -94,12 +104,12 @@
     auto pool = pools_.find(ceilingPoolName(debit->customer));
     if (pool == pools_.end() || !hasLease_() || !pool->second.buckets.hasCustomer(debit->customer))
         return encode(CeilingDecision {});
-    if (debit->admittedLocally > Tokens())
-        pool->second.buckets.charge(debit->customer, debit->admittedLocally, now_());
+    charge(pool->second, *debit);
     auto admitted = pool->second.buckets.debit(debit->customer, debit->tokens, now_());
     CeilingDecision decision;
     decision.decided = true;
     decision.admitted = admitted.has_value();
+    decision.tokensLeft = pool->second.buckets.tokensLeft(debit->customer, now_());
     if (!admitted) {
         decision.kind = admitted.error().kind;
         decision.retryAfterMs = static_cast<uint32_t>(toMs(admitted.error().retryAfter.value_or(Duration(0))));
@@ -107,6 +117,15 @@
     return encode(decision);
 }
 
+void CeilingHost::charge(Pool& pool, const CeilingDebit& debit)
+{
+    if (debit.admittedLocally <= Tokens())
+        return;
+    auto covered = pool.buckets.charge(debit.customer, debit.admittedLocally, now_());
+    metrics_.count("ceiling_local_tokens_total", "covered=\"yes\"", static_cast<uint64_t>(covered.value()));
+    metrics_.count("ceiling_local_tokens_total", "covered=\"no\"", static_cast<uint64_t>((debit.admittedLocally - covered).value()));
+}
+
 void CeilingHost::onRefund(std::string_view body)
 {
     auto debit = decode<CeilingDebit>(body);
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -103,7 +103,7 @@
         , httpClient(loop)
         , targetClient([this](const HttpCallSettings& call) { return httpClient.start(call); }, [this](const TargetCall& call, const HttpCall& response, Instant sentAt) { reportRateLimit(call, response, sentAt); })
         , ceilingHost(
-              self.id, self.incarnation, [this] { return controlClient.hasLease(); }, &BootClock::now, settings.ceilingTolerance)
+              self.id, self.incarnation, [this] { return controlClient.hasLease(); }, metrics, &BootClock::now, settings.ceilingTolerance)
         , serviceRetryBudget(settings.routed.retryBudget)
         , loadPoller({ self.id, self.region }, pollerHooks())
         , httpFront(frontSettings(), clusterView, history, metrics, frontHooks())
@@ -268,7 +268,7 @@
             clientSettings.localSelectionAfter = settings.limits.localSelectionAfter;
         clientSettings.localSelectionPolicy = settings.pool;
         poolClient = std::make_unique<PoolClient>(loop, clientSettings, clusterView, *nodeLinks, &BootClock::now);
-        ceilingClient = std::make_unique<CeilingClient>(loop, clusterView, *nodeLinks, &BootClock::now);
+        ceilingClient = std::make_unique<CeilingClient>(loop, clusterView, *nodeLinks, metrics, &BootClock::now);
         requestRunner = std::make_unique<RequestRunner>(loop, self, settings.limits, clusterView, *poolClient, targetClient, history, metrics, runnerHooks());
         if (extensions)
             routedRunner = std::make_unique<RoutedRequestRunner>(settings.routed.limits, extensions->targetProtocol, clusterView, *poolClient, history, metrics, routedHooks(), systemSeed());
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -115,9 +115,11 @@
 {
     if (!contract_)
         return {};
-    auto admitted = runner_.hooks.debitCeiling(*contract_, quotaTokens());
-    isDebited_ = admitted.has_value();
-    return admitted;
+    auto verdict = runner_.hooks.debitCeiling(*contract_, quotaTokens());
+    isDebited_ = verdict.admission.has_value();
+    if (verdict.decider != CeilingDecider::None)
+        recordEvent("ceiling", {}, { { "decided_by", std::string(toString(verdict.decider)) }, { "tokens_left", verdict.tokensLeft.value() } });
+    return verdict.admission;
 }
 
 void RoutedRequestRun::setDeadlines()
--- a/src/sched/CeilingBuckets.cpp
+++ b/src/sched/CeilingBuckets.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/sched/CeilingBuckets.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace briarhitch {
 
@@ -90,16 +91,28 @@
     it->second.tokens.level = std::min(it->second.tokens.capacity, it->second.tokens.level + static_cast<double>(tokens.value()));
 }
 
-void CeilingBuckets::charge(CustomerId customer, Tokens tokens, Instant now)
+Tokens CeilingBuckets::charge(CustomerId customer, Tokens tokens, Instant now)
 {
     auto it = accounts_.find(customer);
     if (it == accounts_.end())
-        return;
+        return Tokens();
     auto& bucket = it->second.tokens;
     bucket.fill(now);
+    auto levelBefore = bucket.level;
     // Locally admitted use was within the rate at its time, so it consumes only what this bucket gained meanwhile and
     // never takes the level below zero.
     bucket.level = std::max(std::min(bucket.level, 0.0), bucket.level - static_cast<double>(tokens.value()));
+    return Tokens(std::llround(levelBefore - bucket.level));
+}
+
+Tokens CeilingBuckets::tokensLeft(CustomerId customer, Instant now) const
+{
+    auto it = accounts_.find(customer);
+    if (it == accounts_.end())
+        return Tokens();
+    auto bucket = it->second.tokens;
+    bucket.fill(now);
+    return Tokens(std::llround(bucket.level));
 }
 
 }
--- a/tests/CeilingClientTest.cpp
+++ b/tests/CeilingClientTest.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/entry/CeilingClient.h"
 #include "briarhitch/entry/CeilingHost.h"
 
+#include "briarhitch/metrics/MetricRegistry.h"
 #include "support/EntryFakes.h"
 
 #include <gtest/gtest.h>
@@ -61,9 +62,10 @@
         };
         for (const auto& test : { Case { ceilingPool(Epoch(1), 1), 0s }, Case { ceilingPool(Epoch(2), 1), 1s }, Case { ceilingPool(Epoch(2), 1, 3), 4150ms } }) {
             ManualClock clock;
+            MetricRegistry metrics;
             bool hasLease = true;
             CeilingHost host(
-                NodeId(1), Incarnation(1), [&] { return hasLease; }, clock.hook());
+                NodeId(1), Incarnation(1), [&] { return hasLease; }, metrics, clock.hook());
             host.onConfigChange(configWith(test.pool));
             if (test.wait > 0s) {
                 clock.now += test.wait - 1ms;
@@ -85,8 +87,9 @@
     {
         runInFiber([](Loop& loop) {
             ManualClock clock;
+            MetricRegistry metrics;
             CeilingHost host(
-                NodeId(1), Incarnation(1), [] { return true; }, clock.hook());
+                NodeId(1), Incarnation(1), [] { return true; }, metrics, clock.hook());
             auto config = configWith(ceilingPool(Epoch(1), 1));
             host.onConfigChange(config);
             HeartbeatReply reply;
@@ -94,7 +97,7 @@
             ClusterView view;
             view.apply(reply);
             HostTransport transport(host);
-            CeilingClient client(loop, view, transport, clock.hook());
+            CeilingClient client(loop, view, transport, metrics, clock.hook());
             for (int i = 0; i < 3; ++i)
                 EXPECT_TRUE(client.admit(limitedContract(), Tokens(10)));
             auto refused = client.admit(limitedContract(), Tokens(10));
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -126,7 +126,7 @@
             hooks.start = targets.hook();
             hooks.debitCeiling = [this](const Contract&, Tokens tokens) {
                 debited += tokens.value();
-                return Result<void>();
+                return CeilingVerdict {};
             };
             hooks.refundCeiling = [this](const Contract&, Tokens tokens) { debited -= tokens.value(); };
             hooks.recordRequest = [](const std::string&) {};
