--- a/include/briarhitch/entry/CeilingHost.h
+++ b/include/briarhitch/entry/CeilingHost.h
@@ -4,9 +4,12 @@
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/CeilingAllocator.h"
 #include "briarhitch/sched/CeilingBuckets.h"
+#include "briarhitch/wire/Messages.h"
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -17,10 +20,28 @@
 /** Name of the pool that owns a customer's ceiling. */
 std::string ceilingPoolName(CustomerId customer);
 
-/** The ceilings that this node owns: hands out allocations to entries and decides debits. */
+struct CeilingHostSettings {
+    NodeId self;
+    Incarnation incarnation;
+    CeilingTolerance tolerance {};
+};
+
+/** Functions of the rest of the node that a CeilingHost calls. All must be set. */
+struct CeilingHostHooks {
+    std::function<bool()> hasLease;
+    /** This node's configuration is older than that of another node. */
+    std::function<void()> onConfigOutdated;
+    ClockHook now;
+};
+
+/**
+ * The ceilings that this node owns: hands out allocations to entries and decides debits. A new owner of a ceiling learns
+ * from the entries what was left under the previous one, and decides nothing until it has heard from all of them or a
+ * timeout has passed.
+ */
 class CeilingHost {
 public:
-    CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now, CeilingTolerance tolerance = {});
+    CeilingHost(const CeilingHostSettings& settings, MetricRegistry& metrics, CeilingHostHooks hooks);
 
     void onConfigChange(const ClusterConfig& config);
     /** Handles an allocation request. The encoded allocation is not valid if this node may not hand out any. */
@@ -28,28 +49,69 @@
     /** Handles a CeilingDebit; returns an encoded CeilingDecision, undecided if this node may not decide. */
     Result<std::string> onDebit(std::string_view body);
     void onRefund(std::string_view body);
+    void onSync(NodeId from, std::string_view body);
+    /** While an entry is disconnected, its equal part of each rate is left to it. */
+    void onEntryConnected(NodeId node);
+    void onEntryDisconnected(NodeId node);
     [[nodiscard]] size_t poolCount() const { return pools_.size(); }
 
 private:
+    struct KnownLeft {
+        CeilingAmount left;
+        CeilingAmount withheld;
+        Instant at;
+    };
+    /** What entries reported to an owner that does not decide yet. */
+    struct TakeoverReports {
+        std::set<NodeId> awaited;
+        std::map<CustomerId, std::vector<KnownLeft>> left;
+        std::map<CustomerId, CeilingAmount> unreportedUse;
+        /** An entry started within the tolerance's window, so that its predecessor's use may be unknown. */
+        bool hasRecentStart { false };
+    };
     struct Pool {
         Epoch epoch;
+        Instant assignedAt;
         CeilingAllocator ledger;
         CeilingBuckets buckets;
+        bool isDeciding { false };
+        TakeoverReports reports {};
+    };
+    struct EarlySync {
+        Instant receivedAt;
+        NodeId from;
+        CeilingSync sync;
     };
 
     void takeOver(const PoolAssignment& assignment);
+    void replayEarlySyncs();
+    void applySync(NodeId from, const std::string& name, Pool& pool, const CeilingSync& sync);
+    /** Gives the accounts what the entry did not use of its parts of the rates while it was disconnected. */
+    void settle(NodeId entry, const std::string& name, Pool& pool, const CeilingSync& sync);
+    /** Whether this node may decide debits of the pool; begins to if it may by now. */
+    bool mayDecide(const std::string& name, Pool& pool);
+    void beginDeciding(const std::string& name, Pool& pool);
     void setCeilings(const ClusterConfig& config);
-    /** Charges what an entry admitted locally to its customer's account. */
-    void charge(Pool& pool, const CeilingDebit& debit);
+    void countLocalUse(const CeilingAmount& used);
+    void updateGainedFraction();
+    [[nodiscard]] double entryFraction() const;
+    /** What this owner leaves to entries that are disconnected or have not reported since. */
+    [[nodiscard]] CeilingAmount withheldFrom(const std::string& name, const Pool& pool, CustomerId customer) const;
 
-    NodeId self_;
-    Incarnation incarnation_;
-    std::function<bool()> hasLease_;
+    CeilingHostSettings settings_;
     MetricRegistry& metrics_;
-    ClockHook now_;
-    CeilingTolerance tolerance_;
+    CeilingHostHooks hooks_;
     std::map<std::string, Pool> pools_;
+    std::map<PoolId, std::string> poolNames_;
     std::map<CustomerId, Ceiling> ceilings_;
+    /** Entries that serve callers. */
+    std::set<NodeId> entries_;
+    std::set<NodeId> connected_;
+    /** Entries without a link to this node, and since when. */
+    std::map<NodeId, Instant> disconnectedSince_;
+    /** Of entries that are connected again: pools for which they have not reported yet, and since when their parts of the rates were left to them. */
+    std::map<std::pair<NodeId, std::string>, Instant> unsettledSince_;
+    std::deque<EarlySync> earlySyncs_;
 };
 
 }
--- a/include/briarhitch/entry/CeilingVerdict.h
+++ b/include/briarhitch/entry/CeilingVerdict.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "briarhitch/core/Error.h"
-#include "briarhitch/core/Units.h"
+#include "briarhitch/model/Contract.h"
 
 #include <cstdint>
 #include <string_view>
@@ -23,7 +23,7 @@
     Result<void> admission;
     CeilingDecider decider { CeilingDecider::None };
     /** What the decider had left for the customer after this decision. */
-    Tokens tokensLeft;
+    CeilingAmount left;
 };
 
 }
--- a/include/briarhitch/entry/RoutedRequestRunner.h
+++ b/include/briarhitch/entry/RoutedRequestRunner.h
@@ -45,7 +45,7 @@
     /** Debits a request and its tokens from its customer's ceiling. */
     std::function<CeilingVerdict(const Contract&, Tokens)> debitCeiling;
     /** Refunds the debit of an admitted request that did not run. */
-    std::function<void(const Contract&, Tokens)> refundCeiling;
+    std::function<void(const Contract&, Tokens, CeilingDecider)> refundCeiling;
     /** Records a request to a service for the service's retry budget. */
     std::function<void(const std::string& service)> recordRequest;
     /** Takes one retry from the service's retry budget; false if the budget is spent. */
--- a/include/briarhitch/model/Contract.h
+++ b/include/briarhitch/model/Contract.h
@@ -17,6 +17,27 @@
     Erased,
 };
 
+/** An amount in both units that a ceiling limits: what was used, or what is left, which is negative if too much was used. */
+struct CeilingAmount {
+    double requests { 0 };
+    double tokens { 0 };
+
+    CeilingAmount& operator+=(const CeilingAmount& other)
+    {
+        requests += other.requests;
+        tokens += other.tokens;
+        return *this;
+    }
+    friend CeilingAmount operator-(const CeilingAmount& amount) { return { -amount.requests, -amount.tokens }; }
+    auto operator<=>(const CeilingAmount&) const = default;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(requests, tokens);
+    }
+};
+
 /** Limits of one customer across the whole fleet; zero means no limit. */
 struct Ceiling {
     double requestsPerSecond { 0 };
@@ -25,6 +46,8 @@
     /** Capacity of the rate limiter's token bucket, in the unit of the rate; zero means the amount of one second. */
     double burst { 0 };
 
+    /** Capacity of the token bucket of a limit with this rate. */
+    [[nodiscard]] double burstFor(double rate) const { return burst > 0 ? burst : rate; }
     auto operator<=>(const Ceiling&) const = default;
 
     template <class V>
--- a/include/briarhitch/sched/CeilingBuckets.h
+++ b/include/briarhitch/sched/CeilingBuckets.h
@@ -5,54 +5,78 @@
 #include "briarhitch/core/Ids.h"
 #include "briarhitch/core/Units.h"
 #include "briarhitch/model/Contract.h"
+#include "briarhitch/sched/CeilingTolerance.h"
+#include "briarhitch/sched/SlidingSum.h"
 
 #include <map>
 
 namespace briarhitch {
 
-/** Upper limit of a ceiling's use in any window: (rate x window + burst) x (1 + excessFraction) + slack. */
-struct CeilingTolerance {
-    Duration window { std::chrono::seconds(8) };
-    double excessFraction { 0 };
-    double slack { 0 };
-};
-
 /** Central enforcement of customers' rate ceilings: one token bucket per customer and unit. Does no I/O and reads no clock. */
 class CeilingBuckets {
 public:
-    /** `isSuccessor`: a previous owner may have admitted requests that are not counted here. */
-    CeilingBuckets(const CeilingTolerance& tolerance, bool isSuccessor);
+    explicit CeilingBuckets(const CeilingTolerance& tolerance);
 
-    /** Replaces the customer's ceiling; bucket levels carry over. */
+    /** Replaces the customer's ceiling; what it has used carries over. A new customer has used nothing. */
     void setCeiling(CustomerId customer, const Ceiling& ceiling, Instant now);
+    /** Lowers what the customer has left to this amount, which was left `age` ago. */
+    void limitLeft(CustomerId customer, const CeilingAmount& left, Duration age, Instant now);
+    /** Lowers what the customer has left to what it may use after a window in which its use is not known. */
+    void limitLeftAfterUnknownUse(CustomerId customer, Instant now);
+    /** Fraction of the rates that these buckets gain, 0 to 1; the rest is left to entries that decide locally. */
+    void setGainedFraction(double fraction, Instant now);
+    /**
+     * Gives the customer's buckets what they gain in this time at this fraction of their rates, less what was used of it;
+     * debits them if more was used.
+     */
+    void settle(CustomerId customer, double fraction, Duration time, const CeilingAmount& used, Instant now);
+
     [[nodiscard]] bool hasCustomer(CustomerId customer) const { return accounts_.contains(customer); }
     /** Debits one request. Errors: CeilingRequests or CeilingTokens, with the time until it would fit; NoOwner for an unknown customer. */
     Result<void> debit(CustomerId customer, Tokens tokens, Instant now);
-    /** Debits tokens of requests that were admitted locally, without a debit here; returns how many of them the level covered. */
-    Tokens charge(CustomerId customer, Tokens tokens, Instant now);
+    /** Debits what was used without a debit here; refunds a negative amount. */
+    void charge(CustomerId customer, const CeilingAmount& used, Instant now);
     /** Refunds a request that did not run. */
     void refund(CustomerId customer, Tokens tokens, Instant now);
-    /** Tokens that the customer may still use at this moment; negative if it has used more than its ceiling, zero if it is unknown. */
-    [[nodiscard]] Tokens tokensLeft(CustomerId customer, Instant now) const;
+    /** What the customer has left; zero if it is unknown. */
+    [[nodiscard]] CeilingAmount left(CustomerId customer, Instant now) const;
 
 private:
     struct Bucket {
         double rate { 0 };
         double capacity { 0 };
         double level { 0 };
+        /** How far a request may take the level below zero. */
+        double overdraft { 0 };
+        /** Gain of the last window that did not fit; admits requests larger than the capacity. */
+        SlidingSum unusedGain;
+        /** The same since entries may have begun to decide locally, less what they reported as used. */
+        double reportableGain { 0 };
+        Instant lastUnusedGainAt {};
+        /** Use that a lower capacity hid; a higher one shows it again. */
+        double hiddenUse { 0 };
+        /** Size of the refused requests that were told to return later. */
+        double returning { 0 };
         Instant filledAt {};
 
-        void fill(Instant now);
+        void gain(double amount, Instant now);
+        [[nodiscard]] bool admits(double size, Instant now);
+        void refund(double size);
+        void charge(double size, Instant now);
+        /** Time until a request of this size fits behind those that return before it. */
+        Duration reserveReturn(double size);
     };
     struct Account {
         Bucket requests;
         Bucket tokens;
     };
 
+    void fill(Bucket& bucket, Instant now) const;
     void setBucket(Bucket& bucket, double rate, double burst, bool isNew, Instant now) const;
+    Account* findFilled(CustomerId customer, Instant now);
 
     CeilingTolerance tolerance_;
-    bool isSuccessor_;
+    double gainedFraction_ { 1 };
     std::map<CustomerId, Account> accounts_;
 };
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -39,6 +39,7 @@
      */
     HeartbeatSolicitation = 24,
     TargetRateLimitNotice = 25,
+    CeilingSync = 26,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -402,13 +403,13 @@
     PoolId pool;
     CustomerId customer;
     Tokens tokens;
-    /** What the entry admitted locally since the last reply. */
-    Tokens admittedLocally;
+    /** What the entry admitted without the owner and has not reported yet, less what did not run. */
+    CeilingAmount unreportedUse;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, customer, tokens, admittedLocally);
+        visit(pool, customer, tokens, unreportedUse);
     }
 };
 
@@ -418,13 +419,49 @@
     bool admitted { false };
     ErrorKind kind { ErrorKind::CeilingTokens };
     uint32_t retryAfterMs { 0 };
-    /** What is left of the customer's rate and burst after this decision; negative if it is overdrawn. */
-    Tokens tokensLeft;
+    /** What is left of the customer's ceiling after this decision. */
+    CeilingAmount left;
+    /** What the owner has left to disconnected entries, which it adds again less what they report. */
+    CeilingAmount withheld;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(decided, admitted, kind, retryAfterMs, tokensLeft);
+        visit(decided, admitted, kind, retryAfterMs, left, withheld);
+    }
+};
+
+/** What an entry knows of one customer's account. */
+struct CeilingAccountReport {
+    CustomerId customer;
+    /** An owner has decided a request of this customer for this entry within the tolerance's window. */
+    bool hasLeft { false };
+    /** As in that decision, and its age. */
+    CeilingAmount left;
+    CeilingAmount withheld;
+    uint32_t ageMs { 0 };
+    /** As in CeilingDebit. */
+    CeilingAmount unreportedUse;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(customer, hasLeft, left, withheld, ageMs, unreportedUse);
+    }
+};
+
+/** Entry to the owner of ceilings, after each assignment and each opening of a link: what it knows of their accounts. */
+struct CeilingSync {
+    PoolId pool;
+    Epoch epoch;
+    /** How long this entry has kept account; 0 right after its start. */
+    uint32_t recordedMs { 0 };
+    std::vector<CeilingAccountReport> accounts;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, epoch, recordedMs, accounts);
     }
 };
 
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -1,5 +1,6 @@
 #include "briarhitch/entry/CeilingClient.h"
 
+#include "briarhitch/core/Digest.h"
 #include "briarhitch/core/Log.h"
 #include "briarhitch/entry/CeilingHost.h"
 #include "briarhitch/metrics/MetricRegistry.h"
@@ -23,8 +24,8 @@
     /** Many times the round-trip time within a region. */
     constexpr Duration debitTimeout = 100ms;
     constexpr Duration unresponsiveOwnerPause = 300ms;
-    /** Burst for local decisions; short, because the owner may have admitted the ceiling's full burst just before. */
-    constexpr double localBurstSeconds = 0.5;
+    /** A new owner waits for reports of all entries, which takes about the interval of heartbeats. */
+    constexpr Duration undecidedOwnerPause = 50ms;
 
     const Log& ceilingLog()
     {
@@ -47,12 +48,15 @@
     FiberEvent fetchEnded;
 };
 
-CeilingClient::CeilingClient(Loop& loop, const ClusterView& view, NodeTransport& transport, MetricRegistry& metrics, ClockHook now)
+CeilingClient::CeilingClient(Loop& loop, const CeilingClientSettings& settings, const ClusterView& view, NodeTransport& transport, MetricRegistry& metrics, ClockHook now)
     : loop_(loop)
+    , settings_(settings)
     , view_(view)
     , transport_(transport)
     , metrics_(metrics)
     , now_(std::move(now))
+    , startedAt_(now_())
+    , shares_(settings.tolerance)
 {
 }
 
@@ -144,25 +148,33 @@
 CeilingVerdict CeilingClient::decide(const Contract& contract, Tokens tokens)
 {
     const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
-    bool isOwnerUnavailable = !pool || !pool->owner.isValid() || now_() < skipOwnerUntil_[pool->id] || !transport_.isReachable(pool->owner);
-    if (isOwnerUnavailable) {
-        recordDecider(pool, CeilingDecider::Entry, "no link to the owner");
-        return debitLocally(contract, tokens);
+    if (!pool || !pool->owner.isValid() || !transport_.isReachable(pool->owner)) {
+        if (pool)
+            pools_[pool->id].isUnresponsive = false;
+        return debitLocally(contract, tokens, pool, "no link to the owner");
     }
     auto id = pool->id;
-    auto admittedLocally = std::exchange(locallyAdmitted_[contract.customer], Tokens());
-    auto reply = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, admittedLocally }), debitTimeout);
+    if (now_() < pools_[id].skipOwnerUntil)
+        return debitLocally(contract, tokens, pool, "the owner did not decide");
+    auto& customer = customers_[contract.customer];
+    auto reported = std::exchange(customer.unreportedUse, {});
+    auto reply = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, reported }), debitTimeout);
     auto decision = reply.and_then([](const std::string& body) { return decode<CeilingDecision>(body); });
-    // The configuration may have changed while this fiber waited.
+    // The assignment may have changed while this fiber waited.
     pool = view_.findPool(ceilingPoolName(contract.customer));
+    auto& record = pools_[id];
     if (!decision || !decision->decided) {
-        skipOwnerUntil_[id] = now_() + unresponsiveOwnerPause;
-        locallyAdmitted_[contract.customer] += admittedLocally;
-        recordDecider(pool, CeilingDecider::Entry, decision ? "the owner does not decide" : "no reply from the owner");
-        return debitLocally(contract, tokens);
+        customer.unreportedUse += reported;
+        record.isUnresponsive = !decision;
+        record.skipOwnerUntil = now_() + (decision ? undecidedOwnerPause : unresponsiveOwnerPause);
+        return debitLocally(contract, tokens, pool, decision ? "the owner does not decide yet" : "no reply from the owner");
     }
-    recordDecider(pool, CeilingDecider::Owner, {});
-    CeilingVerdict verdict { {}, CeilingDecider::Owner, decision->tokensLeft };
+    endLocalPeriod(*pool, record);
+    customer.left = decision->left;
+    customer.withheld = decision->withheld;
+    customer.leftAt = now_();
+    customer.shareBegunFor.reset();
+    CeilingVerdict verdict { {}, CeilingDecider::Owner, decision->left };
     if (decision->admitted)
         return verdict;
     auto error = makeError(decision->kind, "the customer has reached its ceiling");
@@ -171,46 +183,119 @@
     return verdict;
 }
 
-void CeilingClient::recordDecider(const PoolAssignment* pool, CeilingDecider decider, std::string_view reason)
+void CeilingClient::beginLocalPeriod(const PoolAssignment& pool, PoolRecord& record, std::string_view reason)
 {
-    if (!pool)
+    auto now = now_();
+    bool continues = record.localSince && now - record.lastLocalDecisionAt < settings_.tolerance.window;
+    record.lastLocalDecisionAt = now;
+    if (continues)
         return;
-    auto since = localSince_.find(pool->id);
-    bool wasLocal = since != localSince_.end();
-    if (wasLocal == (decider == CeilingDecider::Entry))
-        return;
-    LogFields fields { { "pool", pool->name }, { "owner", int64_t(pool->owner.value()) }, { "epoch", static_cast<int64_t>(pool->epoch.value()) } };
-    if (wasLocal) {
-        fields.emplace_back("local_ms", toMs(now_() - since->second));
-        localSince_.erase(since);
-        ceilingLog().event("ceilings decided by the owner", fields);
+    record.localSince = now;
+    ceilingLog().event("ceilings decided locally", { { "pool", pool.name }, { "owner", int64_t(pool.owner.value()) }, { "epoch", static_cast<int64_t>(pool.epoch.value()) }, { "reason", std::string(reason) } });
+}
+
+void CeilingClient::endLocalPeriod(const PoolAssignment& pool, PoolRecord& record)
+{
+    record.isUnresponsive = false;
+    if (!record.localSince)
         return;
-    }
-    fields.emplace_back("reason", std::string(reason));
-    localSince_[pool->id] = now_();
-    ceilingLog().event("ceilings decided locally", fields);
+    ceilingLog().event("ceilings decided by the owner", { { "pool", pool.name }, { "owner", int64_t(pool.owner.value()) }, { "epoch", static_cast<int64_t>(pool.epoch.value()) }, { "local_ms", toMs(now_() - *record.localSince) } });
+    record.localSince.reset();
+}
+
+CeilingShare CeilingClient::shareOf(const Contract& contract, const PoolRecord& pool) const
+{
+    constexpr double middle = 0.5;
+    auto hashOf = [&](NodeId node) { return stableHash(contract.name, node.value()); };
+    auto entries = callerServingNodes(view_.config());
+    auto before = std::count_if(entries.begin(), entries.end(), [&](NodeId node) { return hashOf(node) < hashOf(settings_.self); });
+    CeilingShare share;
+    share.entries = std::max<size_t>(1, entries.size());
+    share.position = (static_cast<double>(before) + middle) / static_cast<double>(share.entries);
+    // An owner that still has a link to this entry may admit requests of others at the full rate.
+    share.rateFraction = pool.isUnresponsive ? CeilingExcessFractions::unresponsiveOwnerRate : 1;
+    return share;
 }
 
-CeilingVerdict CeilingClient::debitLocally(const Contract& contract, Tokens tokens)
+CeilingVerdict CeilingClient::debitLocally(const Contract& contract, Tokens tokens, const PoolAssignment* pool, std::string_view reason)
 {
-    auto localCeiling = contract.ceiling;
-    auto entryCount = static_cast<double>(view_.entryCount());
-    localCeiling.requestsPerSecond /= entryCount;
-    localCeiling.tokensPerSecond /= entryCount;
-    localCeiling.burst = localBurstSeconds * std::max(localCeiling.requestsPerSecond, localCeiling.tokensPerSecond);
-    localBuckets_.setCeiling(contract.customer, localCeiling, now_());
-    auto admitted = localBuckets_.debit(contract.customer, tokens, now_());
+    auto& record = pools_[pool ? pool->id : PoolId()];
+    if (pool)
+        beginLocalPeriod(*pool, record, reason);
+    auto& customer = customers_[contract.customer];
+    auto share = shareOf(contract, record);
+    if (!customer.shareBegunFor || customer.shareBegunFor != record.localSince) {
+        shares_.begin(contract.customer, contract.ceiling, share, customer.unreportedUse != CeilingAmount {}, now_());
+        customer.shareBegunFor = record.localSince;
+    }
+    auto admitted = shares_.debit(contract.customer, contract.ceiling, share, tokens, now_());
     if (admitted)
-        locallyAdmitted_[contract.customer] += tokens;
-    return { std::move(admitted), CeilingDecider::Entry, localBuckets_.tokensLeft(contract.customer, now_()) };
+        customer.unreportedUse += { 1, static_cast<double>(tokens.value()) };
+    return { std::move(admitted), CeilingDecider::Entry, shares_.left(contract.customer) };
 }
 
-void CeilingClient::refund(const Contract& contract, Tokens tokens)
+void CeilingClient::refund(const Contract& contract, Tokens tokens, CeilingDecider decider)
 {
     const auto* pool = view_.findPool(ceilingPoolName(contract.customer));
-    if (contract.ceiling == Ceiling {} || !pool || !pool->owner.isValid())
+    if (decider == CeilingDecider::None)
+        return;
+    if (decider == CeilingDecider::Owner && pool && pool->owner.isValid()
+        && transport_.postToOwner(pool->owner, MessageType::CeilingRefund, encode(CeilingDebit { pool->id, contract.customer, tokens, {} })))
+        return;
+    if (decider == CeilingDecider::Entry)
+        shares_.refund(contract.customer, tokens);
+    customers_[contract.customer].unreportedUse += { -1, -static_cast<double>(tokens.value()) };
+}
+
+void CeilingClient::onConfigChange(const ClusterConfig& config)
+{
+    for (const auto& [id, assignment] : config.pools) {
+        if (assignment.kind != PoolKind::Ceiling)
+            continue;
+        auto& record = pools_[id];
+        if (record.epoch >= assignment.epoch && record.owner == assignment.owner)
+            continue;
+        record.epoch = assignment.epoch;
+        record.owner = assignment.owner;
+        record.skipOwnerUntil = {};
+        record.isUnresponsive = false;
+        // Without a link one is opened, and the report follows then.
+        if (assignment.owner.isValid() && transport_.isReachable(assignment.owner))
+            sendSync(id);
+    }
+}
+
+void CeilingClient::onOutgoingLinkOpen(NodeId node)
+{
+    for (auto& [id, record] : pools_) {
+        if (record.owner != node)
+            continue;
+        record.skipOwnerUntil = {};
+        sendSync(id);
+    }
+}
+
+void CeilingClient::sendSync(PoolId pool)
+{
+    const auto& record = pools_[pool];
+    auto now = now_();
+    CeilingSync sync { pool, record.epoch, clampMs(now - startedAt_), {} };
+    const auto assigned = view_.config().pools.find(pool);
+    if (assigned == view_.config().pools.end())
+        return;
+    std::vector<CustomerId> reported;
+    for (const auto& [id, customer] : customers_) {
+        // Later than a window after the last decision, a customer has used nothing that still counts.
+        bool hasLeft = customer.leftAt && now - *customer.leftAt < settings_.tolerance.window;
+        if (ceilingPoolName(id) != assigned->second.name || (!hasLeft && customer.unreportedUse == CeilingAmount {}))
+            continue;
+        sync.accounts.push_back({ id, hasLeft, customer.left, customer.withheld, hasLeft ? clampMs(now - *customer.leftAt) : 0, customer.unreportedUse });
+        reported.push_back(id);
+    }
+    if (!transport_.postToOwner(record.owner, MessageType::CeilingSync, encode(sync)))
         return;
-    transport_.postToOwner(pool->owner, MessageType::CeilingRefund, encode(CeilingDebit { pool->id, contract.customer, tokens, Tokens() }));
+    for (auto id : reported)
+        customers_[id].unreportedUse = {};
 }
 
 }
--- a/src/entry/CeilingHost.cpp
+++ b/src/entry/CeilingHost.cpp
@@ -4,6 +4,9 @@
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "wire/Codec.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace briarhitch {
 
 namespace {
@@ -12,6 +15,10 @@
 
     /** A previous owner that does not know of the new assignment yet hands out allocations until its lease has ended. */
     constexpr Duration leaseAndClockDrift = 3150ms;
+    /** Entries learn of an assignment with their next heartbeat; one that is silent for longer may be lost. */
+    constexpr Duration syncTimeout = 500ms;
+    constexpr Duration earlySyncRetention = 5s;
+    constexpr size_t maxEarlySyncs = 4096;
 
     const Log& ceilingLog()
     {
@@ -26,27 +33,34 @@
     return "ceiling:" + std::to_string(customer.value() % ceilingPoolCount);
 }
 
-CeilingHost::CeilingHost(NodeId self, Incarnation incarnation, std::function<bool()> hasLease, MetricRegistry& metrics, ClockHook now, CeilingTolerance tolerance)
-    : self_(self)
-    , incarnation_(incarnation)
-    , hasLease_(std::move(hasLease))
+CeilingHost::CeilingHost(const CeilingHostSettings& settings, MetricRegistry& metrics, CeilingHostHooks hooks)
+    : settings_(settings)
     , metrics_(metrics)
-    , now_(std::move(now))
-    , tolerance_(tolerance)
+    , hooks_(std::move(hooks))
 {
 }
 
 void CeilingHost::onConfigChange(const ClusterConfig& config)
 {
+    auto entries = callerServingNodes(config);
+    entries_ = { entries.begin(), entries.end() };
+    std::erase_if(disconnectedSince_, [&](const auto& entry) { return !entries_.contains(entry.first); });
+    for (NodeId entry : entries_) {
+        if (entry != settings_.self && !connected_.contains(entry))
+            disconnectedSince_.try_emplace(entry, hooks_.now());
+    }
     for (const auto& [id, assignment] : config.pools) {
         if (assignment.kind != PoolKind::Ceiling)
             continue;
-        if (assignment.owner == self_ && assignment.ownerIncarnation == incarnation_)
+        poolNames_[id] = assignment.name;
+        if (assignment.owner == settings_.self && assignment.ownerIncarnation == settings_.incarnation)
             takeOver(assignment);
         else
             pools_.erase(assignment.name);
     }
     setCeilings(config);
+    updateGainedFraction();
+    replayEarlySyncs();
 }
 
 void CeilingHost::takeOver(const PoolAssignment& assignment)
@@ -54,20 +68,24 @@
     auto it = pools_.find(assignment.name);
     if (it != pools_.end() && it->second.epoch >= assignment.epoch)
         return;
-    Instant firstGrantAt = now_();
-    // In the first epoch no entry can hold an allocation of an earlier owner.
-    if (assignment.epoch > Epoch(1))
+    // In the first epoch no entry can hold an allocation of an earlier owner, and nothing was used before.
+    bool isFirstOwner = assignment.epoch <= Epoch(1);
+    Instant firstGrantAt = hooks_.now();
+    if (!isFirstOwner)
         firstGrantAt += CeilingAllocator::allocationLifetime;
-    if (assignment.previousOwner.isValid() && assignment.previousOwner != self_)
+    if (assignment.previousOwner.isValid() && assignment.previousOwner != settings_.self)
         firstGrantAt += leaseAndClockDrift;
-    auto& pool = pools_.insert_or_assign(assignment.name, Pool { assignment.epoch, CeilingAllocator(firstGrantAt), CeilingBuckets(tolerance_, assignment.epoch > Epoch(1)) }).first->second;
+    auto& pool = pools_.insert_or_assign(assignment.name, Pool { assignment.epoch, hooks_.now(), CeilingAllocator(firstGrantAt), CeilingBuckets(settings_.tolerance) }).first->second;
     for (const auto& [customer, ceiling] : ceilings_) {
         if (ceilingPoolName(customer) != assignment.name)
             continue;
         pool.ledger.setCeiling(customer, ceiling);
-        pool.buckets.setCeiling(customer, ceiling, now_());
+        pool.buckets.setCeiling(customer, ceiling, hooks_.now());
     }
-    ceilingLog().event("ceilings taken over", { { "pool", assignment.name }, { "epoch", static_cast<int64_t>(assignment.epoch.value()) }, { "previous_owner", int64_t(assignment.previousOwner.value()) } });
+    pool.isDeciding = isFirstOwner;
+    if (!isFirstOwner)
+        pool.reports.awaited = entries_;
+    ceilingLog().event("ceilings taken over", { { "pool", assignment.name }, { "epoch", static_cast<int64_t>(assignment.epoch.value()) }, { "previous_owner", int64_t(assignment.previousOwner.value()) }, { "awaited_entries", static_cast<int64_t>(pool.reports.awaited.size()) } });
 }
 
 void CeilingHost::setCeilings(const ClusterConfig& config)
@@ -81,8 +99,121 @@
         if (pool == pools_.end())
             continue;
         pool->second.ledger.setCeiling(id, contract.ceiling);
-        pool->second.buckets.setCeiling(id, contract.ceiling, now_());
+        pool->second.buckets.setCeiling(id, contract.ceiling, hooks_.now());
+    }
+}
+
+void CeilingHost::onSync(NodeId from, std::string_view body)
+{
+    auto sync = decode<CeilingSync>(body);
+    if (!sync) {
+        ceilingLog().warning("Ignored a report of ceilings that cannot be decoded.");
+        return;
+    }
+    auto name = poolNames_.find(sync->pool);
+    auto pool = name == poolNames_.end() ? pools_.end() : pools_.find(name->second);
+    if (pool != pools_.end() && sync->epoch <= pool->second.epoch) {
+        applySync(from, pool->first, pool->second, *sync);
+        return;
+    }
+    // The entry has learned of an assignment to this node before this node has.
+    auto now = hooks_.now();
+    while (!earlySyncs_.empty() && (earlySyncs_.front().receivedAt < now - earlySyncRetention || earlySyncs_.size() >= maxEarlySyncs))
+        earlySyncs_.pop_front();
+    earlySyncs_.push_back({ now, from, std::move(*sync) });
+    hooks_.onConfigOutdated();
+}
+
+void CeilingHost::replayEarlySyncs()
+{
+    std::erase_if(earlySyncs_, [this](const EarlySync& early) {
+        auto name = poolNames_.find(early.sync.pool);
+        auto pool = name == poolNames_.end() ? pools_.end() : pools_.find(name->second);
+        if (pool == pools_.end() || early.sync.epoch > pool->second.epoch)
+            return false;
+        if (early.receivedAt >= hooks_.now() - earlySyncRetention)
+            applySync(early.from, pool->first, pool->second, early.sync);
+        return true;
+    });
+}
+
+void CeilingHost::applySync(NodeId from, const std::string& name, Pool& pool, const CeilingSync& sync)
+{
+    if (pool.isDeciding) {
+        settle(from, name, pool, sync);
+        return;
+    }
+    unsettledSince_.erase({ from, name });
+    for (const auto& account : sync.accounts) {
+        pool.reports.unreportedUse[account.customer] += account.unreportedUse;
+        if (account.hasLeft)
+            pool.reports.left[account.customer].push_back({ account.left, account.withheld, hooks_.now() - std::chrono::milliseconds(account.ageMs) });
+    }
+    // A report for an earlier owner lacks what this node may have decided since.
+    if (sync.epoch < pool.epoch)
+        return;
+    pool.reports.awaited.erase(from);
+    if (std::chrono::milliseconds(sync.recordedMs) < settings_.tolerance.window)
+        pool.reports.hasRecentStart = true;
+}
+
+void CeilingHost::settle(NodeId entry, const std::string& name, Pool& pool, const CeilingSync& sync)
+{
+    auto now = hooks_.now();
+    auto since = unsettledSince_.find({ entry, name });
+    auto time = since == unsettledSince_.end() ? Duration(0) : now - std::max(since->second, pool.assignedAt);
+    if (since != unsettledSince_.end())
+        unsettledSince_.erase(since);
+    std::map<CustomerId, CeilingAmount> used;
+    for (const auto& account : sync.accounts)
+        used[account.customer] = account.unreportedUse;
+    for (const auto& [customer, ceiling] : ceilings_) {
+        if (ceilingPoolName(customer) != name || (time <= Duration::zero() && !used.contains(customer)))
+            continue;
+        pool.buckets.settle(customer, entryFraction(), time, used[customer], now);
+        countLocalUse(used[customer]);
+    }
+}
+
+bool CeilingHost::mayDecide(const std::string& name, Pool& pool)
+{
+    if (!hooks_.hasLease())
+        return false;
+    if (!pool.isDeciding && (pool.reports.awaited.empty() || hooks_.now() - pool.assignedAt >= syncTimeout))
+        beginDeciding(name, pool);
+    return pool.isDeciding;
+}
+
+void CeilingHost::beginDeciding(const std::string& name, Pool& pool)
+{
+    auto now = hooks_.now();
+    auto reports = std::exchange(pool.reports, {});
+    pool.isDeciding = true;
+    bool mayMissUse = !reports.awaited.empty() || reports.hasRecentStart;
+    size_t unknown = 0;
+    for (const auto& [customer, ceiling] : ceilings_) {
+        if (ceilingPoolName(customer) != name || ceiling == Ceiling {})
+            continue;
+        const auto& used = reports.unreportedUse[customer];
+        countLocalUse(used);
+        // An earlier report counts less use than a later one, so the one with the least left is closest.
+        for (const auto& known : reports.left[customer]) {
+            CeilingAmount left = known.left;
+            left += -used;
+            // A silent entry may have used all that was left to it.
+            if (reports.awaited.empty())
+                left += known.withheld;
+            pool.buckets.limitLeft(customer, left, now - known.at, now);
+        }
+        if (!reports.left[customer].empty())
+            continue;
+        if (mayMissUse) {
+            pool.buckets.limitLeftAfterUnknownUse(customer, now);
+            ++unknown;
+        }
+        pool.buckets.charge(customer, used, now);
     }
+    ceilingLog().event("ceilings decided by this owner", { { "pool", name }, { "epoch", static_cast<int64_t>(pool.epoch.value()) }, { "waited_ms", toMs(now - pool.assignedAt) }, { "silent_entries", static_cast<int64_t>(reports.awaited.size()) }, { "customers_without_report", static_cast<int64_t>(unknown) } });
 }
 
 Result<std::string> CeilingHost::onAllocationRequest(NodeId from, std::string_view body)
@@ -91,9 +222,9 @@
     if (!request)
         return tl::unexpected(request.error());
     auto pool = pools_.find(ceilingPoolName(request->customer));
-    if (pool == pools_.end() || !hasLease_())
+    if (pool == pools_.end() || !hooks_.hasLease())
         return encode(CeilingAllocation {});
-    return encode(pool->second.ledger.allocate(from, *request, now_()));
+    return encode(pool->second.ledger.allocate(from, *request, hooks_.now()));
 }
 
 Result<std::string> CeilingHost::onDebit(std::string_view body)
@@ -101,15 +232,22 @@
     auto debit = decode<CeilingDebit>(body);
     if (!debit)
         return tl::unexpected(debit.error());
-    auto pool = pools_.find(ceilingPoolName(debit->customer));
-    if (pool == pools_.end() || !hasLease_() || !pool->second.buckets.hasCustomer(debit->customer))
+    auto found = pools_.find(ceilingPoolName(debit->customer));
+    if (found == pools_.end())
+        return encode(CeilingDecision {});
+    auto& [name, pool] = *found;
+    if (!mayDecide(name, pool) || !pool.buckets.hasCustomer(debit->customer))
         return encode(CeilingDecision {});
-    charge(pool->second, *debit);
-    auto admitted = pool->second.buckets.debit(debit->customer, debit->tokens, now_());
+    if (debit->unreportedUse != CeilingAmount {}) {
+        pool.buckets.charge(debit->customer, debit->unreportedUse, hooks_.now());
+        countLocalUse(debit->unreportedUse);
+    }
+    auto admitted = pool.buckets.debit(debit->customer, debit->tokens, hooks_.now());
     CeilingDecision decision;
     decision.decided = true;
     decision.admitted = admitted.has_value();
-    decision.tokensLeft = pool->second.buckets.tokensLeft(debit->customer, now_());
+    decision.left = pool.buckets.left(debit->customer, hooks_.now());
+    decision.withheld = withheldFrom(name, pool, debit->customer);
     if (!admitted) {
         decision.kind = admitted.error().kind;
         decision.retryAfterMs = static_cast<uint32_t>(toMs(admitted.error().retryAfter.value_or(Duration(0))));
@@ -117,23 +255,71 @@
     return encode(decision);
 }
 
-void CeilingHost::charge(Pool& pool, const CeilingDebit& debit)
+void CeilingHost::countLocalUse(const CeilingAmount& used)
 {
-    if (debit.admittedLocally <= Tokens())
-        return;
-    auto covered = pool.buckets.charge(debit.customer, debit.admittedLocally, now_());
-    metrics_.count("ceiling_local_tokens_total", "covered=\"yes\"", static_cast<uint64_t>(covered.value()));
-    metrics_.count("ceiling_local_tokens_total", "covered=\"no\"", static_cast<uint64_t>((debit.admittedLocally - covered).value()));
+    if (used.tokens > 0)
+        metrics_.count("ceiling_local_tokens_total", {}, static_cast<uint64_t>(used.tokens));
 }
 
 void CeilingHost::onRefund(std::string_view body)
 {
     auto debit = decode<CeilingDebit>(body);
-    if (!debit)
+    if (!debit) {
+        ceilingLog().warning("Ignored a refund that cannot be decoded.");
         return;
+    }
     auto pool = pools_.find(ceilingPoolName(debit->customer));
     if (pool != pools_.end())
-        pool->second.buckets.refund(debit->customer, debit->tokens, now_());
+        pool->second.buckets.refund(debit->customer, debit->tokens, hooks_.now());
+}
+
+double CeilingHost::entryFraction() const
+{
+    return entries_.empty() ? 0 : 1 / static_cast<double>(entries_.size());
+}
+
+CeilingAmount CeilingHost::withheldFrom(const std::string& name, const Pool& pool, CustomerId customer) const
+{
+    if (disconnectedSince_.empty() && unsettledSince_.empty())
+        return {};
+    Duration total { 0 };
+    auto addTimeSince = [&](Instant since) { total += std::min<Duration>(hooks_.now() - std::max(since, pool.assignedAt), settings_.tolerance.window); };
+    for (const auto& [entry, since] : disconnectedSince_)
+        addTimeSince(since);
+    for (const auto& [key, since] : unsettledSince_) {
+        if (key.second == name)
+            addTimeSince(since);
+    }
+    const auto& ceiling = ceilings_.at(customer);
+    double seconds = toSeconds(total) * entryFraction();
+    return { ceiling.requestsPerSecond * seconds, ceiling.tokensPerSecond * seconds };
+}
+
+void CeilingHost::updateGainedFraction()
+{
+    auto fraction = std::max(0.0, 1 - entryFraction() * static_cast<double>(disconnectedSince_.size()));
+    for (auto& [name, pool] : pools_)
+        pool.buckets.setGainedFraction(fraction, hooks_.now());
+}
+
+void CeilingHost::onEntryConnected(NodeId node)
+{
+    connected_.insert(node);
+    auto since = disconnectedSince_.find(node);
+    if (since == disconnectedSince_.end())
+        return;
+    for (const auto& [name, pool] : pools_)
+        unsettledSince_[{ node, name }] = since->second;
+    disconnectedSince_.erase(since);
+    updateGainedFraction();
+}
+
+void CeilingHost::onEntryDisconnected(NodeId node)
+{
+    connected_.erase(node);
+    if (entries_.contains(node))
+        disconnectedSince_.try_emplace(node, hooks_.now());
+    updateGainedFraction();
 }
 
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -102,8 +102,7 @@
         , controlClient(loop, makeControlClientSettings(settings, self), clusterView, metrics)
         , httpClient(loop)
         , targetClient([this](const HttpCallSettings& call) { return httpClient.start(call); }, [this](const TargetCall& call, const HttpCall& response, Instant sentAt) { reportRateLimit(call, response, sentAt); })
-        , ceilingHost(
-              self.id, self.incarnation, [this] { return controlClient.hasLease(); }, metrics, &BootClock::now, settings.ceilingTolerance)
+        , ceilingHost({ self.id, self.incarnation, settings.ceilingTolerance }, metrics, ceilingHooks())
         , serviceRetryBudget(settings.routed.retryBudget)
         , loadPoller({ self.id, self.region }, pollerHooks())
         , httpFront(frontSettings(), clusterView, history, metrics, frontHooks())
@@ -152,6 +151,8 @@
         hooks.onMessageToOwner = [this](NodeId from, LinkId link, MessageType type, std::string_view body) {
             if (type == MessageType::CeilingRefund)
                 ceilingHost.onRefund(body);
+            else if (type == MessageType::CeilingSync)
+                ceilingHost.onSync(from, body);
             else
                 poolHost->onMessage(from, link, type, body);
         };
@@ -163,12 +164,26 @@
             return ceilingHost.onAllocationRequest(from, body);
         };
         hooks.onMessageToEntry = [this](MessageType type, std::string_view body) { poolClient->onMessage(type, body); };
-        hooks.onOutgoingLinkOpen = [this](NodeId node) { poolClient->onOutgoingLinkOpen(node); };
-        hooks.onEntryConnected = [this](NodeId node) { poolHost->onEntryConnected(node); };
-        hooks.onEntryDisconnected = [this](NodeId node) { poolHost->onEntryDisconnected(node); };
+        hooks.onOutgoingLinkOpen = [this](NodeId node) {
+            poolClient->onOutgoingLinkOpen(node);
+            ceilingClient->onOutgoingLinkOpen(node);
+        };
+        hooks.onEntryConnected = [this](NodeId node) {
+            poolHost->onEntryConnected(node);
+            ceilingHost.onEntryConnected(node);
+        };
+        hooks.onEntryDisconnected = [this](NodeId node) {
+            poolHost->onEntryDisconnected(node);
+            ceilingHost.onEntryDisconnected(node);
+        };
         return hooks;
     }
 
+    CeilingHostHooks ceilingHooks()
+    {
+        return { [this] { return controlClient.hasLease(); }, [this] { controlClient.heartbeatNow(); }, &BootClock::now };
+    }
+
     PoolHostHooks hostHooks()
     {
         PoolHostHooks hooks;
@@ -201,7 +216,7 @@
         hooks.hasLease = [this] { return controlClient.hasLease(); };
         hooks.start = [this](const HttpCallSettings& call) { return httpClient.start(call); };
         hooks.debitCeiling = [this](const Contract& contract, Tokens tokens) { return ceilingClient->debit(contract, tokens); };
-        hooks.refundCeiling = [this](const Contract& contract, Tokens tokens) { ceilingClient->refund(contract, tokens); };
+        hooks.refundCeiling = [this](const Contract& contract, Tokens tokens, CeilingDecider decider) { ceilingClient->refund(contract, tokens, decider); };
         hooks.recordRequest = [this](const std::string& service) { serviceRetryBudget.recordRequest(service, BootClock::now()); };
         hooks.acquireRetry = [this](const std::string& service) { return serviceRetryBudget.acquireRetry(service, clusterView.entryCount(), BootClock::now()); };
         hooks.now = &BootClock::now;
@@ -268,7 +283,7 @@
             clientSettings.localSelectionAfter = settings.limits.localSelectionAfter;
         clientSettings.localSelectionPolicy = settings.pool;
         poolClient = std::make_unique<PoolClient>(loop, clientSettings, clusterView, *nodeLinks, &BootClock::now);
-        ceilingClient = std::make_unique<CeilingClient>(loop, clusterView, *nodeLinks, metrics, &BootClock::now);
+        ceilingClient = std::make_unique<CeilingClient>(loop, CeilingClientSettings { self.id, settings.ceilingTolerance }, clusterView, *nodeLinks, metrics, &BootClock::now);
         requestRunner = std::make_unique<RequestRunner>(loop, self, settings.limits, clusterView, *poolClient, targetClient, history, metrics, runnerHooks());
         if (extensions)
             routedRunner = std::make_unique<RoutedRequestRunner>(settings.routed.limits, extensions->targetProtocol, clusterView, *poolClient, history, metrics, routedHooks(), systemSeed());
@@ -288,6 +303,7 @@
         poolHost->onConfigChange(config);
         ceilingHost.onConfigChange(config);
         poolClient->onConfigChange(config);
+        ceilingClient->onConfigChange(config);
         if (routedRunner)
             routedRunner->onConfigChange(config);
     }
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -56,7 +56,7 @@
     if (isGrantHeld_)
         finishAttempt(AttemptOutcome::Failed);
     if (isDebited_ && ran_ == Ran::No)
-        runner_.hooks.refundCeiling(*contract_, quotaTokens());
+        runner_.hooks.refundCeiling(*contract_, quotaTokens(), ceilingDecider_);
     if (shouldWriteLog())
         runner_.history.writeLog(attempt_.request, request_.callerId);
 }
@@ -117,8 +117,9 @@
         return {};
     auto verdict = runner_.hooks.debitCeiling(*contract_, quotaTokens());
     isDebited_ = verdict.admission.has_value();
+    ceilingDecider_ = verdict.decider;
     if (verdict.decider != CeilingDecider::None)
-        recordEvent("ceiling", {}, { { "decided_by", std::string(toString(verdict.decider)) }, { "tokens_left", verdict.tokensLeft.value() } });
+        recordEvent("ceiling", {}, { { "decided_by", std::string(toString(verdict.decider)) }, { "requests_left", verdict.left.requests }, { "tokens_left", verdict.left.tokens } });
     return verdict.admission;
 }
 
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -103,6 +103,7 @@
     Grant grant_;
     bool isGrantHeld_ { false };
     bool isDebited_ { false };
+    CeilingDecider ceilingDecider_ { CeilingDecider::None };
     std::vector<TargetId> excluded_;
     uint32_t sentAttempts_ { 0 };
     uint32_t unusedGrants_ { 0 };
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -11,7 +11,7 @@
     constexpr std::pair<std::string_view, std::string_view> helpTexts[] {
         { "ceiling_admitted_tokens_total", "Tokens admitted under customers' ceilings, by who decided." },
         { "ceiling_decisions_total", "Requests decided under customers' ceilings, by who decided and result." },
-        { "ceiling_local_tokens_total", "Tokens that entries admitted locally and reported to this owner, by whether the account covered them." },
+        { "ceiling_local_tokens_total", "Tokens that entries admitted locally and reported to this owner." },
         { "control_admin_requests_total", "Requests to the operators' API, by method." },
         { "control_changes_total", "Operators' changes, by result." },
         { "control_claims_refused_total", "Claims of idempotency keys that were refused, by kind of error." },
--- a/src/sched/CeilingBuckets.cpp
+++ b/src/sched/CeilingBuckets.cpp
@@ -1,7 +1,6 @@
 #include "briarhitch/sched/CeilingBuckets.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace briarhitch {
 
@@ -9,110 +8,207 @@
 
     using namespace std::chrono_literals;
 
-    // Fractions of the excess that the tolerance allows. Their sum is below one, because an owner and its successor may
-    // both admit requests within one window.
-    constexpr double ownerExcessFraction = 0.4;
-    constexpr double successorExcessFraction = 0.4;
     constexpr Duration minRetryAfter = 50ms;
     constexpr Duration maxRetryAfter = 60s;
-
-    tl::unexpected<Error> exceeded(ErrorKind kind, const char* message, double missing, double rate)
+    /** Callers that return later than this after there is room again would leave it unused. */
+    constexpr double maxReturningSeconds = 2;
+    /** Entries report what they admitted locally at most this long after it: the longest lease with clock drift. */
+    constexpr Duration reportDelay = 3150ms;
+    /** Entries report as soon as they reach the owner again; later, unused gain has another cause. */
+    constexpr Duration reportGracePeriod = 1s;
+
+    tl::unexpected<Error> exceeded(ErrorKind kind, const char* message, Duration retryAfter)
     {
         auto error = makeError(kind, message);
-        error.retryAfter = rate > 0 ? std::clamp<Duration>(fromSeconds(std::min(missing / rate, toSeconds(maxRetryAfter))), minRetryAfter, maxRetryAfter) : maxRetryAfter;
+        error.retryAfter = std::clamp<Duration>(retryAfter, minRetryAfter, maxRetryAfter);
         return tl::unexpected<Error>(error);
     }
 
 }
 
-void CeilingBuckets::Bucket::fill(Instant now)
+void CeilingBuckets::Bucket::gain(double amount, Instant now)
+{
+    auto filled = level + amount;
+    level = std::min(capacity, filled);
+    hiddenUse = std::max(0.0, hiddenUse - amount);
+    returning = std::max(0.0, returning - amount);
+    if (filled <= level)
+        return;
+    unusedGain.add(filled - level, now);
+    if (now - lastUnusedGainAt > reportGracePeriod)
+        reportableGain = 0;
+    reportableGain = std::min(rate * toSeconds(reportDelay), reportableGain + filled - level);
+    lastUnusedGainAt = now;
+}
+
+bool CeilingBuckets::Bucket::admits(double size, Instant now)
+{
+    // What a large request exceeds the level by, it saved in the last window and owes afterwards.
+    return rate <= 0 || (level > 0 && size <= level + overdraft + unusedGain.sum(now));
+}
+
+void CeilingBuckets::Bucket::refund(double size)
+{
+    level = std::min(capacity, level + size);
+}
+
+void CeilingBuckets::Bucket::charge(double size, Instant now)
 {
-    level = std::min(capacity, level + rate * toSeconds(now - filledAt));
-    filledAt = now;
+    // While entries decided locally, this bucket gained what they used, and may have had no room for it.
+    double unused = now - lastUnusedGainAt <= reportGracePeriod ? std::min(reportableGain, size) : 0;
+    reportableGain -= unused;
+    level -= size - unused;
 }
 
-CeilingBuckets::CeilingBuckets(const CeilingTolerance& tolerance, bool isSuccessor)
+Duration CeilingBuckets::Bucket::reserveReturn(double size)
+{
+    if (rate <= 0)
+        return maxRetryAfter;
+    double missing = std::max({ 0.0, -level, size - level - overdraft });
+    auto wait = fromSeconds(std::min((missing + returning) / rate, toSeconds(maxRetryAfter)));
+    returning = std::min(rate * maxReturningSeconds, returning + size);
+    return wait;
+}
+
+CeilingBuckets::CeilingBuckets(const CeilingTolerance& tolerance)
     : tolerance_(tolerance)
-    , isSuccessor_(isSuccessor)
 {
 }
 
+void CeilingBuckets::fill(Bucket& bucket, Instant now) const
+{
+    bucket.gain(bucket.rate * gainedFraction_ * toSeconds(now - bucket.filledAt), now);
+    bucket.filledAt = now;
+}
+
+CeilingBuckets::Account* CeilingBuckets::findFilled(CustomerId customer, Instant now)
+{
+    auto it = accounts_.find(customer);
+    if (it == accounts_.end())
+        return nullptr;
+    fill(it->second.requests, now);
+    fill(it->second.tokens, now);
+    return &it->second;
+}
+
 void CeilingBuckets::setBucket(Bucket& bucket, double rate, double burst, bool isNew, Instant now) const
 {
-    // The use in a window that the tolerance allows beyond rate and burst.
-    const double excess = tolerance_.excessFraction * (rate * toSeconds(tolerance_.window) + burst) + (rate > 0 ? tolerance_.slack : 0);
-    const double capacity = burst + ownerExcessFraction * excess;
+    const double excess = tolerance_.excess(rate, burst);
+    const double capacity = burst + CeilingExcessFractions::owner * excess;
     if (isNew) {
-        bucket = { rate, capacity, isSuccessor_ ? successorExcessFraction * excess : capacity, now };
-        return;
+        bucket = {};
+        bucket.level = capacity;
+        bucket.unusedGain = SlidingSum(tolerance_.window);
+        bucket.unusedGain.addEvenly(rate * toSeconds(tolerance_.window), now);
+        bucket.filledAt = now;
+    } else {
+        fill(bucket, now);
+        // What the customer has used counts towards the new ceiling, but a lower one does not leave it in debt.
+        const double used = bucket.capacity - bucket.level + bucket.hiddenUse;
+        bucket.level = std::min(capacity, std::max(std::min(bucket.level, capacity), capacity - used));
+        bucket.hiddenUse = std::max(0.0, used - (capacity - bucket.level));
     }
-    bucket.fill(now);
-    // A higher ceiling is usable immediately; a lower one also truncates the saved-up level.
-    bucket.level = std::min(capacity, bucket.level + std::max(0.0, capacity - bucket.capacity));
     bucket.rate = rate;
     bucket.capacity = capacity;
+    bucket.overdraft = CeilingExcessFractions::overdraft * excess;
 }
 
 void CeilingBuckets::setCeiling(CustomerId customer, const Ceiling& ceiling, Instant now)
 {
     auto [it, isNew] = accounts_.try_emplace(customer);
-    auto burstOf = [&](double rate) { return ceiling.burst > 0 ? ceiling.burst : rate; };
-    setBucket(it->second.requests, ceiling.requestsPerSecond, burstOf(ceiling.requestsPerSecond), isNew, now);
-    setBucket(it->second.tokens, ceiling.tokensPerSecond, burstOf(ceiling.tokensPerSecond), isNew, now);
+    setBucket(it->second.requests, ceiling.requestsPerSecond, ceiling.burstFor(ceiling.requestsPerSecond), isNew, now);
+    setBucket(it->second.tokens, ceiling.tokensPerSecond, ceiling.burstFor(ceiling.tokensPerSecond), isNew, now);
+}
+
+void CeilingBuckets::limitLeft(CustomerId customer, const CeilingAmount& left, Duration age, Instant now)
+{
+    auto* account = findFilled(customer, now);
+    if (!account)
+        return;
+    auto limit = [&](Bucket& bucket, double amount) {
+        bucket.level = std::min(bucket.level, amount + bucket.rate * toSeconds(age));
+        bucket.unusedGain = SlidingSum(tolerance_.window);
+    };
+    limit(account->requests, left.requests);
+    limit(account->tokens, left.tokens);
+}
+
+void CeilingBuckets::limitLeftAfterUnknownUse(CustomerId customer, Instant now)
+{
+    auto* account = findFilled(customer, now);
+    if (!account)
+        return;
+    auto leftOf = [](const Bucket& bucket) { return bucket.overdraft / CeilingExcessFractions::overdraft * CeilingExcessFractions::unknownUse; };
+    limitLeft(customer, { leftOf(account->requests), leftOf(account->tokens) }, Duration(0), now);
+}
+
+void CeilingBuckets::setGainedFraction(double fraction, Instant now)
+{
+    for (auto& [customer, account] : accounts_)
+        findFilled(customer, now);
+    gainedFraction_ = fraction;
+}
+
+void CeilingBuckets::settle(CustomerId customer, double fraction, Duration time, const CeilingAmount& used, Instant now)
+{
+    auto* account = findFilled(customer, now);
+    if (!account)
+        return;
+    auto settleBucket = [&](Bucket& bucket, double amount) {
+        double balance = bucket.rate * fraction * toSeconds(std::min(time, tolerance_.window)) - amount;
+        if (balance >= 0)
+            bucket.gain(balance, now);
+        else
+            bucket.charge(-balance, now);
+    };
+    settleBucket(account->requests, used.requests);
+    settleBucket(account->tokens, used.tokens);
 }
 
 Result<void> CeilingBuckets::debit(CustomerId customer, Tokens tokens, Instant now)
 {
-    auto it = accounts_.find(customer);
-    if (it == accounts_.end())
+    auto* account = findFilled(customer, now);
+    if (!account)
         return fail(ErrorKind::NoOwner, "the ceiling's owner has not received this customer's contract yet");
-    auto& requests = it->second.requests;
-    auto& tokenBucket = it->second.tokens;
-    requests.fill(now);
-    tokenBucket.fill(now);
-    if (requests.rate > 0 && requests.level < 1)
-        return exceeded(ErrorKind::CeilingRequests, "request rate limit exceeded", 1 - requests.level, requests.rate);
-    // The level may go below zero; otherwise a request larger than the burst could never be admitted.
-    if (tokenBucket.rate > 0 && tokenBucket.level <= 0)
-        return exceeded(ErrorKind::CeilingTokens, "token rate limit exceeded", static_cast<double>(tokens.value()) / 2 - tokenBucket.level, tokenBucket.rate);
-    requests.level -= 1;
-    tokenBucket.level -= static_cast<double>(tokens.value());
+    const auto size = static_cast<double>(tokens.value());
+    if (!account->requests.admits(1, now))
+        return exceeded(ErrorKind::CeilingRequests, "request rate limit exceeded", account->requests.reserveReturn(1));
+    if (!account->tokens.admits(size, now))
+        return exceeded(ErrorKind::CeilingTokens, "token rate limit exceeded", account->tokens.reserveReturn(size));
+    account->requests.level -= 1;
+    account->tokens.level -= size;
     return {};
 }
 
 void CeilingBuckets::refund(CustomerId customer, Tokens tokens, Instant now)
 {
-    auto it = accounts_.find(customer);
-    if (it == accounts_.end())
-        return;
-    it->second.requests.fill(now);
-    it->second.tokens.fill(now);
-    it->second.requests.level = std::min(it->second.requests.capacity, it->second.requests.level + 1);
-    it->second.tokens.level = std::min(it->second.tokens.capacity, it->second.tokens.level + static_cast<double>(tokens.value()));
+    charge(customer, { -1, -static_cast<double>(tokens.value()) }, now);
 }
 
-Tokens CeilingBuckets::charge(CustomerId customer, Tokens tokens, Instant now)
+void CeilingBuckets::charge(CustomerId customer, const CeilingAmount& used, Instant now)
 {
-    auto it = accounts_.find(customer);
-    if (it == accounts_.end())
-        return Tokens();
-    auto& bucket = it->second.tokens;
-    bucket.fill(now);
-    auto levelBefore = bucket.level;
-    // Locally admitted use was within the rate at its time, so it consumes only what this bucket gained meanwhile and
-    // never takes the level below zero.
-    bucket.level = std::max(std::min(bucket.level, 0.0), bucket.level - static_cast<double>(tokens.value()));
-    return Tokens(std::llround(levelBefore - bucket.level));
+    auto* account = findFilled(customer, now);
+    if (!account)
+        return;
+    auto chargeTo = [now](Bucket& bucket, double amount) {
+        if (amount < 0)
+            bucket.refund(-amount);
+        else
+            bucket.charge(amount, now);
+    };
+    chargeTo(account->requests, used.requests);
+    chargeTo(account->tokens, used.tokens);
 }
 
-Tokens CeilingBuckets::tokensLeft(CustomerId customer, Instant now) const
+CeilingAmount CeilingBuckets::left(CustomerId customer, Instant now) const
 {
     auto it = accounts_.find(customer);
     if (it == accounts_.end())
-        return Tokens();
-    auto bucket = it->second.tokens;
-    bucket.fill(now);
-    return Tokens(std::llround(bucket.level));
+        return {};
+    auto account = it->second;
+    fill(account.requests, now);
+    fill(account.tokens, now);
+    return { account.requests.level, account.tokens.level };
 }
 
 }
--- a/tests/CeilingClientTest.cpp
+++ b/tests/CeilingClientTest.cpp
@@ -64,8 +64,7 @@
             ManualClock clock;
             MetricRegistry metrics;
             bool hasLease = true;
-            CeilingHost host(
-                NodeId(1), Incarnation(1), [&] { return hasLease; }, metrics, clock.hook());
+            CeilingHost host({ NodeId(1), Incarnation(1) }, metrics, { [&] { return hasLease; }, [] {}, clock.hook() });
             host.onConfigChange(configWith(test.pool));
             if (test.wait > 0s) {
                 clock.now += test.wait - 1ms;
@@ -88,8 +87,7 @@
         runInFiber([](Loop& loop) {
             ManualClock clock;
             MetricRegistry metrics;
-            CeilingHost host(
-                NodeId(1), Incarnation(1), [] { return true; }, metrics, clock.hook());
+            CeilingHost host({ NodeId(1), Incarnation(1) }, metrics, { [] { return true; }, [] {}, clock.hook() });
             auto config = configWith(ceilingPool(Epoch(1), 1));
             host.onConfigChange(config);
             HeartbeatReply reply;
@@ -97,7 +95,7 @@
             ClusterView view;
             view.apply(reply);
             HostTransport transport(host);
-            CeilingClient client(loop, view, transport, metrics, clock.hook());
+            CeilingClient client(loop, { NodeId(2) }, view, transport, metrics, clock.hook());
             for (int i = 0; i < 3; ++i)
                 EXPECT_TRUE(client.admit(limitedContract(), Tokens(10)));
             auto refused = client.admit(limitedContract(), Tokens(10));
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -128,7 +128,7 @@
                 debited += tokens.value();
                 return CeilingVerdict {};
             };
-            hooks.refundCeiling = [this](const Contract&, Tokens tokens) { debited -= tokens.value(); };
+            hooks.refundCeiling = [this](const Contract&, Tokens tokens, CeilingDecider) { debited -= tokens.value(); };
             hooks.recordRequest = [](const std::string&) {};
             hooks.acquireRetry = [this](const std::string&) { return retriesLeft-- > 0; };
             hooks.now = clock.hook();
--- a/tests/support/CeilingFleet.h
+++ b/tests/support/CeilingFleet.h
@@ -54,6 +54,8 @@
             config_.nodes[NodeId(id)].servesCallers = true;
             entries_[id] = std::make_unique<Entry>(*this, id);
             weights_[id] = 1;
+            for (auto& [owner, host] : owners_)
+                host->onEntryConnected(NodeId(id));
         }
         assignCeiling(firstOwner);
     }
@@ -88,30 +90,63 @@
     }
 
     /** Replaces the owner's process by a new one without state. */
-    void restartOwner(uint32_t owner) { startOwner(owner); }
+    void restartOwner(uint32_t owner)
+    {
+        startOwner(owner);
+        for (auto& [id, entry] : entries_) {
+            if (!cutLinks_.contains({ id, owner }))
+                openLink(id, owner);
+        }
+    }
 
     /** Replaces the entry's process by a new one without state. */
     void restartEntry(uint32_t entry)
     {
+        for (auto& [owner, host] : owners_)
+            host->onEntryDisconnected(NodeId(entry));
         entries_[entry] = std::make_unique<Entry>(*this, entry);
         entries_.at(entry)->apply(config_);
+        for (auto& [owner, host] : owners_) {
+            if (!cutLinks_.contains({ entry, owner }))
+                openLink(entry, owner);
+        }
+    }
+
+    /** All processes start again without state, and the other owner gets the ceiling. */
+    void restartAll()
+    {
+        for (uint32_t owner : { firstOwner, secondOwner })
+            restartOwner(owner);
+        for (uint32_t entry = 1; entry <= options_.entries; ++entry)
+            restartEntry(entry);
+        assignCeiling(secondOwner);
     }
 
-    /** A suspended owner does not reply. */
+    /** A suspended owner neither runs nor reads. */
     void setSuspended(uint32_t owner, bool isSuspended)
     {
-        if (isSuspended)
-            suspended_.insert(owner);
-        else
-            suspended_.erase(owner);
+        if (isSuspended) {
+            suspended_.try_emplace(owner, clock_.now);
+            return;
+        }
+        if (suspended_.erase(owner) == 0)
+            return;
+        for (auto& [id, entry] : entries_) {
+            if (!closedLinks_.contains({ id, owner }) || cutLinks_.contains({ id, owner }))
+                continue;
+            owners_.at(owner)->onEntryDisconnected(NodeId(id));
+            openLink(id, owner);
+        }
     }
 
     void setLinkCut(uint32_t entry, uint32_t owner, bool isCut)
     {
-        if (isCut)
+        if (isCut) {
             cutLinks_.try_emplace({ entry, owner }, clock_.now);
-        else
-            cutLinks_.erase({ entry, owner });
+        } else if (cutLinks_.erase({ entry, owner }) > 0) {
+            closeLink(entry, owner);
+            openLink(entry, owner);
+        }
     }
 
     void setOwnerCut(uint32_t owner, bool isCut)
@@ -162,8 +197,12 @@
         {
             if (!isReachable(node))
                 return false;
-            if (fleet_.doesDeliver(self_, node.value()) && type == MessageType::CeilingRefund)
+            if (!fleet_.doesDeliver(self_, node.value()))
+                return true;
+            if (type == MessageType::CeilingRefund)
                 fleet_.owners_.at(node.value())->onRefund(body);
+            else if (type == MessageType::CeilingSync)
+                fleet_.owners_.at(node.value())->onSync(NodeId(self_), body);
             return true;
         }
         void postToEntry(NodeId, MessageType, std::string) override { }
@@ -182,7 +221,7 @@
     struct Entry {
         Entry(CeilingFleet& fleet, uint32_t id)
             : transport(fleet, id)
-            , client(fleet.loop_, view, transport, fleet.metrics_, fleet.clock_.hook())
+            , client(fleet.loop_, { NodeId(id), fleet.options_.tolerance }, view, transport, fleet.metrics_, fleet.clock_.hook())
         {
         }
 
@@ -191,6 +230,7 @@
             HeartbeatReply reply;
             reply.snapshot = config;
             view.apply(reply);
+            client.onConfigChange(view.config());
         }
 
         ClusterView view;
@@ -210,18 +250,42 @@
 
     void startOwner(uint32_t id)
     {
-        owners_[id] = std::make_unique<CeilingHost>(
-            NodeId(id), Incarnation(1), [this, id] { return !suspended_.contains(id); }, metrics_, clock_.hook(), options_.tolerance);
+        CeilingHostHooks hooks { [this, id] { return !suspended_.contains(id); }, [] {}, clock_.hook() };
+        owners_[id] = std::make_unique<CeilingHost>(CeilingHostSettings { NodeId(id), Incarnation(1), options_.tolerance }, metrics_, hooks);
         owners_.at(id)->onConfigChange(config_);
     }
 
     [[nodiscard]] bool doesDeliver(uint32_t entry, uint32_t owner) const { return !suspended_.contains(owner) && !cutLinks_.contains({ entry, owner }); }
 
-    [[nodiscard]] bool isLinkClosed(uint32_t entry, uint32_t owner) const
+    [[nodiscard]] bool isLinkClosed(uint32_t entry, uint32_t owner) const { return closedLinks_.contains({ entry, owner }); }
+
+    void openLink(uint32_t entry, uint32_t owner)
+    {
+        closedLinks_.erase({ entry, owner });
+        owners_.at(owner)->onEntryConnected(NodeId(entry));
+        entries_.at(entry)->client.onOutgoingLinkOpen(NodeId(owner));
+    }
+
+    void closeLink(uint32_t entry, uint32_t owner)
+    {
+        if (closedLinks_.insert({ entry, owner }).second)
+            owners_.at(owner)->onEntryDisconnected(NodeId(entry));
+    }
+
+    void closeIdleLinks()
     {
         constexpr Duration idleTimeout = std::chrono::milliseconds(600);
-        auto cut = cutLinks_.find({ entry, owner });
-        return cut != cutLinks_.end() && clock_.now - cut->second >= idleTimeout;
+        for (const auto& [link, since] : cutLinks_) {
+            if (clock_.now - since >= idleTimeout)
+                closeLink(link.first, link.second);
+        }
+        // A suspended owner learns that its entries have closed their links when it runs again.
+        for (const auto& [owner, since] : suspended_) {
+            if (clock_.now - since < idleTimeout)
+                continue;
+            for (auto& [id, entry] : entries_)
+                closedLinks_.insert({ id, owner });
+        }
     }
 
     void publish()
@@ -251,6 +315,7 @@
     {
         constexpr Duration stepTime = std::chrono::milliseconds(1);
         clock_.now += stepTime;
+        closeIdleLinks();
         double requestsPerSecond = options_.demand * options_.tokensPerSecond / static_cast<double>(options_.meanRequestTokens);
         for (double chance = requestsPerSecond * toSeconds(stepTime); chance > 0; chance -= 1) {
             if (random_.chance(std::min(chance, 1.0)))
@@ -285,7 +350,8 @@
     std::map<uint32_t, double> weights_;
     /** Entry and owner of cut links, and when they were cut. */
     std::map<std::pair<uint32_t, uint32_t>, Instant> cutLinks_;
-    std::set<uint32_t> suspended_;
+    std::set<std::pair<uint32_t, uint32_t>> closedLinks_;
+    std::map<uint32_t, Instant> suspended_;
     TokensAt requested_;
     TokensAt admitted_;
 };
