Log the shared parts of prompts and attempts that break before their first event

The logs named no parts and no crashes, so that requests with a common part could not be told; now admissions name the parts, and pools' owners log and count attempts whose target closed the connection before the first event. Entries tell owners both; no decision uses them yet.

--- a/include/briarhitch/core/Ids.h
+++ b/include/briarhitch/core/Ids.h
@@ -49,6 +49,8 @@
 using RequestId = NumericId<struct RequestIdTag, uint64_t>;
 /** Kind of work for length estimates and floors; a stable hash of its name. */
 using WorkKindId = NumericId<struct WorkKindIdTag, uint32_t>;
+/** A part of a prompt that several requests may share, as its callers name it. */
+using PromptPartId = NumericId<struct PromptPartIdTag, uint64_t>;
 /** One connection between own processes, unique within a process. */
 using LinkId = NumericId<struct LinkIdTag, uint64_t>;
 
@@ -78,6 +80,8 @@
 std::string toString(AttemptId id);
 /** Parses the result of toString(RequestId); an invalid id for any other text. */
 RequestId parseRequestId(const std::string& text);
+/** Hexadecimal, as callers name it. */
+std::string toString(PromptPartId id);
 
 }
 
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -130,6 +130,7 @@
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     void removeRequest(Pool& pool, AttemptId attempt);
+    void logBrokenAttempt(const Pool& pool, const HostedRequest& request) const;
     void applyActions(Pool& pool);
     void applyAction(Pool& pool, const PoolAction& action);
     void sendGrant(const Pool& pool, const HostedRequest& request);
--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -18,7 +18,7 @@
 
 /** A segment of a prompt that other requests may have in common. */
 struct PromptSegment {
-    uint32_t id { 0 };
+    PromptPartId id;
     Tokens tokens;
 };
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -171,12 +171,14 @@
     TargetId migratesFrom;
     /** Availability zone of the entry. */
     std::string zone;
+    /** Parts of the prompt that other requests may have too. */
+    std::vector<PromptPartId> sharedParts;
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, idempotencyKeyHash, expectedOutputTokens,
-            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone);
+            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts);
     }
 };
 
@@ -269,11 +271,13 @@
     Tokens promptTokens;
     Tokens outputTokens;
     uint32_t durationMs { 0 };
+    /** The target closed the connection after the request was sent and before the first event. */
+    bool hasBrokenBeforeFirstEvent { false };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs);
+        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs, hasBrokenBeforeFirstEvent);
     }
 };
 
--- a/src/core/Ids.cpp
+++ b/src/core/Ids.cpp
@@ -5,12 +5,12 @@
 namespace briarhitch {
 
 namespace {
-    constexpr size_t requestIdDigits = 16;
+    constexpr size_t maxHexDigits = 16;
 }
 
 std::string toString(RequestId id)
 {
-    char text[requestIdDigits + 1];
+    char text[maxHexDigits + 1];
     std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(id.value()));
     return text;
 }
@@ -20,9 +20,16 @@
     return toString(id.request) + "-" + std::to_string(id.number);
 }
 
+std::string toString(PromptPartId id)
+{
+    char text[maxHexDigits + 1];
+    std::snprintf(text, sizeof(text), "%llx", static_cast<unsigned long long>(id.value()));
+    return text;
+}
+
 RequestId parseRequestId(const std::string& text)
 {
-    if (text.size() != requestIdDigits || text.find_first_not_of("0123456789abcdef") != std::string::npos)
+    if (text.size() != maxHexDigits || text.find_first_not_of("0123456789abcdef") != std::string::npos)
         return {};
     return RequestId(std::stoull(text, nullptr, 16));
 }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -408,8 +408,12 @@
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
     auto* pool = find(finished.pool);
-    if (!pool || pool->requests.erase(finished.attempt) == 0)
+    auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
+    if (!pool || it == pool->requests.end())
         return;
+    if (finished.hasBrokenBeforeFirstEvent)
+        logBrokenAttempt(*pool, it->second);
+    pool->requests.erase(it);
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
             std::chrono::milliseconds(finished.durationMs), hooks_.now());
@@ -417,6 +421,17 @@
     applyActions(*pool);
 }
 
+void PoolHost::logBrokenAttempt(const Pool& pool, const HostedRequest& request) const
+{
+    const auto* target = findTarget(request.target);
+    auto running = std::count_if(pool.requests.begin(), pool.requests.end(), [&](const auto& entry) { return entry.second.target == request.target; });
+    std::string parts;
+    for (auto part : request.grantRequest.sharedParts)
+        parts += (parts.empty() ? "" : ",") + toString(part);
+    poolLog().event("target broke off before its first event", { { "target", target ? target->name : "" }, { "attempt", toString(request.grantRequest.attempt) }, { "prompt_parts", parts }, { "running", int64_t(running) } });
+    metrics_.count("pool_broken_attempts_total", "pool=\"" + pool.assignment.name + "\"");
+}
+
 void PoolHost::onLoadReport(const LoadReport& report)
 {
     auto* pool = find(report.pool);
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -4,6 +4,7 @@
 #include "briarhitch/metrics/MetricRegistry.h"
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <algorithm>
 #include <utility>
 
@@ -30,11 +31,26 @@
         for (const auto& segment : segments) {
             auto count = 1 + segment.tokens.value() / blockTokens;
             for (int64_t i = 0; i < count && blocks.size() < maxBlocks; ++i)
-                blocks.push_back(segment.id + static_cast<uint32_t>(i));
+                blocks.push_back(static_cast<uint32_t>(segment.id.value() + static_cast<uint64_t>(i)));
         }
         return blocks;
     }
 
+    /** The parts that other requests may have too; the last one belongs to the request or its session. */
+    std::vector<PromptPartId> sharedParts(const std::vector<PromptSegment>& segments)
+    {
+        constexpr size_t maxParts = 32;
+        std::vector<PromptPartId> parts;
+        for (size_t i = 0; i + 1 < segments.size() && parts.size() < maxParts; ++i)
+            parts.push_back(segments[i].id);
+        return parts;
+    }
+
+    std::string joinedText(const std::vector<PromptPartId>& parts)
+    {
+        return absl::StrJoin(parts, ",", [](std::string* text, PromptPartId part) { text->append(toString(part)); });
+    }
+
 }
 
 RoutedRequestRun::RoutedRequestRun(RoutedRequestRunner& runner, const RoutedRequest& request, HttpExchange& exchange)
@@ -85,7 +101,7 @@
     service_ = routes_->findService(chooseService(*route_, runner_.randomFraction()));
     setDeadlines();
     auto admitted = debitCeiling();
-    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
+    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
     return admitted;
 }
 
@@ -189,6 +205,7 @@
     grantRequest.maxOutputTokens = request_.maxOutputTokens;
     grantRequest.expectedOutputTokens = request_.expectedOutputTokens.value_or(Tokens());
     grantRequest.prefix = prefixBlocks(request_.prefix);
+    grantRequest.sharedParts = sharedParts(request_.prefix);
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
     if (!isStreamStarted_ && route_->objectiveMs > 0)
@@ -283,6 +300,7 @@
     sentAt_ = now();
     attemptEvents_ = 0;
     hasFirstEvent_ = false;
+    hasBrokenBeforeFirstEvent_ = false;
     auto settings = callSettings(target);
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
     settings.onSending = [sending](const std::shared_ptr<HttpCall>& call) { *sending = call; };
@@ -304,7 +322,7 @@
         count("routed_unsent_total", "reason", "connect");
     } else {
         ++sentAttempts_;
-        failure = callerState_->isDisconnected ? endForDisconnectedCaller() : failAttempt(response.error(), AttemptOutcome::Failed);
+        failure = callerState_->isDisconnected ? endForDisconnectedCaller() : failBrokenAttempt(response.error());
     }
     callerState_->onDisconnect = nullptr;
     return failure;
@@ -368,6 +386,13 @@
     return { std::move(error) };
 }
 
+RoutedRequestRun::Failure RoutedRequestRun::failBrokenAttempt(Error error)
+{
+    // A target that has ended closes its connections; one that is slow or hangs does not.
+    hasBrokenBeforeFirstEvent_ = !hasFirstEvent_ && error.kind == ErrorKind::TargetFailed;
+    return failAttempt(std::move(error), AttemptOutcome::Failed);
+}
+
 RoutedRequestRun::Failure RoutedRequestRun::endForDisconnectedCaller()
 {
     recordEvent("caller left", {}, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
@@ -390,6 +415,7 @@
     finished.promptTokens = request_.promptTokens.value_or(Tokens());
     finished.outputTokens = Tokens(static_cast<int64_t>(attemptEvents_ * service_->tokensPerEvent));
     finished.durationMs = clampMs(now() - sentAt_);
+    finished.hasBrokenBeforeFirstEvent = hasBrokenBeforeFirstEvent_;
     runner_.pools.reportFinished(finished);
 }
 
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -69,6 +69,8 @@
 
     // End of an attempt or of the request.
     Failure failAttempt(Error error, AttemptOutcome outcome);
+    /** For an attempt whose connection has broken or is silent. */
+    Failure failBrokenAttempt(Error error);
     Failure endForDisconnectedCaller();
     void finishAttempt(AttemptOutcome outcome);
     void refuse(Error error);
@@ -113,6 +115,8 @@
     Instant lastEventAt_;
     Duration longestGap_ { 0 };
     bool hasFirstEvent_ { false };
+    /** The connection of the current attempt broke after the request was sent and before the first event. */
+    bool hasBrokenBeforeFirstEvent_ { false };
     bool isStreamStarted_ { false };
     std::optional<uint64_t> lastEventId_;
     uint64_t attemptEvents_ { 0 };
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -61,7 +61,7 @@
             response.cancel();
             if (migrationGrant_)
                 return resumeAfterMigration();
-            auto failure = failAttempt(chunk.error(), AttemptOutcome::Failed);
+            auto failure = failBrokenAttempt(chunk.error());
             return otherGrant ? resumeOn(*otherGrant) : failure;
         }
         if (!*chunk)
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -54,6 +54,7 @@
         { "entry_streams_cut_off_total", "Streams that broke off before their end." },
         { "entry_tokens_total", "Tokens of completed requests, by direction." },
         { "entry_waiting_for_grant", "Requests that wait for a target." },
+        { "pool_broken_attempts_total", "Attempts whose target closed the connection after the request was sent and before its first event, by pool." },
         { "pool_owned", "Pools that this entry owns." },
         { "pool_queued", "Requests that wait in an owned pool, by pool and tier." },
         { "pool_rate_limit_held", "Requests that wait in an owned pool while a target has a free slot but its rate limit allows no request." },
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -122,7 +122,7 @@
         EXPECT_EQ(request.maxOutputTokens, Tokens(80));
         EXPECT_EQ(request.expectedOutputTokens, Tokens(60));
         ASSERT_EQ(request.prefix.size(), 2u);
-        EXPECT_EQ(request.prefix[0].id, 0x5c1e07a2u);
+        EXPECT_EQ(request.prefix[0].id, PromptPartId(0x5c1e07a2));
         EXPECT_EQ(request.lastEventId, 5u);
     }
 
