--- a/tests/support/PoolFleet.h
+++ b/tests/support/PoolFleet.h
@@ -23,6 +23,8 @@
     /** From a request's arrival at its target to the response. */
     Duration serviceTime { std::chrono::milliseconds(60) };
     double requestsPerSecond { 60 };
+    /** Parts of prompts that requests share besides the first, which all have; 0: requests have no parts. */
+    uint32_t subjects { 0 };
     uint64_t seed { 1 };
 };
 
@@ -85,6 +87,30 @@
             namedLimits_[target] = RequestRate(*requestsPerSecond);
     }
 
+    /** Fraction of the requests that have the deadly part, which crashes each target that begins to answer them. */
+    void setDeadlyFraction(double fraction) { deadlyFraction_ = fraction; }
+
+    /** The target ends, closes its connections, and is back after a while. */
+    void crashTarget(uint32_t target)
+    {
+        constexpr Duration downTime = std::chrono::milliseconds(3200);
+        downUntil_[target] = clock_.now + downTime;
+        auto running = std::move(running_);
+        running_.clear();
+        for (const auto& request : running) {
+            if (request.grant.target == TargetId(target))
+                breakOff(request);
+            else
+                running_.push_back(request);
+        }
+    }
+
+    /** Requests with the deadly part that reached a target from this time on. */
+    [[nodiscard]] size_t deadlyArrivals(Instant from) const
+    {
+        return static_cast<size_t>(std::count_if(deadlyArrivals_.begin(), deadlyArrivals_.end(), [&](Instant time) { return time >= from; }));
+    }
+
     void setRequestsPerSecond(double rate) { options_.requestsPerSecond = rate; }
 
     /** Gives the pool to this owner, with a new epoch. The previous owner's lease has ended. */
@@ -180,8 +206,16 @@
 
     size_t answered { 0 };
     std::vector<Error> refusals;
+    /** When targets ended by a request with the deadly part. */
+    std::vector<Instant> deadlyCrashes;
+    /** Requests without the deadly part, and those whose first attempt a target began to answer. */
+    size_t soundRequests { 0 };
+    size_t soundStartedFirst { 0 };
 
 private:
+    static constexpr PromptPartId firstPart { 1 };
+    static constexpr PromptPartId deadlyPart { 666 };
+
     class Transport : public NodeTransport {
     public:
         Transport(PoolFleet& fleet, uint32_t self)
@@ -255,10 +289,15 @@
     };
 
     struct RunningRequest {
+        Instant startsAt;
         Instant finishesAt;
         uint32_t entry { 0 };
         Grant grant;
         Instant sentAt;
+        GrantRequest request;
+        bool isStarted { false };
+
+        [[nodiscard]] bool isDeadly() const { return std::find(request.sharedParts.begin(), request.sharedParts.end(), deadlyPart) != request.sharedParts.end(); }
     };
 
     static bool isOwner(uint32_t node) { return node >= firstOwner; }
@@ -348,8 +387,15 @@
     {
         auto running = std::move(running_);
         running_.clear();
+        std::set<uint32_t> crashed;
         for (auto& request : running) {
-            if (request.finishesAt > clock_.now || suspended_.contains(request.entry)) {
+            if (request.startsAt <= clock_.now && !request.isStarted && !suspended_.contains(request.entry)) {
+                if (request.isDeadly())
+                    crashed.insert(request.grant.target.value());
+                else
+                    start(request);
+            }
+            if (request.finishesAt > clock_.now || suspended_.contains(request.entry) || request.isDeadly()) {
                 running_.push_back(request);
                 continue;
             }
@@ -357,13 +403,40 @@
             auto& client = entries_.at(request.entry)->client;
             auto limit = namedLimits_.find(request.grant.target.value());
             client.reportRateLimit(pool_, { request.grant.target, limit == namedLimits_.end() ? std::nullopt : std::optional(limit->second), request.sentAt });
-            client.reportStarted({ pool_, request.grant.attempt, clampMs(options_.serviceTime) });
             AttemptFinished finished;
             finished.pool = pool_;
             finished.attempt = request.grant.attempt;
             finished.durationMs = clampMs(options_.serviceTime);
             client.reportFinished(finished);
         }
+        for (uint32_t target : crashed) {
+            deadlyCrashes.push_back(clock_.now);
+            crashTarget(target);
+        }
+    }
+
+    void start(RunningRequest& request)
+    {
+        request.isStarted = true;
+        soundStartedFirst += request.grant.attempt.number == 1 ? 1 : 0;
+        entries_.at(request.entry)->client.reportStarted({ pool_, request.grant.attempt, clampMs(clock_.now - request.sentAt) });
+    }
+
+    void breakOff(const RunningRequest& request)
+    {
+        AttemptFinished finished;
+        finished.pool = pool_;
+        finished.attempt = request.grant.attempt;
+        finished.outcome = AttemptOutcome::Failed;
+        finished.durationMs = clampMs(clock_.now - request.sentAt);
+        finished.hasBrokenBeforeFirstEvent = !request.isStarted;
+        entries_.at(request.entry)->client.reportFinished(finished);
+        if (request.isStarted || request.grant.attempt.number > 1)
+            return;
+        auto retry = request.request;
+        ++retry.attempt.number;
+        retry.excluded.push_back(request.grant.target);
+        send(request.entry, retry);
     }
 
     /** True if there was any request to start or to give up. */
@@ -414,6 +487,18 @@
         request.deadlineMs = clampMs(timeout);
         request.objectiveMs = 300;
         request.responseMs = clampMs(timeout);
+        if (options_.subjects > 0) {
+            constexpr uint64_t firstSubject = 1000;
+            bool isDeadly = random_.chance(deadlyFraction_);
+            soundRequests += isDeadly ? 0 : 1;
+            request.sharedParts = { firstPart, isDeadly ? deadlyPart : PromptPartId(firstSubject + random_.below(options_.subjects)) };
+        }
+        send(entry, request);
+    }
+
+    void send(uint32_t entry, const GrantRequest& request)
+    {
+        constexpr Duration timeout = std::chrono::milliseconds(2500);
         waiting_[request.attempt] = { entry, clock_.now + timeout };
         loop_.spawn([this, entry, request] {
             auto grant = entries_.at(entry)->client.acquire(request, clock_.now + std::chrono::hours(1));
@@ -422,8 +507,24 @@
                 refusals.push_back(grant.error());
                 return;
             }
-            arrivals_[grant->target.value()].push_back(clock_.now);
-            running_.push_back({ clock_.now + options_.serviceTime, entry, *grant, clock_.now });
+            auto target = grant->target.value();
+            if (downUntil_.contains(target) && downUntil_.at(target) > clock_.now) {
+                AttemptFinished finished;
+                finished.pool = pool_;
+                finished.attempt = grant->attempt;
+                finished.outcome = AttemptOutcome::Unreachable;
+                entries_.at(entry)->client.reportFinished(finished);
+                auto again = request;
+                again.excluded.push_back(grant->target);
+                send(entry, again);
+                return;
+            }
+            arrivals_[target].push_back(clock_.now);
+            // Without parts, the first event is the whole response.
+            auto startTime = options_.subjects > 0 ? options_.serviceTime / 2 : options_.serviceTime;
+            running_.push_back({ clock_.now + startTime, clock_.now + options_.serviceTime, entry, *grant, clock_.now, request });
+            if (running_.back().isDeadly())
+                deadlyArrivals_.push_back(clock_.now);
         });
     }
 
@@ -462,6 +563,9 @@
     std::map<AttemptId, WaitingRequest> waiting_;
     std::map<uint32_t, RequestRate> namedLimits_;
     std::map<uint32_t, std::vector<Instant>> arrivals_;
+    double deadlyFraction_ { 0 };
+    std::map<uint32_t, Instant> downUntil_;
+    std::vector<Instant> deadlyArrivals_;
 };
 
 }
