Block prompt parts that crash the targets which begin to answer them

Cause: targets were judged by the outcomes of requests, requests never by the ends of targets; each new request with the part went, as a first attempt, to the next free target.

Change: pools' owners count for each shared part the targets that closed the connection before the first event, and forget it when a target begins to answer. A part is blocked after two such crashes, or five over two seconds if it was answered shortly before; owners try it with one request at a time, on the target where the fewest run, after 1, 4, 15 and 60 s and twice as long each time. Entries learn what is blocked, refuse it at once, and tell new owners that and what they saw (docs/design.md, 6.10). A stream that ends with its connection without an event counts as broken.

Ruled out: retries within the system and clients' repeats as the cause (all broken attempts are first ones).

--- a/include/briarhitch/core/Error.h
+++ b/include/briarhitch/core/Error.h
@@ -36,6 +36,7 @@
     RunInProgress,
     OutcomeUnknown,
     RecordStoreFull,
+    SuspectPrompt,
     TargetRefused,
     TargetFailed,
     TargetTimeout,
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -4,6 +4,7 @@
 #include "briarhitch/entry/OwnerRateLimits.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/SuspectParts.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -80,6 +81,7 @@
         std::set<NodeId> awaitedSyncs;
         std::map<AttemptId, HostedRequest> requests;
         std::vector<RecentAttempt> recentAttempts;
+        SuspectParts suspectParts;
         /** Null during the takeover and while this node has no lease. */
         std::unique_ptr<PoolScheduler> scheduler;
         bool isApplyingActions { false };
@@ -131,6 +133,12 @@
     void onPoolRelease(NodeId from, const PoolRelease& release);
     void removeRequest(Pool& pool, AttemptId attempt);
     void logBrokenAttempt(const Pool& pool, const HostedRequest& request) const;
+    /** Hands a request to the scheduler, unless a part of its prompt is blocked. */
+    void submit(Pool& pool, AttemptId attempt);
+    void refuse(Pool& pool, AttemptId attempt, const PartBlock& block);
+    /** Logs the verdicts, tells all entries, and refuses queued requests with blocked parts. */
+    void applyVerdicts(Pool& pool, const std::vector<PartVerdict>& verdicts);
+    void mergeSuspectParts(Pool& pool, const PoolSync& sync);
     void applyActions(Pool& pool);
     void applyAction(Pool& pool, const PoolAction& action);
     void sendGrant(const Pool& pool, const HostedRequest& request);
--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -45,6 +45,8 @@
     std::vector<TargetId> excluded;
     /** Stable hash of customer and idempotency key; zero without a key. */
     uint64_t idempotencyKeyHash { 0 };
+    /** It may crash its target, so it goes where the fewest requests run. */
+    bool mayCrashTarget { false };
 };
 
 struct PoolGrant {
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -4,6 +4,7 @@
 #include "briarhitch/core/Error.h"
 #include "briarhitch/core/NodeAddress.h"
 #include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/model/PartState.h"
 #include "briarhitch/model/RunRecord.h"
 #include "briarhitch/wire/EncodedConfig.h"
 
@@ -40,6 +41,7 @@
     HeartbeatSolicitation = 24,
     TargetRateLimitNotice = 25,
     CeilingSync = 26,
+    SuspectPartNotice = 27,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -338,6 +340,36 @@
     }
 };
 
+/** A target that ended before it began to answer a request with a certain part, and how long ago. */
+struct PartCrashReport {
+    TargetId target;
+    uint32_t ageMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(target, ageMs);
+    }
+};
+
+/** Owner to entries, and entry to new owner in PoolSync: what is believed of a part of prompts. */
+struct SuspectPartNotice {
+    PoolId pool;
+    PromptPartId part;
+    PartState state { PartState::Suspected };
+    /** All crashes that count against it; the latest are listed. */
+    uint32_t crashes { 0 };
+    std::vector<PartCrashReport> evidence;
+    /** Of a blocked part: time until a trial. */
+    uint32_t blockedMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, part, state, crashes, evidence, blockedMs);
+    }
+};
+
 /**
  * Entry to the new owner of a pool: all attempts that this entry has running in the pool; sent even if there are none.
  */
@@ -348,11 +380,13 @@
     std::vector<RecentAttempt> recent;
     /** What the entry knows of the targets' rate limits. */
     std::vector<TargetRateLimitNotice> rateLimits;
+    /** What the entry knows of prompt parts that may crash targets. */
+    std::vector<SuspectPartNotice> suspectParts;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, epoch, running, recent, rateLimits);
+        visit(pool, epoch, running, recent, rateLimits, suspectParts);
     }
 };
 
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -36,6 +36,7 @@
         { ErrorKind::RunInProgress, "run_in_progress", 409, Ran::Unknown, 1s },
         { ErrorKind::OutcomeUnknown, "outcome_unknown", 502, Ran::Unknown, std::nullopt },
         { ErrorKind::RecordStoreFull, "record_store_full", 503, Ran::No, 30s },
+        { ErrorKind::SuspectPrompt, "suspect_prompt", 503, Ran::No, 30s },
         { ErrorKind::TargetRefused, "target_refused", 503, Ran::No, 2s },
         { ErrorKind::TargetFailed, "target_failed", 502, Ran::Unknown, 2s },
         { ErrorKind::TargetTimeout, "target_timeout", 504, Ran::Unknown, 2s },
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -1,9 +1,11 @@
 #include "briarhitch/entry/PoolClient.h"
 
 #include "briarhitch/core/Digest.h"
+#include "briarhitch/core/Log.h"
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "entry/PoolRequests.h"
+#include "entry/SuspectPartNotices.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -112,8 +114,11 @@
         return tl::unexpected(missingOwnerError());
     auto pending = std::make_shared<PendingRequest>(loop_, request, deadline);
     pending->requestedAt = now_();
+    bool isLocal = mustSelectLocally(state);
+    if (auto block = findBlock(request, isLocal))
+        return tl::unexpected(makeRefusalError(ErrorKind::SuspectPrompt, blockReason(*block), blockRetryAfter(*block)));
     pending_[request.attempt] = pending;
-    if (mustSelectLocally(state))
+    if (isLocal)
         submitLocally(*pending);
     else
         sendRequest(*pending);
@@ -166,6 +171,9 @@
     if (it == running_.end())
         return;
     it->second.started = true;
+    const auto& parts = it->second.request.sharedParts;
+    logVerdicts(started.pool, ownSuspectParts_[started.pool].recordStart(parts, now_()));
+    ownersSuspectParts_[started.pool].recordStart(parts, now_());
     if (localAttempts_.contains(started.attempt)) {
         localScheduler(started.pool).attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
         applyLocalActions(started.pool);
@@ -179,6 +187,8 @@
     if (it == running_.end())
         return;
     recordRecentAttempt(it->second.request, it->second.target);
+    if (finished.hasBrokenBeforeFirstEvent)
+        logVerdicts(finished.pool, ownSuspectParts_[finished.pool].recordBreak(it->second.request.sharedParts, it->second.target, now_()));
     running_.erase(it);
     if (localAttempts_.erase(finished.attempt) > 0) {
         localScheduler(finished.pool).attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens, std::chrono::milliseconds(finished.durationMs), now_());
@@ -279,6 +289,12 @@
         auto notice = decode<TargetAvailabilityNotice>(body);
         if (notice && notice->isLeaving)
             recordRestriction({ notice->pool, notice->target, true, 0 });
+    } else if (type == MessageType::SuspectPartNotice) {
+        if (auto notice = decode<SuspectPartNotice>(body)) {
+            ownersSuspectParts_[notice->pool].merge(toVerdict(*notice, now_()), now_());
+            if (notice->state == PartState::Cleared)
+                ownSuspectParts_[notice->pool].merge(toVerdict(*notice, now_()), now_());
+        }
     } else if (type == MessageType::TargetRateLimitNotice) {
         auto notice = decode<TargetRateLimitNotice>(body);
         auto target = notice ? view_.config().targets.find(notice->target) : view_.config().targets.end();
@@ -378,7 +394,11 @@
 void PoolClient::sendPoolSync(PoolId pool)
 {
     dropExpiredAttempts();
-    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()) };
+    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {} };
+    for (const auto* parts : { &ownersSuspectParts_[pool], &ownSuspectParts_[pool] }) {
+        for (const auto& verdict : parts->verdicts(now_()))
+            message.suspectParts.push_back(toNotice(pool, verdict, now_()));
+    }
     for (const auto& [attempt, running] : running_) {
         if (running.request.pool == pool)
             message.running.push_back(running);
@@ -439,6 +459,10 @@
 void PoolClient::checkOwners()
 {
     restrictions_.tick(now_());
+    for (auto* pools : { &ownersSuspectParts_, &ownSuspectParts_ }) {
+        for (auto& [pool, parts] : *pools)
+            parts.tick(now_());
+    }
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
@@ -517,11 +541,39 @@
     scheduler.setTargets(targets, now_());
 }
 
+std::optional<PartBlock> PoolClient::findBlock(const GrantRequest& request, bool isLocal) const
+{
+    auto now = now_();
+    auto told = ownersSuspectParts_.find(request.pool);
+    if (!isLocal)
+        return told == ownersSuspectParts_.end() ? std::nullopt : told->second.findBlock(request.sharedParts, now);
+    // Only owners try blocked parts; entries without an owner would each crash targets of their own.
+    for (const auto* pools : { &ownersSuspectParts_, &ownSuspectParts_ }) {
+        auto known = pools->find(request.pool);
+        if (auto block = known == pools->end() ? std::nullopt : known->second.findBlockWithoutTrial(request.sharedParts, now))
+            return block;
+    }
+    return std::nullopt;
+}
+
+void PoolClient::logVerdicts(PoolId pool, const std::vector<PartVerdict>& verdicts) const
+{
+    static const Log log("pool:");
+    for (const auto& verdict : verdicts)
+        log.event("prompt part " + std::string(toString(verdict.state)) + " by this entry", { { "pool", int64_t(pool.value()) }, { "part", toString(verdict.part) }, { "crashes", int64_t(verdict.crashes) } });
+}
+
 void PoolClient::submitLocally(PendingRequest& pending)
 {
     auto pool = pending.grantRequest.pool;
+    if (auto block = findBlock(pending.grantRequest, true)) {
+        pending.decide(tl::unexpected(makeRefusalError(ErrorKind::SuspectPrompt, blockReason(*block), blockRetryAfter(*block))));
+        return;
+    }
     localAttempts_.insert(pending.grantRequest.attempt);
-    localScheduler(pool).submit(toPoolRequest(prepareRequest(pending), pending.deadline, now_()), now_());
+    auto request = toPoolRequest(prepareRequest(pending), pending.deadline, now_());
+    request.mayCrashTarget = ownSuspectParts_[pool].hasSuspect(pending.grantRequest.sharedParts);
+    localScheduler(pool).submit(std::move(request), now_());
     applyLocalActions(pool);
 }
 
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "entry/PoolRequests.h"
+#include "entry/SuspectPartNotices.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -202,10 +203,13 @@
         if (request.target.isValid())
             pool.scheduler->restore(toPoolRequest(request.grantRequest, request.deadline, now), request.target, request.isStarted, now);
     }
+    std::vector<AttemptId> waiting;
     for (const auto& [attempt, request] : pool.requests) {
         if (!request.target.isValid())
-            pool.scheduler->submit(toPoolRequest(request.grantRequest, request.deadline, now), now);
+            waiting.push_back(attempt);
     }
+    for (auto attempt : waiting)
+        submit(pool, attempt);
     poolLog().info("Granting requests for pool " + pool.assignment.name + " with epoch " + std::to_string(pool.assignment.epoch.value()) + ".");
     applyActions(pool);
 }
@@ -313,7 +317,7 @@
     request.deadline = hooks_.now() + std::chrono::milliseconds(grantRequest.deadlineMs);
     if (!pool.scheduler)
         return;
-    pool.scheduler->submit(toPoolRequest(grantRequest, request.deadline, hooks_.now()), hooks_.now());
+    submit(pool, grantRequest.attempt);
     applyActions(pool);
     if (auto waiting = pool.requests.find(grantRequest.attempt); waiting != pool.requests.end() && !waiting->second.target.isValid())
         transport_.postToEntry(from, MessageType::GrantQueued, encode(GrantQueued { grantRequest.pool, grantRequest.attempt }));
@@ -326,6 +330,7 @@
     if (sync.epoch < pool.assignment.epoch)
         return;
     mergeRateLimits(from, sync);
+    mergeSuspectParts(pool, sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -385,8 +390,79 @@
     applyActions(*pool);
 }
 
+void PoolHost::submit(Pool& pool, AttemptId attempt)
+{
+    const auto& request = pool.requests.at(attempt);
+    const auto& parts = request.grantRequest.sharedParts;
+    auto now = hooks_.now();
+    if (auto block = pool.suspectParts.findBlock(parts, now)) {
+        refuse(pool, attempt, *block);
+        return;
+    }
+    if (pool.suspectParts.needsTrial(parts)) {
+        pool.suspectParts.beginTrial(parts, attempt, now);
+        poolLog().event("prompt part on trial", { { "pool", pool.assignment.name }, { "attempt", toString(attempt) } });
+    }
+    auto poolRequest = toPoolRequest(request.grantRequest, request.deadline, now);
+    poolRequest.mayCrashTarget = pool.suspectParts.hasSuspect(parts);
+    pool.scheduler->submit(std::move(poolRequest), now);
+}
+
+void PoolHost::refuse(Pool& pool, AttemptId attempt, const PartBlock& block)
+{
+    auto it = pool.requests.find(attempt);
+    GrantRefusal message { pool.assignment.id, attempt, ErrorKind::SuspectPrompt, clampMs(blockRetryAfter(block)), blockReason(block) };
+    auto entry = it->second.entry;
+    pool.requests.erase(it);
+    metrics_.count("pool_suspect_part_refusals_total", "pool=\"" + pool.assignment.name + "\"");
+    transport_.postToEntry(entry, MessageType::GrantRefusal, encode(message));
+}
+
+void PoolHost::applyVerdicts(Pool& pool, const std::vector<PartVerdict>& verdicts)
+{
+    auto now = hooks_.now();
+    for (const auto& verdict : verdicts) {
+        std::string targets;
+        for (const auto& crash : verdict.evidence) {
+            const auto* target = findTarget(crash.target);
+            targets += (targets.empty() ? "" : ",") + (target ? target->name : std::to_string(crash.target.value()));
+        }
+        poolLog().event("prompt part " + std::string(toString(verdict.state)), { { "pool", pool.assignment.name }, { "part", toString(verdict.part) }, { "crashes", int64_t(verdict.crashes) }, { "targets", targets }, { "blocked_ms", toMs(verdict.blockedFor) } });
+        metrics_.count("pool_part_verdicts_total", "state=\"" + std::string(toString(verdict.state)) + "\"");
+        if (verdict.state == PartState::Suspected)
+            continue;
+        for (NodeId entry : connectedEntries_)
+            transport_.postToEntry(entry, MessageType::SuspectPartNotice, encode(toNotice(pool.assignment.id, verdict, now)));
+    }
+    std::vector<std::pair<AttemptId, PartBlock>> blocked;
+    for (const auto& [attempt, request] : pool.requests) {
+        auto block = request.target.isValid() || verdicts.empty() ? std::nullopt : pool.suspectParts.findBlock(request.grantRequest.sharedParts, now);
+        if (block)
+            blocked.emplace_back(attempt, *block);
+    }
+    for (const auto& [attempt, block] : blocked) {
+        if (pool.scheduler)
+            pool.scheduler->cancel(attempt, now);
+        refuse(pool, attempt, block);
+    }
+}
+
+void PoolHost::mergeSuspectParts(Pool& pool, const PoolSync& sync)
+{
+    std::vector<PartVerdict> changed;
+    for (const auto& notice : sync.suspectParts) {
+        bool wasBlocked = pool.suspectParts.needsTrial({ notice.part });
+        auto verdict = pool.suspectParts.merge(toVerdict(notice, hooks_.now()), hooks_.now());
+        if (verdict && !wasBlocked)
+            changed.push_back(std::move(*verdict));
+    }
+    applyVerdicts(pool, changed);
+}
+
 void PoolHost::removeRequest(Pool& pool, AttemptId attempt)
 {
+    if (auto it = pool.requests.find(attempt); it != pool.requests.end())
+        pool.suspectParts.endTrial(it->second.grantRequest.sharedParts, attempt, hooks_.now());
     if (pool.requests.erase(attempt) > 0 && pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
 }
@@ -400,6 +476,7 @@
     if (it == pool->requests.end())
         return;
     it->second.isStarted = true;
+    applyVerdicts(*pool, pool->suspectParts.recordStart(it->second.grantRequest.sharedParts, hooks_.now()));
     if (pool->scheduler)
         pool->scheduler->attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), hooks_.now());
     applyActions(*pool);
@@ -411,9 +488,15 @@
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
         return;
-    if (finished.hasBrokenBeforeFirstEvent)
-        logBrokenAttempt(*pool, it->second);
+    auto request = std::move(it->second);
     pool->requests.erase(it);
+    const auto& parts = request.grantRequest.sharedParts;
+    if (finished.hasBrokenBeforeFirstEvent) {
+        logBrokenAttempt(*pool, request);
+        applyVerdicts(*pool, pool->suspectParts.recordBreak(parts, request.target, hooks_.now()));
+    } else {
+        pool->suspectParts.endTrial(parts, finished.attempt, hooks_.now());
+    }
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
             std::chrono::milliseconds(finished.durationMs), hooks_.now());
@@ -567,6 +650,7 @@
     if (it == pool.requests.end())
         return;
     auto entry = it->second.entry;
+    pool.suspectParts.endTrial(it->second.grantRequest.sharedParts, refusal.attempt, hooks_.now());
     if (refusal.isForRateLimit)
         metrics_.count("pool_rate_limit_refusals_total", "pool=\"" + pool.assignment.name + "\"");
     pool.requests.erase(it);
@@ -585,6 +669,12 @@
     connectedEntries_.insert(node);
     disconnectedSince_.erase(node);
     rateLimits_.setConnected(node, true, hooks_.now());
+    for (const auto& [id, pool] : pools_) {
+        for (const auto& verdict : pool.suspectParts.verdicts(hooks_.now())) {
+            if (verdict.state == PartState::Blocked)
+                transport_.postToEntry(node, MessageType::SuspectPartNotice, encode(toNotice(id, verdict, hooks_.now())));
+        }
+    }
     for (const auto& target : targets_) {
         if (!find(target.pool))
             continue;
@@ -646,6 +736,7 @@
             continue;
         }
         activateIfReady(pool);
+        pool.suspectParts.tick(now);
         if (pool.scheduler)
             pool.scheduler->tick(now);
         applyActions(pool);
@@ -678,6 +769,7 @@
         ++count;
     }
     auto labels = "pool=\"" + pool.assignment.name + "\"";
+    metrics_.setGauge("pool_blocked_prompt_parts", labels, static_cast<double>(pool.suspectParts.blockedCount()));
     metrics_.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
     metrics_.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
     metrics_.setGauge("pool_rate_limit_held", labels, static_cast<double>(stats.heldByRateLimit));
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -215,9 +215,10 @@
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::endStream(const std::string& rest)
 {
     ran_ = Ran::Yes;
-    finishAttempt(AttemptOutcome::Completed);
+    // A stream without a length ends with its connection, also when the target crashes.
     if (!isStreamStarted_)
-        return Failure { makeError(ErrorKind::TargetFailed, "the target's stream ended without an event") };
+        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended without an event"));
+    finishAttempt(AttemptOutcome::Completed);
     bool isDelivered = (rest.empty() || exchange_.write(rest)) && exchange_.endStream();
     outcome_ = absl::StrCat("stream of ", attemptEvents_, " events");
     if (!isDelivered)
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -570,10 +570,23 @@
     return best;
 }
 
+SlotTarget* SlotScheduler::selectLeastUsedTarget(const RequestRecord& record, Instant now)
+{
+    SlotTarget* best = nullptr;
+    for (auto& [id, target] : targets_) {
+        bool isUsable = hasFreeSlot(target, now) && isEligible(record, target);
+        if (isUsable && (!best || target.running < best->running))
+            best = &target;
+    }
+    return best;
+}
+
 SlotTarget* SlotScheduler::selectTarget(const RequestRecord& record, Instant now)
 {
     if (record.request.migratesFrom.isValid())
         return selectFasterTarget(record, now);
+    if (record.request.mayCrashTarget)
+        return selectLeastUsedTarget(record, now);
     SlotTarget* best = nullptr;
     Placement bestPlacement;
     double neededTokens = static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -116,6 +116,8 @@
     void grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now);
     void countTowardsRateLimits(const RequestRecord& record, Instant now);
     SlotTarget* selectTarget(const RequestRecord& record, Instant now);
+    /** The target with the fewest running requests; nullptr if none has a free slot. */
+    SlotTarget* selectLeastUsedTarget(const RequestRecord& record, Instant now);
     /** A target with a free slot that is much faster than the one that runs the request; nullptr if there is none. */
     SlotTarget* selectFasterTarget(const RequestRecord& record, Instant now);
     void updateRanks(Instant now);
--- a/tests/PoolHostTest.cpp
+++ b/tests/PoolHostTest.cpp
@@ -112,7 +112,7 @@
         void requestGrant(uint32_t from, uint64_t request, uint64_t link = 1) { send(from, MessageType::GrantRequest, grantRequestFor(request), link); }
         void sync(uint32_t from, const std::vector<uint64_t>& running, uint64_t link = 1, Epoch epoch = Epoch(2))
         {
-            PoolSync message { PoolId(10), epoch, {}, {}, {} };
+            PoolSync message { PoolId(10), epoch, {}, {}, {}, {} };
             for (auto request : running)
                 message.running.push_back({ grantRequestFor(request), TargetId(1), false });
             send(from, MessageType::PoolSync, message, link);
--- a/tests/SuspectPartsFleetTest.cpp
+++ b/tests/SuspectPartsFleetTest.cpp
@@ -42,5 +42,64 @@
         });
     }
 
+    // The same with other fractions of deadly requests, and beside changes of the owner, cuts, restarts and other crashes.
+    TEST(SuspectPartsFleetTest, BoundHoldsUnderFailures)
+    {
+        for (uint64_t seed = 1; seed <= 12; ++seed) {
+            SCOPED_TRACE(seed);
+            runInFiber([&](Loop& loop) {
+                Random random(seed);
+                auto options = modelFleet();
+                options.seed = seed;
+                PoolFleet fleet(loop, options);
+                fleet.run(3s);
+                fleet.setDeadlyFraction(0.003 + 0.05 * random.unit());
+                bool isFirstOwner = true;
+                for (int i = 0; i < 8; ++i) {
+                    fleet.run(std::chrono::milliseconds(500 + random.below(2500)));
+                    auto owner = isFirstOwner ? PoolFleet::firstOwner : PoolFleet::secondOwner;
+                    switch (random.below(4)) {
+                    case 0:
+                        isFirstOwner = !isFirstOwner;
+                        fleet.assignPool(isFirstOwner ? PoolFleet::firstOwner : PoolFleet::secondOwner);
+                        break;
+                    case 1:
+                        fleet.setOwnerCut(owner, true);
+                        fleet.run(std::chrono::milliseconds(200 + random.below(1500)));
+                        fleet.setOwnerCut(owner, false);
+                        break;
+                    case 2:
+                        fleet.restartEntry(static_cast<uint32_t>(1 + random.below(9)));
+                        break;
+                    default:
+                        fleet.crashTarget(static_cast<uint32_t>(1 + random.below(18)));
+                        fleet.crashTarget(static_cast<uint32_t>(1 + random.below(18)));
+                        break;
+                    }
+                }
+                fleet.run(10s);
+                EXPECT_LE(lateDeadlyArrivals(fleet), 3u);
+                EXPECT_GE(static_cast<double>(fleet.soundStartedFirst), 0.8 * static_cast<double>(fleet.soundRequests));
+            });
+        }
+    }
+
+    // Guards against sound parts that are blamed when many targets end one after the other by another cause.
+    TEST(SuspectPartsFleetTest, SoundRequestsRunWhileTargetsCrash)
+    {
+        runInFiber([](Loop& loop) {
+            auto options = modelFleet();
+            options.subjects = 2000;
+            PoolFleet fleet(loop, options);
+            fleet.run(3s);
+            for (uint32_t target = 1; target <= 12; ++target) {
+                fleet.crashTarget(target);
+                fleet.run(400ms);
+            }
+            fleet.run(5s);
+            EXPECT_GE(static_cast<double>(fleet.soundStartedFirst), 0.95 * static_cast<double>(fleet.soundRequests));
+        });
+    }
+
 }
 }
