Do not end a relayed stream that its target ended inside an event or did not resume

Report of other operators: a stream broke off, the next server answered with an error, and callers found its text in their stream, or the stream looked complete.

Shown by tests that failed before: a stream that ends inside an event was passed on with the partial event and ended as complete, at each of its bytes (RoutedRequestRunnerTest.StreamThatEndsInsideAnEventIsInterrupted); a target that resumed a stream with an empty, a repeated or a partial event made it look complete (StreamIsInterruptedUnlessItIsResumed). Answers with 404, 500, another content type or an invalid header did not reach the caller before either; the test keeps that.

Change: a stream without a new event, or with bytes of an unfinished one, counts as broken: it is resumed or aborted. A stopped generation whose stream has no length resumes at its destination, since its end is the end of the connection.

--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -57,6 +57,8 @@
 
     [[nodiscard]] virtual int status() const = 0;
     [[nodiscard]] virtual const HttpHeaders& headers() const = 0;
+    /** Whether the response has neither a length nor chunks, so that only the end of its connection ends it. */
+    [[nodiscard]] virtual bool endsWithConnection() const { return false; }
     /**
      * The next bytes of the body as they arrive; none at its regular end. TargetTimeout if nothing arrives within
      * `timeout`; TargetFailed if the connection fails; CallerLeft after cancel().
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -78,6 +78,9 @@
         if (!migrationGrant_ && shouldMigrate())
             migrateGeneration();
     }
+    // A generation that is stopped closes its stream, which ends a response without a length as if it were complete.
+    if (migrationGrant_ && response.endsWithConnection())
+        return resumeAfterMigration();
     if (migrationGrant_) {
         // The response was complete before the generation could be stopped.
         runner_.pools.release(*std::exchange(migrationGrant_, std::nullopt));
@@ -215,9 +218,12 @@
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::endStream(const std::string& rest)
 {
     ran_ = Ran::Yes;
-    // A stream without a length ends with its connection, also when the target crashes.
-    if (!isStreamStarted_)
-        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended without an event"));
+    // A stream without a length ends with its connection, also when the target crashes. One that resumes a stream and sends
+    // nothing does not show that nothing was missing.
+    if (attemptEvents_ == 0)
+        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended without a new event"));
+    if (rest.find_first_not_of("\r\n") != std::string::npos)
+        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended inside an event"));
     finishAttempt(AttemptOutcome::Completed);
     bool isDelivered = (rest.empty() || exchange_.write(rest)) && exchange_.endStream();
     outcome_ = absl::StrCat("stream of ", attemptEvents_, " events");
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -221,6 +221,7 @@
 
         [[nodiscard]] int status() const override { return static_cast<int>(parser_->get().result_int()); }
         [[nodiscard]] const HttpHeaders& headers() const override { return headers_; }
+        [[nodiscard]] bool endsWithConnection() const override { return parser_->need_eof(); }
 
         Result<std::optional<std::string>> read(Duration timeout) override
         {
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -398,6 +398,53 @@
         EXPECT_EQ(fixture.header(1, "Instance"), "t2");
     }
 
+    // Guards against a stream that ends inside an event and looks complete: streams without a length end with their connection.
+    TEST(RoutedRequestRunnerTest, StreamThatEndsInsideAnEventIsInterrupted)
+    {
+        for (size_t length = 1; length < event(2).size(); ++length) {
+            SCOPED_TRACE(length);
+            auto cut = event(2).substr(0, length);
+            Fixture fixed;
+            fixed.targets.script = { streamOf({ event(1) + cut }) };
+            fixed.run("/plan/1");
+            EXPECT_EQ(fixed.exchange.body, event(1));
+            EXPECT_TRUE(fixed.exchange.isAborted);
+            EXPECT_FALSE(fixed.exchange.isEnded);
+            Fixture resumable;
+            resumable.targets.script = { streamOf({ event(1) + cut }), streamOf({ event(2) + event(3) }) };
+            resumable.run("/query/1");
+            EXPECT_EQ(resumable.exchange.body, event(1) + event(2) + event(3));
+            EXPECT_TRUE(resumable.exchange.isEnded);
+        }
+    }
+
+    // Guards against bytes of another response in the middle of a stream, and against a stream that looks complete because
+    // the target that should resume it sent nothing.
+    TEST(RoutedRequestRunnerTest, StreamIsInterruptedUnlessItIsResumed)
+    {
+        auto broken = Result<std::string>(tl::unexpected(makeError(ErrorKind::TargetFailed, "reset")));
+        const std::vector<ScriptedResponse> answers {
+            respondWith(404, "not here"),
+            respondWith(500, "internal error"),
+            respondWith(200, "not a stream", { { "Content-Type", "text/plain" } }),
+            respondWith(200, "garbage", { { "Unsound", "1" }, { "Content-Type", "text/event-stream" } }),
+            streamOf({}),
+            streamOf({ event(1) }),
+            streamOf({ "id: 2\nda" }),
+            failWith(ErrorKind::TargetFailed, Ran::Unknown),
+        };
+        for (size_t i = 0; i < answers.size(); ++i) {
+            SCOPED_TRACE(i);
+            Fixture fixture;
+            fixture.targets.script = { streamOf({ event(1), broken }), answers[i] };
+            fixture.run("/query/1");
+            EXPECT_EQ(fixture.exchange.body, event(1));
+            EXPECT_TRUE(fixture.exchange.isAborted);
+            EXPECT_FALSE(fixture.exchange.isEnded);
+            EXPECT_EQ(fixture.exchange.responses, 1);
+        }
+    }
+
     // Guards against targets that continue after the caller disconnected.
     TEST(RoutedRequestRunnerTest, StreamIsCancelledWhenTheCallerDisconnects)
     {
