--- a/include/briarhitch/control/ControlProcess.h
+++ b/include/briarhitch/control/ControlProcess.h
@@ -17,12 +17,19 @@
 
 namespace briarhitch {
 
+/** What discovery found. */
+struct DiscoveredTargets {
+    std::vector<Target> targets;
+    /** Entries of the list that name no target to use. */
+    size_t unusableEntries { 0 };
+};
+
 /** Optional extensions of the control process by a deployment. */
 struct ControlExtensions {
     /** Handles an operator's request before AdminApi; returns false if AdminApi should handle it. */
     std::function<bool(const HttpRequest&, HttpExchange&, ControlServer&)> handleOperator {};
     /** Fetches the list of targets; called only by the leader, in its own fiber. */
-    std::function<Result<std::vector<Target>>(HttpClient&, const ClusterConfig&)> discover {};
+    std::function<Result<DiscoveredTargets>(HttpClient&, const ClusterConfig&)> discover {};
     /** Pause between two calls of discover. */
     Duration discoveryInterval { std::chrono::milliseconds(500) };
     /** Scope of the pools of discovered targets. */
@@ -69,6 +76,7 @@
     std::map<NodeId, std::unique_ptr<LinkClient>> voters_;
     HttpClient client_;
     std::string lastDiscoveryFailure_;
+    size_t unusableDiscoveryEntries_ { 0 };
     Log console_ { "control:" };
 };
 
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -238,8 +238,12 @@
 
 void ControlProcess::discoverOnce()
 {
-    auto done = extensions_.discover(client_, state_.config()).and_then([this](const std::vector<Target>& targets) {
-        return server_.replaceDiscovered(targets, extensions_.poolScope);
+    auto done = extensions_.discover(client_, state_.config()).and_then([this](const DiscoveredTargets& discovered) {
+        if (discovered.unusableEntries != unusableDiscoveryEntries_)
+            console_.info("discovery lists " + std::to_string(discovered.unusableEntries) + " entries that name no target to use");
+        unusableDiscoveryEntries_ = discovered.unusableEntries;
+        metrics_.setGauge("control_discovery_unusable_entries", {}, static_cast<double>(discovered.unusableEntries));
+        return server_.replaceDiscovered(discovered.targets, extensions_.poolScope);
     });
     auto failure = done ? std::string() : done.error().message;
     // A repeated failure is logged once, not at each attempt.
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -19,6 +19,7 @@
         { "control_config_version", "Version of the configuration that this voter has." },
         { "control_discovery_failures_total", "Reads of the list of targets that failed." },
         { "control_discovery_total", "Reads of the list of targets that succeeded." },
+        { "control_discovery_unusable_entries", "Entries of the list of targets that name no target to use." },
         { "control_heartbeats_failed_total", "Heartbeats to control nodes without an answer." },
         { "control_heartbeats_total", "Heartbeats of entries that were answered." },
         { "control_is_leader", "1 on the leader of the control log." },
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -71,6 +71,18 @@
         EXPECT_FALSE(decodeRouting(""));
     }
 
+    // Guards against deeply nested values that end the process that reads them.
+    TEST(RoutingCodecTest, DeeplyNestedValuesAreRejected)
+    {
+        constexpr size_t depth = 200000;
+        auto deep = std::string(depth, '[') + std::string(depth, ']');
+        EXPECT_FALSE(decodeRouting(configText(R"("apiKeys":["secret1","secret2"])", R"("apiKeys":)" + deep)));
+        EXPECT_FALSE(decodeRouting(configText(R"("version":7)", R"("version":)" + deep)));
+        EXPECT_TRUE(decodeRouting(configText(R"("version":7)", R"("version":7,"unknown":)" + deep)));
+        auto stopped = serverProtocol().parseMigrationResult(Target(), 200, R"({"handle":)" + deep + "}");
+        EXPECT_FALSE(stopped.hasStopped);
+    }
+
     // Guards against an entry of another program that is taken for a usable server, or makes the other entries unreadable.
     TEST(InstanceListTest, InvalidEntriesAreLeftOut)
     {
@@ -92,6 +104,38 @@
         EXPECT_FALSE(decodeInstances(R"({"instances":7})", routing));
     }
 
+    // Guards against one odd entry of another writer that hides the servers beside it, or ends the process that reads the list.
+    TEST(InstanceListTest, OddEntryDoesNotHideTheOthers)
+    {
+        auto routing = *decodeRouting(configText());
+        const std::string sound = R"("service":"llm","address":"10.128.0.9:8080","zone":"a","slots":12,"state":"ready","version":"v1","coldRemainingMs":0,"born":7)";
+        std::string deepArray = std::string(200000, '[') + std::string(200000, ']');
+        std::string deepObject;
+        for (int i = 0; i < 100000; ++i)
+            deepObject += R"({"a":)";
+        deepObject += "1" + std::string(100000, '}');
+        const std::vector<std::string> values { deepArray, deepObject, "1e999", "-1e999", "99999999999999999999999999", "1e300", "-1", "12.5", "null", "true", "{}", "[]", R"("")",
+            R"("10.128.0.9:99999")", R"("10.128.0.9:8080x")", R"("\ud800")", "\"\xff\xfe\"", "\"a\x01b\"", "\"" + std::string(300000, 'a') + "\"", "tru", "01", "nan" };
+        for (const char* field : { "id", "service", "address", "zone", "slots", "state", "version", "coldRemainingMs", "born", "models", "unknown" }) {
+            for (const auto& value : values) {
+                SCOPED_TRACE(std::string(field) + " " + value.substr(0, 40));
+                std::string odd = "{" + sound + R"(,"id":"i-odd",")" + field + "\":" + value + "}";
+                for (int position = 0; position < 3; ++position) {
+                    std::vector<std::string> entries { "{" + sound + R"(,"id":"i-1"})", "{" + sound + R"(,"id":"i-2"})" };
+                    entries.insert(entries.begin() + position, odd);
+                    auto page = decodeInstances(R"({"instances":[)" + entries[0] + "," + entries[1] + "," + entries[2] + R"(],"next":null})", routing);
+                    ASSERT_TRUE(page);
+                    std::vector<std::string> names;
+                    for (const auto& target : page->targets)
+                        names.push_back(target.name);
+                    EXPECT_EQ(std::count(names.begin(), names.end(), "i-1"), 1);
+                    EXPECT_EQ(std::count(names.begin(), names.end(), "i-2"), 1);
+                    EXPECT_LE(names.size(), 3u);
+                }
+            }
+        }
+    }
+
     HttpRequest clientRequest()
     {
         HttpRequest http;
