Relate crashes to the prompts of the product's own API too

Their parts are the first 16 blocks of the prompt's prefix. A completed response counts as an answer too, since responses that are not streamed report no first token.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -123,6 +123,8 @@
     [[nodiscard]] Error missingOwnerError() const;
     /** The blocked part of the request for which it must not be sent to the owner, or to a target if selected locally. */
     [[nodiscard]] std::optional<PartBlock> findBlock(const GrantRequest& request, bool isLocal) const;
+    /** A target began to answer a request with these parts. */
+    void recordStart(PoolId pool, const std::vector<PromptPartId>& parts);
     void logVerdicts(PoolId pool, const std::vector<PartVerdict>& verdicts) const;
 
     Loop& loop_;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -171,9 +171,7 @@
     if (it == running_.end())
         return;
     it->second.started = true;
-    const auto& parts = it->second.request.sharedParts;
-    logVerdicts(started.pool, ownSuspectParts_[started.pool].recordStart(parts, now_()));
-    ownersSuspectParts_[started.pool].recordStart(parts, now_());
+    recordStart(started.pool, it->second.request.sharedParts);
     if (localAttempts_.contains(started.attempt)) {
         localScheduler(started.pool).attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
         applyLocalActions(started.pool);
@@ -187,6 +185,8 @@
     if (it == running_.end())
         return;
     recordRecentAttempt(it->second.request, it->second.target);
+    if (finished.outcome == AttemptOutcome::Completed)
+        recordStart(finished.pool, it->second.request.sharedParts);
     if (finished.hasBrokenBeforeFirstEvent)
         logVerdicts(finished.pool, ownSuspectParts_[finished.pool].recordBreak(it->second.request.sharedParts, it->second.target, now_()));
     running_.erase(it);
@@ -556,6 +556,12 @@
     return std::nullopt;
 }
 
+void PoolClient::recordStart(PoolId pool, const std::vector<PromptPartId>& parts)
+{
+    logVerdicts(pool, ownSuspectParts_[pool].recordStart(parts, now_()));
+    ownersSuspectParts_[pool].recordStart(parts, now_());
+}
+
 void PoolClient::logVerdicts(PoolId pool, const std::vector<PartVerdict>& verdicts) const
 {
     static const Log log("pool:");
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -494,6 +494,8 @@
     if (finished.hasBrokenBeforeFirstEvent) {
         logBrokenAttempt(*pool, request);
         applyVerdicts(*pool, pool->suspectParts.recordBreak(parts, request.target, hooks_.now()));
+    } else if (finished.outcome == AttemptOutcome::Completed) {
+        applyVerdicts(*pool, pool->suspectParts.recordStart(parts, hooks_.now()));
     } else {
         pool->suspectParts.endTrial(parts, finished.attempt, hooks_.now());
     }
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -204,6 +204,10 @@
     grantRequest.promptTokens = request_.promptTokens;
     grantRequest.maxOutputTokens = request_.maxOutputTokens;
     grantRequest.prefix = request_.prefix;
+    // Each block's hash covers the text before it, so a block that crashes targets is blamed together with those after it.
+    constexpr size_t maxSharedParts = 16;
+    for (size_t i = 0; i < std::min(request_.prefix.size(), maxSharedParts); ++i)
+        grantRequest.sharedParts.emplace_back(request_.prefix[i]);
     grantRequest.deadlineMs = clampMs(deadline_ - now());
     grantRequest.excluded = excluded_;
     if (request_.isKeyFromCaller)
@@ -307,6 +311,7 @@
     outputTokens_ = 0;
     sendBlocker_.reset();
     hasFirstToken_ = false;
+    hasBrokenBeforeFirstToken_ = false;
     auto call = makeCall(grant, target);
     bool isStream = request_.poolKind == PoolKind::Model && request_.isStream;
     auto failure = isStream ? relayStream(call) : relayCompleteResponse(call);
@@ -324,6 +329,7 @@
     finished.promptTokens = request_.promptTokens;
     finished.outputTokens = Tokens(outputTokens_);
     finished.durationMs = clampMs(now() - sentAt_);
+    finished.hasBrokenBeforeFirstEvent = hasBrokenBeforeFirstToken_;
     runner_.pools.reportFinished(finished);
 }
 
