Play prompts that crash engines in the soak, and let the stand-in engine crash by a flag or by request

Callers of the soak send 3% deadly prompts that share their first block with sound ones. Judged from the engines' ledgers: at most three later than 3 s after the fifth, sent while no process or link was disrupted.

--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/core/Digest.h"
 #include "support/ExpectedAnswer.h"
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -26,6 +27,8 @@
     constexpr double smallestRateLimit = 0.5;
     constexpr uint32_t rateLimitSpread = 12;
     constexpr uint32_t longestLinkDelayMs = 300;
+    /** Faults last up to this long. */
+    constexpr milliseconds longestFault = 8s;
     const std::vector<std::string> engineNames { "engine-1", "engine-2" };
     const std::vector<std::string> serviceNames { "booking-1", "booking-2" };
 
@@ -42,8 +45,9 @@
 
 void SoakFleet::start()
 {
-    startEngine("engine-1", { "--step_time=4ms", "--check_fencing" });
-    startEngine("engine-2", { "--step_time=8ms" });
+    auto crashFlag = "--crash_on=" + SoakTraffic::deadlyText();
+    startEngine("engine-1", { "--step_time=4ms", "--check_fencing", crashFlag });
+    startEngine("engine-2", { "--step_time=8ms", crashFlag });
     for (const auto& name : serviceNames)
         startService(name);
     startControls(voters, [this](int, int, uint16_t port) { return forwarderPort(port); });
@@ -102,6 +106,7 @@
 void SoakFleet::begin(const Fault& fault)
 {
     ++result_.injected.at(static_cast<size_t>(fault.kind));
+    disruptions_.push_back(BootClock::now() + fault.duration);
     switch (fault.kind) {
     case FaultKind::KillEntry:
     case FaultKind::FreezeEntry:
@@ -210,6 +215,8 @@
 {
     if (auto limit = rateLimits_.find(target.name); limit != rateLimits_.end())
         faults["rate_limit"] = limit->second;
+    if (target.name.starts_with("engine"))
+        faults["crash_on"] = SoakTraffic::deadlyText();
     orderFaults(target, faults);
 }
 
@@ -262,6 +269,35 @@
     }
 }
 
+void SoakFleet::judgeDeadlyPrompts()
+{
+    constexpr size_t freeCrashes = 5;
+    constexpr size_t allowedArrivals = 3;
+    constexpr milliseconds stabilityWindow = 3s;
+    std::vector<int64_t> arrivalsMs;
+    for (const auto& name : engineNames) {
+        auto book = ledger(daemon(name));
+        for (const auto& request : book["requests"]) {
+            if (request["deadly"])
+                arrivalsMs.push_back(request["arrived_ms"]);
+        }
+    }
+    std::sort(arrivalsMs.begin(), arrivalsMs.end());
+    result_.deadlyArrivals = arrivalsMs.size();
+    if (arrivalsMs.size() <= freeCrashes)
+        return;
+    for (size_t i = freeCrashes; i < arrivalsMs.size(); ++i) {
+        bool isInTouch = std::none_of(disruptions_.begin(), disruptions_.end(), [&](Instant end) {
+            auto endMs = toMs(end.time_since_epoch());
+            return arrivalsMs[i] < endMs + stabilityWindow.count() && arrivalsMs[i] > endMs - longestFault.count();
+        });
+        if (isInTouch && arrivalsMs[i] > arrivalsMs[freeCrashes - 1] + stabilityWindow.count())
+            ++result_.boundedDeadlyArrivals;
+    }
+    if (result_.boundedDeadlyArrivals > allowedArrivals)
+        violation(std::to_string(result_.boundedDeadlyArrivals) + " requests with a deadly prompt reached engines later than 3 s after the fifth; allowed 3");
+}
+
 void SoakFleet::changeCustomers()
 {
     auto name = "soak-" + std::to_string(changes_.size());
@@ -295,6 +331,7 @@
     result_.charges = traffic.charges.size();
     result_.violations.insert(result_.violations.end(), traffic.violations.begin(), traffic.violations.end());
     judgeRateLimits();
+    judgeDeadlyPrompts();
     std::map<std::string, uint64_t> charged;
     for (const auto& name : serviceNames) {
         auto book = ledger(daemon(name));
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -23,6 +23,9 @@
     /** Calls that reached targets while these named a limit, and the most that the limits allow in that time. */
     size_t rateLimitedCalls { 0 };
     double rateLimitedCapacity { 0 };
+    /** Deadly prompts that reached engines, and those of them that the bound covers. */
+    size_t deadlyArrivals { 0 };
+    size_t boundedDeadlyArrivals { 0 };
 };
 
 /** A whole fleet on loopback with a forwarder on every link, to which a schedule of faults is done while callers ask. */
@@ -51,6 +54,7 @@
     /** Orders faults of a target; a rate limit that it names stays. */
     void orderTargetFaults(const Daemon& target, Json faults);
     void judgeRateLimits();
+    void judgeDeadlyPrompts();
     void changeCustomers();
     void later(std::chrono::milliseconds delay, std::function<void()> action);
     void runDue(std::chrono::milliseconds now);
@@ -71,6 +75,8 @@
     std::vector<RateLimitPeriod> rateLimitPeriods_;
     /** Limits that targets name now. */
     std::map<std::string, double> rateLimits_;
+    /** When faults hit a process or a link; later than the stability window after the last one, all entries are in touch. */
+    std::vector<Instant> disruptions_;
     std::vector<std::unique_ptr<TcpCutter>> links_;
     std::vector<uint16_t> callerPorts_;
     std::multimap<std::chrono::milliseconds, std::function<void()>> due_;
--- a/tests/soak/SoakTraffic.cpp
+++ b/tests/soak/SoakTraffic.cpp
@@ -13,6 +13,10 @@
     constexpr uint64_t longestPauseMs = 60;
     constexpr int keyedTries = 5;
     constexpr uint64_t mostTokens = 40;
+    constexpr double deadlyFraction = 0.03;
+    // With the role before it, the first block of each prompt's prefix, and a whole second block.
+    constexpr size_t firstBlockBytes = 250;
+    constexpr size_t blockBytes = 256;
 
     bool isSuccess(int status) { return status == 200 || status == 201; }
 
@@ -64,6 +68,11 @@
     }
 }
 
+std::string SoakTraffic::deadlyText()
+{
+    return std::string(blockBytes, 'd');
+}
+
 Result<HttpResponse> SoakTraffic::send(Random& random, const PlainRequest& request)
 {
     HttpCallSettings settings;
@@ -93,7 +102,7 @@
 
 void SoakTraffic::askModel(Random& random, const std::string& name)
 {
-    auto prompt = "soak " + name;
+    auto prompt = std::string(firstBlockBytes, 'p') + (random.chance(deadlyFraction) ? deadlyText() : std::string(blockBytes, 's')) + "soak " + name;
     auto tokens = static_cast<int>(1 + random.below(mostTokens));
     bool isStream = random.chance(0.5);
     auto answer = send(random, ProcessFixture::chat(prompt, tokens, isStream));
--- a/tests/soak/SoakTraffic.h
+++ b/tests/soak/SoakTraffic.h
@@ -30,6 +30,9 @@
     /** Lets requests that are under way end. */
     void stop();
 
+    /** Text that is in each deadly prompt and in no other. */
+    static std::string deadlyText();
+
     // To be read after stop().
     std::map<std::string, ToldOutcome> charges;
     std::map<std::string, ToldOutcome> prompts;
--- a/tools/fake_engine/BatchEngine.cpp
+++ b/tools/fake_engine/BatchEngine.cpp
@@ -50,7 +50,7 @@
     stream->cachedTokens = std::min(stream->promptTokens, cache_.use(prompt, BootClock::now()));
     stream->prefillLeft = stream->promptTokens - stream->cachedTokens;
     stream->tokensWanted = answerTokens(prompt, maxTokens);
-    stream->lastRead = BootClock::now();
+    stream->lastRead = stream->arrivedAt = BootClock::now();
     ledger_.push_back(stream);
     streams_[id] = stream;
     waiting_.push_back(stream);
--- a/tools/fake_engine/EngineApi.cpp
+++ b/tools/fake_engine/EngineApi.cpp
@@ -17,6 +17,8 @@
 
     // A reader also looks up from time to time, because its caller may have left.
     constexpr Duration readerCheckInterval = 100ms;
+    /** Time for which an engine that has crashed is down. */
+    constexpr Duration crashTime = 1500ms;
     constexpr std::string_view streamsPath = "/v1/streams/";
     constexpr std::array<std::string_view, 7> stateNames { "waiting", "running", "done", "cancelled", "abandoned", "refused", "fenced" };
 
@@ -157,6 +159,10 @@
         sendJson(exchange, 400, errorBody("bad_request"));
         return;
     }
+    if (isDown()) {
+        exchange.abort();
+        return;
+    }
     std::string id(request.header("X-Request-Id"));
     if (id.empty())
         id = absl::StrCat("unnamed-", ++unnamedRequests_);
@@ -175,6 +181,7 @@
     stream->isChat = isChat;
     stream->model = body.value("model", std::string());
     stream->fencingToken = fencingToken;
+    stream->isDeadly = faults_.crashesOn(prompt);
     if (body.value("stream", false))
         sendEvents(*stream, 1, exchange);
     else
@@ -188,6 +195,10 @@
         sendJson(exchange, 404, errorBody("unknown_stream"));
         return;
     }
+    if (isDown()) {
+        exchange.abort();
+        return;
+    }
     if (request.method == "DELETE") {
         engine_.end(*stream, StreamState::Cancelled);
         sendJson(exchange, 200, "{}");
@@ -200,6 +211,13 @@
     sendEvents(*stream, static_cast<int64_t>(numberOf(request.header("Last-Event-ID"))) + 1, exchange);
 }
 
+void EngineApi::crash()
+{
+    downUntil_ = BootClock::now() + crashTime;
+    for (const auto& stream : engine_.ledger())
+        engine_.end(*stream, StreamState::Abandoned);
+}
+
 void EngineApi::sendEvents(EngineStream& stream, int64_t firstEvent, HttpExchange& exchange)
 {
     Reader reader(stream);
@@ -224,6 +242,12 @@
             stream.progressed.waitFor(readerCheckInterval);
             continue;
         }
+        if (stream.isDeadly)
+            crash();
+        if (isDown()) {
+            exchange.abort();
+            return;
+        }
         if (!exchange.write(eventText(stream, next)))
             return;
         ++next;
@@ -242,6 +266,8 @@
     while (!stream.isOver()) {
         if (exchange.isCallerDisconnected())
             return;
+        if (stream.isDeadly && stream.tokensDone > 0)
+            crash();
         stream.progressed.waitFor(readerCheckInterval);
     }
     if (faults_.take(FaultMode::Stall))
@@ -280,7 +306,7 @@
         requests.push_back({ { "id", stream->id }, { "prompt", absl::StrCat(absl::Hex(stream->promptHash, absl::kZeroPad16)) },
             { "state", stateNames[static_cast<size_t>(stream->state)] }, { "tokens", stream->tokensDone },
             { "prompt_tokens", stream->promptTokens }, { "cached_tokens", stream->cachedTokens },
-            { "fencing_token", stream->fencingToken } });
+            { "fencing_token", stream->fencingToken }, { "deadly", stream->isDeadly }, { "arrived_ms", toMs(stream->arrivedAt.time_since_epoch()) } });
     }
     sendJson(exchange, 200, nlohmann::json { { "requests", requests } }.dump());
 }
--- a/tools/fake_engine/EngineStream.h
+++ b/tools/fake_engine/EngineStream.h
@@ -42,6 +42,9 @@
     bool isChat { true };
     std::string model;
     std::string fencingToken;
+    Instant arrivedAt;
+    /** Crashes the engine when its first token is ready. */
+    bool isDeadly { false };
     /** Connections that read the stream at present. */
     int readers { 0 };
     Instant lastRead;
--- a/tools/fake_engine/FakeEngineMain.cpp
+++ b/tools/fake_engine/FakeEngineMain.cpp
@@ -15,6 +15,7 @@
 ABSL_FLAG(absl::Duration, cache_event_delay, absl::Milliseconds(500), "delay of cache events");
 ABSL_FLAG(double, cache_event_loss, 0.02, "part of the cache events that is lost");
 ABSL_FLAG(bool, check_fencing, false, "refuse requests with an old X-Fencing-Token");
+ABSL_FLAG(std::string, crash_on, "", "text; a prompt that contains it crashes the engine when it begins to answer");
 ABSL_FLAG(uint64_t, seed, 1, "seed of the lost cache events");
 
 namespace briarhitch {
@@ -40,6 +41,7 @@
     {
         Loop loop;
         FaultSwitch faults(loop);
+        faults.setCrashText(absl::GetFlag(FLAGS_crash_on));
         BatchEngine engine(loop, settingsFromFlags(), [&faults] { return faults.slowdown(); });
         EngineApi api(engine, faults, absl::GetFlag(FLAGS_check_fencing));
         engine.start();
--- a/tools/support/FaultSwitch.cpp
+++ b/tools/support/FaultSwitch.cpp
@@ -37,6 +37,7 @@
         slowdown_ = std::max(smallestSlowdown, order.value("slowdown", 1.0));
         afterEvents_ = order.value("after_events", int64_t { 0 });
         rateLimit_ = order.contains("rate_limit") ? std::optional(order.at("rate_limit").get<double>()) : std::nullopt;
+        crashText_ = order.value("crash_on", std::string());
         remaining_ = count > 0 ? count : -1;
         mode_ = static_cast<FaultMode>(name - modeNames.begin());
     } catch (const nlohmann::json::exception&) {
--- a/tools/support/FaultSwitch.h
+++ b/tools/support/FaultSwitch.h
@@ -29,7 +29,8 @@
     explicit FaultSwitch(Loop& loop);
 
     /**
-     * Reads {"mode", "count", "after_events", "late_ms", "slowdown", "rate_limit"}; all are optional. `count` is the
+     * Reads {"mode", "count", "after_events", "late_ms", "slowdown", "rate_limit", "crash_on"}; all are optional. A prompt
+     * with the text `crash_on` crashes the engine when it begins to answer it. `count` is the
      * number of connections that the mode hits (0: all), `after_events` the events that a stream sends
      * before it does, `rate_limit` the requests per second that responses name as limit. An empty object ends all
      * faults. BadRequest if a field is wrong.
@@ -42,6 +43,9 @@
     [[nodiscard]] Duration lateness() const { return lateness_; }
     /** Requests per second that responses name as limit; none without a limit. */
     [[nodiscard]] std::optional<double> rateLimit() const { return rateLimit_; }
+    /** Whether a prompt crashes the engine that begins to answer it. */
+    [[nodiscard]] bool crashesOn(std::string_view prompt) const { return !crashText_.empty() && prompt.find(crashText_) != std::string_view::npos; }
+    void setCrashText(std::string text) { crashText_ = std::move(text); }
     void setRateLimit(double requestsPerSecond) { rateLimit_ = requestsPerSecond; }
     /** Blocks the fiber until the faults change or the caller leaves. */
     void holdConnection(HttpExchange& exchange);
@@ -57,6 +61,7 @@
     Duration lateness_ { 0 };
     double slowdown_ { 1 };
     std::optional<double> rateLimit_;
+    std::string crashText_;
     uint64_t orders_ { 0 };
 };
 
