--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -119,7 +119,8 @@
         for (const char* field : { "id", "service", "address", "zone", "slots", "state", "version", "coldRemainingMs", "born", "models", "unknown" }) {
             for (const auto& value : values) {
                 SCOPED_TRACE(std::string(field) + " " + value.substr(0, 40));
-                std::string odd = "{" + sound + R"(,"id":"i-odd",")" + field + "\":" + value + "}";
+                std::string odd = "{" + sound + R"(,"id":"i-odd",")";
+                odd.append(field).append("\":").append(value).append("}");
                 for (int position = 0; position < 3; ++position) {
                     std::vector<std::string> entries { "{" + sound + R"(,"id":"i-1"})", "{" + sound + R"(,"id":"i-2"})" };
                     entries.insert(entries.begin() + position, odd);
--- a/tests/platform/RepeatedRefusalTest.cpp
+++ b/tests/platform/RepeatedRefusalTest.cpp
@@ -35,7 +35,7 @@
             InsideTheNextAnswer,
         };
 
-        RepeatingServer(Loop& loop, Place place, std::string copy)
+        RepeatingServer(Loop& loop, Place place, const std::string& copy)
             : listener_(*TcpListener::listen(loop, "127.0.0.1", 0))
         {
             listener_->start([&loop, place, copy](Socket socket) {
