--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -27,8 +27,10 @@
     constexpr double smallestRateLimit = 0.5;
     constexpr uint32_t rateLimitSpread = 12;
     constexpr uint32_t longestLinkDelayMs = 300;
-    /** Faults last up to this long. */
-    constexpr milliseconds longestFault = 8s;
+    /** Faults of processes and links last up to this long. */
+    constexpr milliseconds longestFault = 5s;
+    /** Callers ask this long after the last fault begins, so that all entries are in touch for some seconds. */
+    constexpr milliseconds calmTime = 12s;
     const std::vector<std::string> engineNames { "engine-1", "engine-2" };
     const std::vector<std::string> serviceNames { "booking-1", "booking-2" };
 
@@ -71,7 +73,7 @@
         SoakTraffic traffic(seed, callerPorts_);
         auto begun = std::chrono::steady_clock::now();
         auto next = schedule.begin();
-        while (now_ < length || !due_.empty()) {
+        while (now_ < length + calmTime || !due_.empty()) {
             now_ = std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begun);
             for (; next != schedule.end() && next->at <= now_; ++next)
                 begin(*next);
@@ -106,7 +108,8 @@
 void SoakFleet::begin(const Fault& fault)
 {
     ++result_.injected.at(static_cast<size_t>(fault.kind));
-    disruptions_.push_back(BootClock::now() + fault.duration);
+    if (fault.kind != FaultKind::TargetLimitsRate && fault.kind != FaultKind::OperatorChange)
+        disruptions_.push_back(BootClock::now() + (fault.kind == FaultKind::StopEntry ? drainBound : fault.duration));
     switch (fault.kind) {
     case FaultKind::KillEntry:
     case FaultKind::FreezeEntry:
