Log the digest of each request and of attempts that break

The logs named the shared parts of prompts and nothing else of what a request holds, so neither repeats of one request to a plain service nor requests that only share a part with another one could be told apart. The digest covers customer, method, path with query and body; callers cannot choose it.

--- a/include/briarhitch/core/Digest.h
+++ b/include/briarhitch/core/Digest.h
@@ -8,6 +8,8 @@
 
 /** SHA-256 in lower-case hexadecimal, the form in which customers' and operators' keys are stored. */
 std::string sha256Hex(std::string_view text);
+/** The first 64 bits of the SHA-256, for ids that callers must not be able to choose. */
+uint64_t sha256Prefix(std::string_view text);
 /** Whether a text has the form that sha256Hex() returns. */
 bool isSha256Hex(std::string_view text);
 /** HMAC-SHA256, 32 raw bytes. */
--- a/include/briarhitch/core/Ids.h
+++ b/include/briarhitch/core/Ids.h
@@ -51,6 +51,8 @@
 using WorkKindId = NumericId<struct WorkKindIdTag, uint32_t>;
 /** A part of a prompt that several requests may share, as its callers name it. */
 using PromptPartId = NumericId<struct PromptPartIdTag, uint64_t>;
+/** Digest of what a caller asks for; repeats of a request have the same one under new request ids. */
+using RequestDigest = NumericId<struct RequestDigestTag, uint64_t>;
 /** One connection between own processes, unique within a process. */
 using LinkId = NumericId<struct LinkIdTag, uint64_t>;
 
@@ -82,6 +84,8 @@
 RequestId parseRequestId(const std::string& text);
 /** Hexadecimal, as callers name it. */
 std::string toString(PromptPartId id);
+/** Sixteen hexadecimal digits. */
+std::string toString(RequestDigest digest);
 
 }
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -175,12 +175,13 @@
     std::string zone;
     /** Parts of the prompt that other requests may have too. */
     std::vector<PromptPartId> sharedParts;
+    RequestDigest digest;
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, idempotencyKeyHash, expectedOutputTokens,
-            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts);
+            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest);
     }
 };
 
--- a/src/core/Digest.cpp
+++ b/src/core/Digest.cpp
@@ -36,6 +36,16 @@
     return hex;
 }
 
+uint64_t sha256Prefix(std::string_view text)
+{
+    unsigned char digest[SHA256_DIGEST_LENGTH];
+    SHA256(bytesOf(text), text.size(), digest);
+    uint64_t prefix = 0;
+    for (size_t i = 0; i < sizeof(prefix); ++i)
+        prefix = prefix << 8 | digest[i];
+    return prefix;
+}
+
 std::string hmacSha256(std::string_view key, std::string_view text)
 {
     unsigned char digest[EVP_MAX_MD_SIZE];
--- a/src/core/Ids.cpp
+++ b/src/core/Ids.cpp
@@ -6,13 +6,23 @@
 
 namespace {
     constexpr size_t maxHexDigits = 16;
+
+    std::string paddedHex(uint64_t value)
+    {
+        char text[maxHexDigits + 1];
+        std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(value));
+        return text;
+    }
 }
 
 std::string toString(RequestId id)
 {
-    char text[maxHexDigits + 1];
-    std::snprintf(text, sizeof(text), "%016llx", static_cast<unsigned long long>(id.value()));
-    return text;
+    return paddedHex(id.value());
+}
+
+std::string toString(RequestDigest digest)
+{
+    return paddedHex(digest.value());
 }
 
 std::string toString(AttemptId id)
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -513,7 +513,7 @@
     std::string parts;
     for (auto part : request.grantRequest.sharedParts)
         parts += (parts.empty() ? "" : ",") + toString(part);
-    poolLog().event("target broke off before its first event", { { "target", target ? target->name : "" }, { "attempt", toString(request.grantRequest.attempt) }, { "prompt_parts", parts }, { "running", int64_t(running) } });
+    poolLog().event("target broke off before its first event", { { "target", target ? target->name : "" }, { "attempt", toString(request.grantRequest.attempt) }, { "request_digest", toString(request.grantRequest.digest) }, { "prompt_parts", parts }, { "running", int64_t(running) } });
     metrics_.count("pool_broken_attempts_total", "pool=\"" + pool.assignment.name + "\"");
 }
 
--- /dev/null
+++ b/src/entry/RequestDigests.cpp
@@ -0,0 +1,17 @@
+#include "entry/RequestDigests.h"
+
+#include "briarhitch/core/Digest.h"
+
+#include <absl/strings/str_cat.h>
+#include <algorithm>
+
+namespace briarhitch {
+
+RequestDigest makeRequestDigest(CustomerId customer, std::string_view method, std::string_view target, std::string_view body)
+{
+    // Neither a method nor a target contains a line end.
+    auto identity = absl::StrCat(customer.value(), "\n", std::string(method), "\n", std::string(target), "\n", std::string(body));
+    return RequestDigest(std::max<uint64_t>(sha256Prefix(identity), 1));
+}
+
+}
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -4,6 +4,7 @@
 #include "briarhitch/http/EndToEndHeaders.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Loop.h"
+#include "entry/RequestDigests.h"
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -208,6 +209,7 @@
     constexpr size_t maxSharedParts = 16;
     for (size_t i = 0; i < std::min(request_.prefix.size(), maxSharedParts); ++i)
         grantRequest.sharedParts.emplace_back(request_.prefix[i]);
+    grantRequest.digest = makeRequestDigest(request_.customer, request_.method, request_.target, request_.body);
     grantRequest.deadlineMs = clampMs(deadline_ - now());
     grantRequest.excluded = excluded_;
     if (request_.isKeyFromCaller)
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Digest.h"
 #include "briarhitch/metrics/MetricRegistry.h"
+#include "entry/RequestDigests.h"
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -98,10 +99,11 @@
     runner_.history.begin(attempt_.request, request_.callerId, route_->name, tier_);
     if (auto authenticated = authenticate(); !authenticated)
         return authenticated;
+    digest_ = makeRequestDigest(contract_ ? contract_->customer : CustomerId(), request_.method, request_.target, request_.body);
     service_ = routes_->findService(chooseService(*route_, runner_.randomFraction()));
     setDeadlines();
     auto admitted = debitCeiling();
-    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
+    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "request_digest", toString(digest_) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
     return admitted;
 }
 
@@ -206,6 +208,7 @@
     grantRequest.expectedOutputTokens = request_.expectedOutputTokens.value_or(Tokens());
     grantRequest.prefix = prefixBlocks(request_.prefix);
     grantRequest.sharedParts = sharedParts(request_.prefix);
+    grantRequest.digest = digest_;
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
     if (!isStreamStarted_ && route_->objectiveMs > 0)
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -96,6 +96,7 @@
     /** The customer's contract at admission; none for a request without a customer. */
     std::optional<Contract> contract_;
     int64_t defaultTokens_ { 0 };
+    RequestDigest digest_;
     Tier tier_;
     /** The complete response must have arrived by then. */
     Instant deadline_;
