--- a/tests/support/PoolFleet.h
+++ b/tests/support/PoolFleet.h
@@ -90,6 +90,9 @@
     /** Fraction of the requests that have the deadly part, which crashes each target that begins to answer them. */
     void setDeadlyFraction(double fraction) { deadlyFraction_ = fraction; }
 
+    /** Fraction of the requests that are one request, which crashes each target that begins to run it. */
+    void setDeadlyRequestFraction(double fraction) { deadlyRequestFraction_ = fraction; }
+
     /** The target ends, closes its connections, and is back after a while. */
     void crashTarget(uint32_t target)
     {
@@ -105,7 +108,7 @@
         }
     }
 
-    /** Requests with the deadly part that reached a target from this time on. */
+    /** Deadly requests that reached a target from this time on. */
     [[nodiscard]] size_t deadlyArrivals(Instant from) const
     {
         return static_cast<size_t>(std::count_if(deadlyArrivals_.begin(), deadlyArrivals_.end(), [&](Instant time) { return time >= from; }));
@@ -206,15 +209,18 @@
 
     size_t answered { 0 };
     std::vector<Error> refusals;
-    /** When targets ended by a request with the deadly part. */
+    /** When targets ended by a deadly request. */
     std::vector<Instant> deadlyCrashes;
-    /** Requests without the deadly part, and those whose first attempt a target began to answer. */
+    /** Requests that are not deadly, those whose first attempt a target began to answer, and those refused as suspect. */
     size_t soundRequests { 0 };
     size_t soundStartedFirst { 0 };
+    size_t soundRefusedAsSuspect { 0 };
 
 private:
     static constexpr PromptPartId firstPart { 1 };
     static constexpr PromptPartId deadlyPart { 666 };
+    static constexpr PromptPartId partOfDeadlyRequest { 1000 };
+    static constexpr RequestDigest deadlyRequest { 667 };
 
     class Transport : public NodeTransport {
     public:
@@ -296,10 +302,13 @@
         Instant sentAt;
         GrantRequest request;
         bool isStarted { false };
-
-        [[nodiscard]] bool isDeadly() const { return std::find(request.sharedParts.begin(), request.sharedParts.end(), deadlyPart) != request.sharedParts.end(); }
     };
 
+    static bool isDeadly(const GrantRequest& request)
+    {
+        return request.digest == deadlyRequest || std::find(request.sharedParts.begin(), request.sharedParts.end(), deadlyPart) != request.sharedParts.end();
+    }
+
     static bool isOwner(uint32_t node) { return node >= firstOwner; }
 
     void startOwner(uint32_t id)
@@ -390,12 +399,12 @@
         std::set<uint32_t> crashed;
         for (auto& request : running) {
             if (request.startsAt <= clock_.now && !request.isStarted && !suspended_.contains(request.entry)) {
-                if (request.isDeadly())
+                if (isDeadly(request.request))
                     crashed.insert(request.grant.target.value());
                 else
                     start(request);
             }
-            if (request.finishesAt > clock_.now || suspended_.contains(request.entry) || request.isDeadly()) {
+            if (request.finishesAt > clock_.now || suspended_.contains(request.entry) || isDeadly(request.request)) {
                 running_.push_back(request);
                 continue;
             }
@@ -487,12 +496,15 @@
         request.deadlineMs = clampMs(timeout);
         request.objectiveMs = 300;
         request.responseMs = clampMs(timeout);
+        constexpr uint64_t firstDigest = 100000;
+        request.digest = random_.chance(deadlyRequestFraction_) ? deadlyRequest : RequestDigest(firstDigest + lastRequest_);
         if (options_.subjects > 0) {
-            constexpr uint64_t firstSubject = 1000;
-            bool isDeadly = random_.chance(deadlyFraction_);
-            soundRequests += isDeadly ? 0 : 1;
-            request.sharedParts = { firstPart, isDeadly ? deadlyPart : PromptPartId(firstSubject + random_.below(options_.subjects)) };
+            bool hasDeadlyPart = random_.chance(deadlyFraction_);
+            PromptPartId subject(partOfDeadlyRequest.value() + random_.below(options_.subjects));
+            request.sharedParts = { firstPart, hasDeadlyPart ? deadlyPart : request.digest == deadlyRequest ? partOfDeadlyRequest
+                                                                                                            : subject };
         }
+        soundRequests += isDeadly(request) ? 0 : 1;
         send(entry, request);
     }
 
@@ -505,6 +517,7 @@
             waiting_.erase(request.attempt);
             if (!grant) {
                 refusals.push_back(grant.error());
+                soundRefusedAsSuspect += grant.error().kind == ErrorKind::SuspectPrompt && !isDeadly(request) ? 1 : 0;
                 return;
             }
             auto target = grant->target.value();
@@ -523,7 +536,7 @@
             // Without parts, the first event is the whole response.
             auto startTime = options_.subjects > 0 ? options_.serviceTime / 2 : options_.serviceTime;
             running_.push_back({ clock_.now + startTime, clock_.now + options_.serviceTime, entry, *grant, clock_.now, request });
-            if (running_.back().isDeadly())
+            if (isDeadly(request))
                 deadlyArrivals_.push_back(clock_.now);
         });
     }
@@ -564,6 +577,7 @@
     std::map<uint32_t, RequestRate> namedLimits_;
     std::map<uint32_t, std::vector<Instant>> arrivals_;
     double deadlyFraction_ { 0 };
+    double deadlyRequestFraction_ { 0 };
     std::map<uint32_t, Instant> downUntil_;
     std::vector<Instant> deadlyArrivals_;
 };
