--- a/include/briarhitch/control/AdminApi.h
+++ b/include/briarhitch/control/AdminApi.h
@@ -43,6 +43,8 @@
     void windDown(const Call& call);
     void putTarget(const Call& call);
     void setTargetState(const Call& call, TargetState state);
+    void routeSuspect(const Call& call);
+    void clearSuspect(const Call& call, SuspectId id);
     void changeVoter(const Call& call);
     void showChange(const Call& call);
     void exportCustomer(const Call& call);
--- a/include/briarhitch/control/Commands.h
+++ b/include/briarhitch/control/Commands.h
@@ -23,6 +23,7 @@
     RetireRuns = 10,
     PutRouting = 11,
     ReplaceDiscovered = 12,
+    RecordSuspects = 13,
 };
 
 /** One entry of the replicated log. */
@@ -224,6 +225,17 @@
     }
 };
 
+/** Blocked suspects whose counts have grown, and cleared ones; what is known already changes nothing. */
+struct RecordSuspectsCommand {
+    RecordSuspects changes;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(changes);
+    }
+};
+
 /** Result of every command except claims. */
 struct CommandResult {
     bool accepted { false };
@@ -271,6 +283,7 @@
 std::string encodeCommand(const RetireRunsCommand& command);
 std::string encodeCommand(const PutRoutingCommand& command);
 std::string encodeCommand(const ReplaceDiscoveredCommand& command);
+std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs);
 Result<CommandResult> decodeCommandResult(const std::string& bytes);
 Result<ClaimResult> decodeClaimResult(const std::string& bytes);
 
--- a/include/briarhitch/control/ControlServer.h
+++ b/include/briarhitch/control/ControlServer.h
@@ -74,6 +74,8 @@
     Result<CommandResult> propose(std::string command);
     /** Commits a validated routing document; accepted without effect if its version is not higher than the current one's. */
     Result<CommandResult> putRouting(const Routing& routing, const std::string& source);
+    /** Commits changes of blocked suspects. */
+    Result<CommandResult> recordSuspects(const RecordSuspects& changes);
     /** Commits the list of discovered targets if it differs from the configuration. */
     Result<void> replaceDiscovered(const std::vector<Target>& targets, const std::string& poolScope);
     /** Nodes that may hold a lease and have not reported this configuration version or a later one. */
@@ -90,6 +92,7 @@
     Result<std::string> onHeartbeat(const Peer& peer, std::string_view body);
     Result<std::string> onClaim(const Peer& peer, std::string_view body);
     Result<std::string> onFinish(const Peer& peer, std::string_view body);
+    Result<std::string> onRecordSuspects(const Peer& peer, std::string_view body);
     Result<void> registerIfChanged(const NodeRecord& node);
     [[nodiscard]] std::string redirect() const;
     [[nodiscard]] Duration tickInterval() const;
--- a/include/briarhitch/control/StateMachine.h
+++ b/include/briarhitch/control/StateMachine.h
@@ -60,6 +60,7 @@
     CommandResult finishRun(const FinishRunCommand& command, int64_t timeMs);
     CommandResult putRouting(const PutRoutingCommand& command);
     CommandResult replaceDiscovered(const ReplaceDiscoveredCommand& command);
+    CommandResult recordSuspects(const RecordSuspectsCommand& command, int64_t timeMs);
     /** The pool of a target; added to the delta if there is none yet. */
     PoolId findOrCreatePool(const Target& target, const std::string& scope, ConfigDelta& delta);
     CommandResult publishNode(const NodeRecord& node);
--- a/include/briarhitch/core/Error.h
+++ b/include/briarhitch/core/Error.h
@@ -47,8 +47,11 @@
     Unavailable,
     Damaged,
     Internal,
+    SuspectRequest,
+    /** The target closed the connection before its answer was complete. */
+    TargetClosed,
 };
-inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::Internal) + 1;
+inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::TargetClosed) + 1;
 
 /** Whether a target ran the request. */
 enum class Ran : uint8_t {
--- a/include/briarhitch/entry/ControlClient.h
+++ b/include/briarhitch/entry/ControlClient.h
@@ -48,6 +48,8 @@
     Result<ClaimRunReply> claimRun(const ClaimRun& claim, Duration timeout);
     /** Commits a run's outcome; retries across leader changes until the timeout. */
     Result<void> finishRun(const FinishRun& finish, Duration timeout);
+    /** Commits changes of blocked suspects; may be repeated. */
+    Result<void> recordSuspects(const RecordSuspects& changes, Duration timeout);
 
 private:
     struct Impl;
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -2,10 +2,10 @@
 
 #include "briarhitch/entry/ClusterView.h"
 #include "briarhitch/entry/EntryRateLimits.h"
+#include "briarhitch/entry/EntrySuspects.h"
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "briarhitch/sched/SuspectParts.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -121,11 +121,8 @@
     void tickLocalSchedulers();
     void cancelLocally(PoolId pool, AttemptId attempt);
     [[nodiscard]] Error missingOwnerError() const;
-    /** The blocked part of the request for which it must not be sent to the owner, or to a target if selected locally. */
-    [[nodiscard]] std::optional<PartBlock> findBlock(const GrantRequest& request, bool isLocal) const;
-    /** A target began to answer a request with these parts. */
-    void recordStart(PoolId pool, const std::vector<PromptPartId>& parts);
-    void logVerdicts(PoolId pool, const std::vector<PartVerdict>& verdicts) const;
+    /** Whether the target has announced its end. */
+    [[nodiscard]] bool isLeaving(TargetId target) const;
 
     Loop& loop_;
     PoolClientSettings settings_;
@@ -138,10 +135,7 @@
     std::map<AttemptId, std::shared_ptr<PendingRequest>> pending_;
     std::map<AttemptId, RunningAttempt> running_;
     std::deque<PoolRecentAttempt> recentAttempts_;
-    /** What owners say of parts of prompts, by pool. */
-    std::map<PoolId, SuspectParts> ownersSuspectParts_;
-    /** What this entry concludes from its own attempts; used while it selects targets locally, and told to new owners. */
-    std::map<PoolId, SuspectParts> ownSuspectParts_;
+    EntrySuspects suspects_;
     std::map<PoolId, std::unique_ptr<PoolScheduler>> localSchedulers_;
     /** Attempts that the local schedulers hold, queued or granted. */
     std::set<AttemptId> localAttempts_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -2,9 +2,9 @@
 
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/OwnerRateLimits.h"
+#include "briarhitch/entry/OwnerSuspects.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "briarhitch/sched/SuspectParts.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -36,6 +36,8 @@
     std::function<bool()> hasLease;
     /** Another node refers to a newer pool assignment: the configuration should be fetched now. */
     std::function<void()> onConfigOutdated;
+    /** Records a blocked or cleared suspect in the replicated log. */
+    std::function<void(const SuspectVerdict&)> recordSuspect;
     ClockHook now;
 };
 
@@ -81,7 +83,6 @@
         std::set<NodeId> awaitedSyncs;
         std::map<AttemptId, HostedRequest> requests;
         std::vector<RecentAttempt> recentAttempts;
-        SuspectParts suspectParts;
         /** Null during the takeover and while this node has no lease. */
         std::unique_ptr<PoolScheduler> scheduler;
         bool isApplyingActions { false };
@@ -131,14 +132,16 @@
     void postRateLimitToAll(const Target& target) const;
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
-    void removeRequest(Pool& pool, AttemptId attempt);
-    void logBrokenAttempt(const Pool& pool, const HostedRequest& request) const;
-    /** Hands a request to the scheduler, unless a part of its prompt is blocked. */
+    [[nodiscard]] OwnerSuspectsHooks suspectHooks();
+    /** `isUnsent`: no target has seen the request under this attempt. */
+    void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
+    /** Hands a request to the scheduler, unless it is blocked. */
     void submit(Pool& pool, AttemptId attempt);
-    void refuse(Pool& pool, AttemptId attempt, const PartBlock& block);
-    /** Logs the verdicts, tells all entries, and refuses queued requests with blocked parts. */
-    void applyVerdicts(Pool& pool, const std::vector<PartVerdict>& verdicts);
-    void mergeSuspectParts(Pool& pool, const PoolSync& sync);
+    void refuse(Pool& pool, AttemptId attempt, const SuspectBlock& block);
+    /** Refuses queued requests if a block has begun. */
+    void refuseBlocked();
+    /** Whether the target has announced its end. */
+    [[nodiscard]] bool isLeaving(TargetId target) const;
     void applyActions(Pool& pool);
     void applyAction(Pool& pool, const PoolAction& action);
     void sendGrant(const Pool& pool, const HostedRequest& request);
@@ -153,6 +156,7 @@
     PoolHostHooks hooks_;
     /** The schedulers refer to its limiter. */
     OwnerRateLimits rateLimits_;
+    OwnerSuspects suspects_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -59,9 +59,12 @@
     [[nodiscard]] virtual const HttpHeaders& headers() const = 0;
     /** Whether the response has neither a length nor chunks, so that only the end of its connection ends it. */
     [[nodiscard]] virtual bool endsWithConnection() const { return false; }
+    /** Time since the connection was opened, which earlier calls may have used; zero if not known. */
+    [[nodiscard]] virtual Duration connectionAge() const { return Duration::zero(); }
     /**
      * The next bytes of the body as they arrive; none at its regular end. TargetTimeout if nothing arrives within
-     * `timeout`; TargetFailed if the connection fails; CallerLeft after cancel().
+     * `timeout`; TargetClosed if the server closes the connection; TargetFailed if the response is invalid; CallerLeft
+     * after cancel().
      */
     virtual Result<std::optional<std::string>> read(Duration timeout) = 0;
     /** The rest of the body; TargetTimeout if it is not complete after `timeout`, even if bytes still arrive. */
@@ -83,7 +86,8 @@
 
     /**
      * Sends the request and blocks the calling fiber until the response header has arrived. The error's `ran` is No
-     * only if no byte of the request can have reached the server.
+     * only if no byte of the request can have reached the server; its kind is then TargetClosed if the server refused the
+     * connection.
      */
     Result<std::shared_ptr<HttpCall>> start(const HttpCallSettings& settings);
 
--- a/include/briarhitch/model/ClusterConfig.h
+++ b/include/briarhitch/model/ClusterConfig.h
@@ -3,6 +3,7 @@
 #include "briarhitch/model/Contract.h"
 #include "briarhitch/model/Routing.h"
 #include "briarhitch/model/RoutingPatch.h"
+#include "briarhitch/model/Suspect.h"
 #include "briarhitch/model/Target.h"
 
 #include <map>
@@ -78,13 +79,15 @@
     std::map<NodeId, NodeRecord> nodes;
     std::map<PoolId, PoolAssignment> pools;
     Routing routing;
+    /** Requests and prompt parts that crash targets. */
+    std::map<SuspectId, SuspectRecord> suspects;
 
     bool operator==(const ClusterConfig&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(version, customers, targets, nodes, pools, routing);
+        visit(version, customers, targets, nodes, pools, routing, suspects);
     }
 };
 
@@ -102,13 +105,15 @@
     std::optional<RoutingPatch> routing {};
     /** Discovered targets that are no longer listed. */
     std::vector<TargetId> removedTargets {};
+    std::vector<SuspectRecord> suspects {};
+    std::vector<SuspectId> clearedSuspects {};
 
     bool operator==(const ConfigDelta&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(version, customers, targets, nodes, pools, routing, removedTargets);
+        visit(version, customers, targets, nodes, pools, routing, removedTargets, suspects, clearedSuspects);
     }
 };
 
--- /dev/null
+++ b/include/briarhitch/sched/CrashSuspects.h
@@ -0,0 +1,150 @@
+#pragma once
+
+#include "briarhitch/core/Clock.h"
+#include "briarhitch/core/Ids.h"
+#include "briarhitch/model/Suspect.h"
+
+#include <absl/container/flat_hash_map.h>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <vector>
+
+namespace briarhitch {
+
+/** A target that ended while it ran a suspect. */
+struct SuspectCrash {
+    TargetId target;
+    Instant at;
+    /** The target had sent the caller a part of the answer. */
+    bool hadProgress { false };
+    /** Of a prompt part: the requests with it that the target ran. */
+    std::vector<RequestDigest> requests;
+};
+
+/** What is believed of a suspect, after a change or as told to another node. */
+struct SuspectVerdict {
+    SuspectState state { SuspectState::Suspected };
+    SuspectId id;
+    /** All crashes that count against it; the latest are listed. */
+    uint32_t crashes { 0 };
+    uint32_t sendsAfterThirdCrash { 0 };
+    /** Targets answered it shortly before its first crash. */
+    bool wasSound { false };
+    std::vector<SuspectCrash> evidence;
+    /** Zero unless blocked: time until a trial. */
+    Duration blockedFor { 0 };
+};
+
+/** The suspect for which a request is refused. */
+struct SuspectBlock {
+    SuspectId id;
+    uint32_t crashes { 0 };
+    /** Time until a request with it may be tried. */
+    Duration remaining { 0 };
+};
+
+/**
+ * Decides which requests, and which parts of prompts, crash the targets that run them, from what ran on targets that ended.
+ *
+ * - A request is sound once a target has answered it. It is blocked after two crashes without an answer in between; a crash
+ *   after a part of the answer counts half. Once it is blocked, it explains its crashes: requests that ran beside it are not
+ *   suspected for them.
+ * - A part is sound while targets begin to answer requests with it. It is blocked after two crashes with different requests
+ *   without that in between; several crashes by one request show nothing about its parts.
+ * - What targets answered shortly before is in many requests that targets run when they end, and needs five crashes.
+ * - A blocked suspect is tried alone, by one request at a time. A request that has crashed three targets is tried three
+ *   times more at most, until an operator clears it; sends after the third crash count against that.
+ *
+ * Memory is bounded. Does no I/O and reads no clock.
+ */
+class CrashSuspects {
+public:
+    /** The target ended while it ran the request. */
+    std::vector<SuspectVerdict> recordRequestCrash(RequestDigest request, TargetId target, Instant at, bool hadProgress, Instant now);
+    /** The target ended while it ran a request with the part, and had sent nothing of its answer. */
+    std::vector<SuspectVerdict> recordPartCrash(PromptPartId part, RequestDigest request, TargetId target, Instant at, Instant now);
+    /** A target began to answer a request with these parts. */
+    std::vector<SuspectVerdict> recordStart(const std::vector<SuspectId>& ids, Instant now);
+    /** A target answered the request in full. */
+    std::vector<SuspectVerdict> recordAnswer(const std::vector<SuspectId>& ids, Instant now);
+    /**
+     * To be called once all that the target ran at its end is recorded: withdraws the crashes of blocked requests that it ran
+     * from the requests that ran beside them.
+     */
+    void explainCrash(TargetId target, Instant at);
+    /** The target had not ended at that time after all. */
+    std::vector<SuspectVerdict> withdrawCrash(TargetId target, Instant at, Instant now);
+
+    /** Adopts what another node believes. */
+    std::optional<SuspectVerdict> merge(const SuspectVerdict& verdict, Instant now);
+    /** Adopts a block of the replicated log, unless a target has answered the suspect since. */
+    void adopt(const SuspectRecord& record, Instant now);
+    void erase(SuspectId id) { suspicions_.erase(id); }
+
+    /** The first of these for which a request is refused now; none if it may be sent, or tried (needsTrial()). */
+    [[nodiscard]] std::optional<SuspectBlock> findBlock(const std::vector<SuspectId>& ids, Instant now) const;
+    /** The same without trials: blocked suspects are refused until they are cleared. */
+    [[nodiscard]] std::optional<SuspectBlock> findBlockWithoutTrial(const std::vector<SuspectId>& ids, Instant now) const;
+    /** Whether a request with these would be a trial of a blocked one. */
+    [[nodiscard]] bool needsTrial(const std::vector<SuspectId>& ids) const;
+    /** Whether any of these has crashes against it; such requests run best where they endanger least. */
+    [[nodiscard]] bool hasSuspect(const std::vector<SuspectId>& ids) const;
+    /** Blocks the suspects for other requests until the attempt has been answered, broken or ended. */
+    std::vector<SuspectVerdict> beginTrial(const std::vector<SuspectId>& ids, AttemptId attempt, Instant now);
+    /** The attempt ended without evidence for or against them. `isUnsent`: no target has seen it. */
+    void endTrial(const std::vector<SuspectId>& ids, AttemptId attempt, bool isUnsent, Instant now);
+
+    /** Removes what is too old to count. */
+    void tick(Instant now);
+    /** Blocked ones first, then the latest; at most `limit`. */
+    [[nodiscard]] std::vector<SuspectVerdict> verdicts(Instant now, size_t limit) const;
+    [[nodiscard]] size_t size() const { return suspicions_.size(); }
+    [[nodiscard]] size_t blockedCount() const;
+
+private:
+    struct Suspicion {
+        /** Crashes that are no longer listed as evidence. */
+        uint32_t olderCrashes { 0 };
+        std::deque<SuspectCrash> evidence;
+        /** Targets answered it shortly before its first crash. */
+        bool wasSound { false };
+        uint32_t sendsAfterThirdCrash { 0 };
+        bool isBlocked { false };
+        Instant blockedUntil {};
+        std::optional<AttemptId> trial;
+        Instant trialBeganAt {};
+        Instant lastCrashAt {};
+    };
+    struct SoundRecord {
+        SuspectId id;
+        Instant at;
+    };
+
+    [[nodiscard]] static uint32_t crashCount(const Suspicion& suspicion);
+    [[nodiscard]] bool isEnough(SuspectId id, const Suspicion& suspicion, Instant now) const;
+    [[nodiscard]] static bool isFinal(SuspectId id, const Suspicion& suspicion);
+    [[nodiscard]] static Duration blockTime(SuspectId id, const Suspicion& suspicion);
+    [[nodiscard]] static bool isBlockedAt(SuspectId id, const Suspicion& suspicion, Instant now);
+    [[nodiscard]] static SuspectVerdict verdictOf(SuspectState state, SuspectId id, const Suspicion& suspicion, Instant now);
+    [[nodiscard]] bool wasSoundWithin(SuspectId id, Duration time, Instant now) const;
+    Suspicion& findOrCreate(SuspectId id, Instant now);
+    /** Adds evidence; crashes of one end of a target, and crashes of a part by one request, count once. */
+    static void addCrash(SuspectId id, Suspicion& suspicion, const SuspectCrash& crash);
+    std::vector<SuspectVerdict> recordCrash(SuspectId id, const SuspectCrash& crash, Instant now);
+    /** For a suspect that has lost evidence. */
+    std::vector<SuspectVerdict> unblockIfTooWeak(SuspectId id, Suspicion& suspicion, Instant now) const;
+    void removeExplained(const std::deque<SuspectCrash>& explained);
+    /** A target answered the suspect. */
+    void recordSound(SuspectId id, Instant now, std::vector<SuspectVerdict>& cleared);
+    void rememberSound(SuspectId id, Instant now);
+
+    std::map<SuspectId, Suspicion> suspicions_;
+    absl::flat_hash_map<SuspectId, Instant> lastSoundAt_;
+    /** In order of time, by kind; holds an element for each change in lastSoundAt_. */
+    std::deque<SoundRecord> soundRequests_;
+    std::deque<SoundRecord> soundParts_;
+};
+
+}
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -4,8 +4,8 @@
 #include "briarhitch/core/Error.h"
 #include "briarhitch/core/NodeAddress.h"
 #include "briarhitch/model/ClusterConfig.h"
-#include "briarhitch/model/PartState.h"
 #include "briarhitch/model/RunRecord.h"
+#include "briarhitch/model/Suspect.h"
 #include "briarhitch/wire/EncodedConfig.h"
 
 #include <optional>
@@ -20,6 +20,7 @@
     ClaimRun = 2,
     FinishRun = 3,
     Raft = 4,
+    RecordSuspects = 5,
     GrantRequest = 10,
     Grant = 11,
     GrantRefusal = 12,
@@ -41,7 +42,7 @@
     HeartbeatSolicitation = 24,
     TargetRateLimitNotice = 25,
     CeilingSync = 26,
-    SuspectPartNotice = 27,
+    SuspectNotice = 28,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -141,6 +142,28 @@
     }
 };
 
+/** Pool owner to control leader: changes of blocked suspects, in order. Reply: RecordSuspectsReply. */
+struct RecordSuspects {
+    std::vector<SuspectRecord> blocked;
+    std::vector<SuspectId> cleared;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(blocked, cleared);
+    }
+};
+
+struct RecordSuspectsReply {
+    bool committed { false };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(committed);
+    }
+};
+
 /** Entry to pool owner: requests a grant for a target. The owner posts a Grant or a GrantRefusal. */
 struct GrantRequest {
     PoolId pool;
@@ -244,11 +267,13 @@
     PoolId pool;
     AttemptId attempt;
     uint32_t firstTokenMs { 0 };
+    /** Time since the attempt's connection was opened; zero if not known. */
+    uint32_t connectionAgeMs { 0 };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, firstTokenMs);
+        visit(pool, attempt, firstTokenMs, connectionAgeMs);
     }
 };
 
@@ -274,13 +299,17 @@
     Tokens promptTokens;
     Tokens outputTokens;
     uint32_t durationMs { 0 };
-    /** The target closed the connection after the request was sent and before the first event. */
-    bool hasBrokenBeforeFirstEvent { false };
+    /** The target closed the connection after the request was sent and before its answer was complete. */
+    bool hasTargetClosed { false };
+    /** Time since the attempt's connection was opened; zero if not known. */
+    uint32_t connectionAgeMs { 0 };
+    /** The target is up as a machine, but nothing accepts connections at its address. */
+    bool hasRefusedConnection { false };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs, hasBrokenBeforeFirstEvent);
+        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs, hasTargetClosed, connectionAgeMs, hasRefusedConnection);
     }
 };
 
@@ -341,33 +370,47 @@
     }
 };
 
-/** A target that ended before it began to answer a request with a certain part, and how long ago. */
-struct PartCrashReport {
+/** A target that ended while it ran a suspect, and how long ago. */
+struct SuspectCrashReport {
     TargetId target;
     uint32_t ageMs { 0 };
+    /** The target had sent the caller a part of the answer. */
+    bool hadProgress { false };
+    /** Of a prompt part: the requests with it that the target ran. */
+    std::vector<RequestDigest> requests;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(target, ageMs);
+        visit(target, ageMs, hadProgress, requests);
     }
 };
 
-/** Owner to entries, and entry to new owner in PoolSync: what is believed of a part of prompts. */
-struct SuspectPartNotice {
-    PoolId pool;
-    PromptPartId part;
-    PartState state { PartState::Suspected };
+/** Owner to entries, and entry to new owner in PoolSync: what is believed of a suspect. */
+struct SuspectNotice {
+    SuspectId id;
+    SuspectState state { SuspectState::Suspected };
     /** All crashes that count against it; the latest are listed. */
     uint32_t crashes { 0 };
-    std::vector<PartCrashReport> evidence;
-    /** Of a blocked part: time until a trial. */
+    uint32_t sendsAfterThirdCrash { 0 };
+    bool wasSound { false };
+    std::vector<SuspectCrashReport> evidence;
+    /** Of a blocked one: time until a trial. */
     uint32_t blockedMs { 0 };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, part, state, crashes, evidence, blockedMs);
+        visit(id, state, crashes, sendsAfterThirdCrash, wasSound, evidence, blockedMs);
+    }
+};
+
+/** Takes the place of a field that earlier versions send; its content is ignored. */
+struct RetiredField {
+    template <class V>
+    void fields(V& visit)
+    {
+        visit();
     }
 };
 
@@ -381,13 +424,14 @@
     std::vector<RecentAttempt> recent;
     /** What the entry knows of the targets' rate limits. */
     std::vector<TargetRateLimitNotice> rateLimits;
-    /** What the entry knows of prompt parts that may crash targets. */
-    std::vector<SuspectPartNotice> suspectParts;
+    std::vector<RetiredField> suspectParts;
+    /** What the entry knows of requests and prompt parts that may crash targets. */
+    std::vector<SuspectNotice> suspects;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, epoch, running, recent, rateLimits, suspectParts);
+        visit(pool, epoch, running, recent, rateLimits, suspectParts, suspects);
     }
 };
 
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -133,6 +133,8 @@
         routeCustomer(call);
     else if (call.path[0] == "targets")
         routeTarget(call);
+    else if (call.path[0] == "suspects")
+        routeSuspect(call);
     else if (call.path[0] == "changes" && call.is("GET", 2))
         showChange(call);
     else if (call.path[0] == "voters" && call.is("POST", 3))
@@ -189,6 +191,33 @@
     }
 }
 
+void AdminApi::routeSuspect(const Call& call)
+{
+    auto id = call.path.size() > 1 ? parseSuspectId(call.path[1]) : std::nullopt;
+    if (call.is("GET", 1)) {
+        Json list = Json::array();
+        for (const auto& [suspect, record] : server_.state().config().suspects)
+            list.push_back(toJson(record));
+        sendJson(call.exchange, 200, { { "suspects", list } });
+    } else if (call.is("POST", 3) && call.path[2] == "clear" && id) {
+        clearSuspect(call, *id);
+    } else {
+        call.failNoRoute();
+    }
+}
+
+void AdminApi::clearSuspect(const Call& call, SuspectId id)
+{
+    // Clearing has no change id: it may be repeated, and clearing what is not blocked changes nothing.
+    auto result = server_.recordSuspects({ {}, { id } });
+    if (!result) {
+        call.fail(result.error());
+        return;
+    }
+    auto behind = waitInForce(call, result->configVersion);
+    sendJson(call.exchange, 200, { { "suspect", toString(id) }, { "in_force", behind.empty() }, { "not_applied", toJson(behind) } });
+}
+
 void AdminApi::putCustomer(const Call& call)
 {
     auto command = parsePutCustomer(call.path[1], call.request.body);
--- a/src/control/AdminJson.cpp
+++ b/src/control/AdminJson.cpp
@@ -241,6 +241,16 @@
     return json;
 }
 
+Json toJson(const SuspectRecord& record)
+{
+    Json json;
+    json["suspect"] = toString(record.id);
+    json["crashes"] = record.crashes;
+    json["sends_after_third_crash"] = record.sendsAfterThirdCrash;
+    json["changed_at_ms"] = record.changedAtMs;
+    return json;
+}
+
 Json changeToJson(const std::string& changeId, const CommandResult& result, const std::vector<NodeId>& notApplied)
 {
     Json json;
--- a/src/control/AdminJson.h
+++ b/src/control/AdminJson.h
@@ -21,6 +21,7 @@
 
 Json toJson(const Contract& contract);
 Json toJson(const Target& target);
+Json toJson(const SuspectRecord& record);
 Json toJson(const std::vector<NodeId>& nodes);
 /** Response to an accepted change. */
 Json changeToJson(const std::string& changeId, const CommandResult& result, const std::vector<NodeId>& notApplied);
--- a/src/control/Commands.cpp
+++ b/src/control/Commands.cpp
@@ -26,6 +26,7 @@
 std::string encodeCommand(const RetireRunsCommand& command) { return wrap(CommandKind::RetireRuns, command); }
 std::string encodeCommand(const PutRoutingCommand& command) { return wrap(CommandKind::PutRouting, command); }
 std::string encodeCommand(const ReplaceDiscoveredCommand& command) { return wrap(CommandKind::ReplaceDiscovered, command); }
+std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs) { return wrap(CommandKind::RecordSuspects, command, timeMs); }
 
 Result<CommandResult> decodeCommandResult(const std::string& bytes)
 {
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -185,6 +185,8 @@
         return onClaim(peer, body);
     case MessageType::FinishRun:
         return onFinish(peer, body);
+    case MessageType::RecordSuspects:
+        return onRecordSuspects(peer, body);
     default:
         return fail(ErrorKind::BadRequest, "control processes do not handle messages of this type");
     }
@@ -293,6 +295,31 @@
     return encode(reply);
 }
 
+Result<std::string> ControlServer::onRecordSuspects(const Peer& peer, std::string_view body)
+{
+    auto changes = decode<RecordSuspects>(body);
+    if (!changes)
+        return tl::unexpected(changes.error());
+    if (peer.identity.role != LinkRole::Entry)
+        return fail(ErrorKind::Unauthorized, "only entries may report suspects");
+    RecordSuspectsReply reply;
+    if (isLeader())
+        reply.committed = recordSuspects(*changes).has_value();
+    return encode(reply);
+}
+
+Result<CommandResult> ControlServer::recordSuspects(const RecordSuspects& changes)
+{
+    auto result = propose(encodeCommand(RecordSuspectsCommand { changes }, wallClockMs()));
+    if (!result)
+        return result;
+    for (const auto& record : changes.blocked)
+        controlLog().info(toString(record.id) + " is recorded as blocked after " + std::to_string(record.crashes) + " crashes");
+    for (auto id : changes.cleared)
+        controlLog().info(toString(id) + " is recorded as cleared");
+    return result;
+}
+
 std::vector<NodeId> ControlServer::nodesBehind(Version version) const
 {
     std::vector<NodeId> behind;
@@ -403,6 +430,7 @@
     metrics_.setGauge("control_nodes", {}, static_cast<double>(config.nodes.size()));
     metrics_.setGauge("control_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
     metrics_.setGauge("control_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
+    metrics_.setGauge("control_blocked_suspects", {}, static_cast<double>(config.suspects.size()));
     metrics_.setGauge("control_nodes_lost", {}, static_cast<double>(lost));
     metrics_.setGauge("control_pools_without_owner", {}, static_cast<double>(unowned));
     metrics_.setGauge("control_run_records", {}, static_cast<double>(state_.runs().size()));
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/control/StateMachine.h"
 
 #include "briarhitch/core/Digest.h"
+#include "control/SuspectChanges.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -90,6 +91,7 @@
         add(delta.targets);
         add(delta.nodes);
         add(delta.pools);
+        add(delta.suspects);
         return bytes;
     }
 
@@ -112,6 +114,10 @@
             bytes += encodedSizeAt(config.pools, pool.id);
         for (auto target : delta.removedTargets)
             bytes += encodedSizeAt(config.targets, target);
+        for (const auto& suspect : delta.suspects)
+            bytes += encodedSizeAt(config.suspects, suspect.id);
+        for (auto suspect : delta.clearedSuspects)
+            bytes += encodedSizeAt(config.suspects, suspect);
         return bytes;
     }
 
@@ -127,6 +133,7 @@
         add(config.targets);
         add(config.nodes);
         add(config.pools);
+        add(config.suspects);
         return bytes + encodedRoutingSize(config);
     }
 
@@ -241,6 +248,8 @@
         return withDecodedBody<PutRoutingCommand>(command, [&](const auto& body) { return putRouting(body); });
     case CommandKind::ReplaceDiscovered:
         return withDecodedBody<ReplaceDiscoveredCommand>(command, [&](const auto& body) { return replaceDiscovered(body); });
+    case CommandKind::RecordSuspects:
+        return withDecodedBody<RecordSuspectsCommand>(command, [&](const auto& body) { return recordSuspects(body, command.timeMs); });
     case CommandKind::ClaimRun:
         break;
     }
@@ -422,6 +431,14 @@
     return accepted(command.routing.version);
 }
 
+CommandResult StateMachine::recordSuspects(const RecordSuspectsCommand& command, int64_t timeMs)
+{
+    auto delta = suspectsDelta(config_, command.changes, timeMs);
+    if (!delta.suspects.empty() || !delta.clearedSuspects.empty())
+        publish(std::move(delta));
+    return accepted({});
+}
+
 CommandResult StateMachine::setTargetState(const SetTargetStateCommand& command)
 {
     const auto* current = findTarget(command.target);
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -47,6 +47,8 @@
         { ErrorKind::Unavailable, "unavailable", 503, Ran::No, 1s },
         { ErrorKind::Damaged, "damaged", 500, Ran::No, std::nullopt },
         { ErrorKind::Internal, "internal", 500, Ran::Unknown, std::nullopt },
+        { ErrorKind::SuspectRequest, "suspect_request", 503, Ran::No, 30s },
+        { ErrorKind::TargetClosed, "target_closed", 502, Ran::Unknown, 2s },
     } };
 
     constexpr bool isTableInOrder()
--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -325,4 +325,13 @@
     });
 }
 
+Result<void> ControlClient::recordSuspects(const RecordSuspects& changes, Duration timeout)
+{
+    auto impl = impl_;
+    return impl->commit(MessageType::RecordSuspects, encode(changes), timeout, [](const std::string& body) {
+        auto decoded = decode<RecordSuspectsReply>(body);
+        return decoded && decoded->committed;
+    });
+}
+
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -11,6 +11,7 @@
 #include "briarhitch/entry/PoolClient.h"
 #include "briarhitch/entry/PoolHost.h"
 #include "briarhitch/entry/RequestRunner.h"
+#include "briarhitch/entry/SuspectRecorder.h"
 #include "briarhitch/http/RateLimitHeader.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/Guard.h"
@@ -19,6 +20,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace briarhitch {
 
@@ -33,6 +35,9 @@
     constexpr Duration idleTickInterval = 50ms;
     constexpr Duration ownerCheckInterval = 100ms;
     constexpr Duration gaugeInterval = 1s;
+    /** Suspects that are blocked or cleared within this time are recorded by one command. */
+    constexpr Duration suspectBatchTime = 20ms;
+    constexpr Duration suspectRecordTimeout = 2s;
     constexpr Duration drainPollInterval = 20ms;
     constexpr Duration drainHeartbeatInterval = 100ms;
     /** Time for callers to receive the last bytes of their responses. */
@@ -106,6 +111,7 @@
         , serviceRetryBudget(settings.routed.retryBudget)
         , loadPoller({ self.id, self.region }, pollerHooks())
         , httpFront(frontSettings(), clusterView, history, metrics, frontHooks())
+        , suspectRecorder([this](const RecordSuspects& changes) { return controlClient.recordSuspects(changes, suspectRecordTimeout); })
     {
     }
 
@@ -189,10 +195,27 @@
         PoolHostHooks hooks;
         hooks.hasLease = [this] { return controlClient.hasLease(); };
         hooks.onConfigOutdated = [this] { controlClient.heartbeatNow(); };
+        hooks.recordSuspect = [this](const SuspectVerdict& verdict) {
+            suspectRecorder.record(verdict);
+            recordSuspectsInBackground();
+        };
         hooks.now = &BootClock::now;
         return hooks;
     }
 
+    void recordSuspectsInBackground()
+    {
+        if (std::exchange(isRecordingSuspects, true))
+            return;
+        loop.spawn([this] {
+            while (suspectRecorder.hasChanges()) {
+                sleepFor(loop, suspectBatchTime);
+                runGuarded(entryLog(), "Recording of suspects", [this] { suspectRecorder.flush(); });
+            }
+            isRecordingSuspects = false;
+        });
+    }
+
     RequestRunnerHooks runnerHooks()
     {
         RequestRunnerHooks hooks;
@@ -427,6 +450,8 @@
     LoadPoller loadPoller;
     HttpFrontend httpFront;
     std::unique_ptr<NodeLinks> nodeLinks;
+    SuspectRecorder suspectRecorder;
+    bool isRecordingSuspects { false };
     std::unique_ptr<PoolHost> poolHost;
     std::unique_ptr<PoolClient> poolClient;
     std::unique_ptr<CeilingClient> ceilingClient;
--- a/src/entry/ModelStream.h
+++ b/src/entry/ModelStream.h
@@ -33,7 +33,10 @@
      * read; nullptr if events follow.
      */
     Result<std::shared_ptr<HttpCall>> open();
-    /** The next event; none after the [DONE] marker. Errors: TargetTimeout, TargetFailed or, after cancel(), CallerLeft. */
+    /**
+     * The next event; none after the [DONE] marker. Errors: TargetTimeout, TargetFailed, TargetClosed if the engine closed
+     * the last connection, or, after cancel(), CallerLeft.
+     */
     Result<std::optional<ServerSentEvent>> next();
     /** Makes open() and next() return as soon as they can; may be called from any hook. */
     void cancel();
@@ -47,6 +50,8 @@
     Result<void> acceptEvents(std::vector<ServerSentEvent> events);
     Result<void> acceptEvent(ServerSentEvent event);
     [[nodiscard]] Duration readTimeout() const;
+    /** TargetClosed if the engine closed the last connection, TargetFailed otherwise. */
+    [[nodiscard]] ErrorKind lossKind() const;
 
     TargetClient& client_;
     TargetCall call_;
@@ -55,6 +60,8 @@
     ClockHook now_;
     SleepHook sleep_;
     std::shared_ptr<HttpCall> connection_;
+    /** Why the last connection was lost. */
+    ErrorKind lossKind_ { ErrorKind::TargetFailed };
     EventStreamParser parser_;
     std::deque<ServerSentEvent> readyEvents_;
     std::optional<uint64_t> lastEventId_;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -5,7 +5,7 @@
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "entry/PoolRequests.h"
-#include "entry/SuspectPartNotices.h"
+#include "entry/SuspectNotices.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -85,6 +85,7 @@
     , transport_(transport)
     , now_(std::move(now))
     , rateLimits_(settings_.self)
+    , suspects_(now_)
 {
 }
 
@@ -115,8 +116,8 @@
     auto pending = std::make_shared<PendingRequest>(loop_, request, deadline);
     pending->requestedAt = now_();
     bool isLocal = mustSelectLocally(state);
-    if (auto block = findBlock(request, isLocal))
-        return tl::unexpected(makeRefusalError(ErrorKind::SuspectPrompt, blockReason(*block), blockRetryAfter(*block)));
+    if (auto block = suspects_.findBlock(request, isLocal))
+        return tl::unexpected(blockError(*block));
     pending_[request.attempt] = pending;
     if (isLocal)
         submitLocally(*pending);
@@ -159,6 +160,7 @@
 void PoolClient::release(const Grant& grant)
 {
     running_.erase(grant.attempt);
+    suspects_.attemptReleased(grant.attempt);
     if (localAttempts_.contains(grant.attempt))
         rateLimits_.limiter().refundRequest(grant.target, now_());
     cancelLocally(grant.pool, grant.attempt);
@@ -171,7 +173,7 @@
     if (it == running_.end())
         return;
     it->second.started = true;
-    recordStart(started.pool, it->second.request.sharedParts);
+    suspects_.attemptStarted(it->second.request, started);
     if (localAttempts_.contains(started.attempt)) {
         localScheduler(started.pool).attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
         applyLocalActions(started.pool);
@@ -185,10 +187,7 @@
     if (it == running_.end())
         return;
     recordRecentAttempt(it->second.request, it->second.target);
-    if (finished.outcome == AttemptOutcome::Completed)
-        recordStart(finished.pool, it->second.request.sharedParts);
-    if (finished.hasBrokenBeforeFirstEvent)
-        logVerdicts(finished.pool, ownSuspectParts_[finished.pool].recordBreak(it->second.request.sharedParts, it->second.target, now_()));
+    suspects_.attemptFinished(it->second.request, finished, it->second.target, isLeaving(it->second.target));
     running_.erase(it);
     if (localAttempts_.erase(finished.attempt) > 0) {
         localScheduler(finished.pool).attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens, std::chrono::milliseconds(finished.durationMs), now_());
@@ -289,12 +288,9 @@
         auto notice = decode<TargetAvailabilityNotice>(body);
         if (notice && notice->isLeaving)
             recordRestriction({ notice->pool, notice->target, true, 0 });
-    } else if (type == MessageType::SuspectPartNotice) {
-        if (auto notice = decode<SuspectPartNotice>(body)) {
-            ownersSuspectParts_[notice->pool].merge(toVerdict(*notice, now_()), now_());
-            if (notice->state == PartState::Cleared)
-                ownSuspectParts_[notice->pool].merge(toVerdict(*notice, now_()), now_());
-        }
+    } else if (type == MessageType::SuspectNotice) {
+        if (auto notice = decode<SuspectNotice>(body))
+            suspects_.onNotice(*notice);
     } else if (type == MessageType::TargetRateLimitNotice) {
         auto notice = decode<TargetRateLimitNotice>(body);
         auto target = notice ? view_.config().targets.find(notice->target) : view_.config().targets.end();
@@ -328,6 +324,7 @@
     if (it != pending_.end() && !it->second->decided.isSet()) {
         cancelLocally(grant.pool, grant.attempt);
         running_[grant.attempt] = RunningAttempt { it->second->grantRequest, grant.target, false };
+        suspects_.attemptGranted(it->second->grantRequest, grant.target);
         it->second->decide(grant);
         return;
     }
@@ -354,6 +351,7 @@
 {
     restrictions_.updateTargets(config.targets);
     rateLimits_.onConfigChange(config, now_());
+    suspects_.onConfigChange(config);
     updateLocalRates();
     for (const auto& [id, assignment] : config.pools) {
         if (assignment.kind != PoolKind::Ceiling)
@@ -394,11 +392,7 @@
 void PoolClient::sendPoolSync(PoolId pool)
 {
     dropExpiredAttempts();
-    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {} };
-    for (const auto* parts : { &ownersSuspectParts_[pool], &ownSuspectParts_[pool] }) {
-        for (const auto& verdict : parts->verdicts(now_()))
-            message.suspectParts.push_back(toNotice(pool, verdict, now_()));
-    }
+    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {}, suspects_.noticesForOwner() };
     for (const auto& [attempt, running] : running_) {
         if (running.request.pool == pool)
             message.running.push_back(running);
@@ -459,10 +453,7 @@
 void PoolClient::checkOwners()
 {
     restrictions_.tick(now_());
-    for (auto* pools : { &ownersSuspectParts_, &ownSuspectParts_ }) {
-        for (auto& [pool, parts] : *pools)
-            parts.tick(now_());
-    }
+    suspects_.tick();
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
@@ -541,44 +532,23 @@
     scheduler.setTargets(targets, now_());
 }
 
-std::optional<PartBlock> PoolClient::findBlock(const GrantRequest& request, bool isLocal) const
-{
-    auto now = now_();
-    auto told = ownersSuspectParts_.find(request.pool);
-    if (!isLocal)
-        return told == ownersSuspectParts_.end() ? std::nullopt : told->second.findBlock(request.sharedParts, now);
-    // Only owners try blocked parts; entries without an owner would each crash targets of their own.
-    for (const auto* pools : { &ownersSuspectParts_, &ownSuspectParts_ }) {
-        auto known = pools->find(request.pool);
-        if (auto block = known == pools->end() ? std::nullopt : known->second.findBlockWithoutTrial(request.sharedParts, now))
-            return block;
-    }
-    return std::nullopt;
-}
-
-void PoolClient::recordStart(PoolId pool, const std::vector<PromptPartId>& parts)
-{
-    logVerdicts(pool, ownSuspectParts_[pool].recordStart(parts, now_()));
-    ownersSuspectParts_[pool].recordStart(parts, now_());
-}
-
-void PoolClient::logVerdicts(PoolId pool, const std::vector<PartVerdict>& verdicts) const
+bool PoolClient::isLeaving(TargetId target) const
 {
-    static const Log log("pool:");
-    for (const auto& verdict : verdicts)
-        log.event("prompt part " + std::string(toString(verdict.state)) + " by this entry", { { "pool", int64_t(pool.value()) }, { "part", toString(verdict.part) }, { "crashes", int64_t(verdict.crashes) } });
+    auto listed = view_.config().targets.find(target);
+    bool isActive = listed != view_.config().targets.end() && listed->second.state == TargetState::Active;
+    return !isActive || restrictions_.isLeaving(target, now_());
 }
 
 void PoolClient::submitLocally(PendingRequest& pending)
 {
     auto pool = pending.grantRequest.pool;
-    if (auto block = findBlock(pending.grantRequest, true)) {
-        pending.decide(tl::unexpected(makeRefusalError(ErrorKind::SuspectPrompt, blockReason(*block), blockRetryAfter(*block))));
+    if (auto block = suspects_.findBlock(pending.grantRequest, true)) {
+        pending.decide(tl::unexpected(blockError(*block)));
         return;
     }
     localAttempts_.insert(pending.grantRequest.attempt);
     auto request = toPoolRequest(prepareRequest(pending), pending.deadline, now_());
-    request.mayCrashTarget = ownSuspectParts_[pool].hasSuspect(pending.grantRequest.sharedParts);
+    request.mayCrashTarget = suspects_.mayCrashTarget(pending.grantRequest);
     localScheduler(pool).submit(std::move(request), now_());
     applyLocalActions(pool);
 }
@@ -596,6 +566,7 @@
             }
             if (const auto* grant = std::get_if<PoolGrant>(&action)) {
                 running_[attempt] = RunningAttempt { it->second->grantRequest, grant->target, false };
+                suspects_.attemptGranted(it->second->grantRequest, grant->target);
                 it->second->decide(Grant { pool, attempt, Epoch(), grant->target });
                 continue;
             }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -3,7 +3,7 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "entry/PoolRequests.h"
-#include "entry/SuspectPartNotices.h"
+#include "entry/SuspectNotices.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -45,12 +45,29 @@
     , metrics_(metrics)
     , hooks_(std::move(hooks))
     , rateLimits_(settings_.self)
+    , suspects_(metrics, suspectHooks())
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
 
 PoolHost::~PoolHost() = default;
 
+OwnerSuspectsHooks PoolHost::suspectHooks()
+{
+    OwnerSuspectsHooks hooks;
+    hooks.notifyEntries = [this](const SuspectNotice& notice) {
+        for (NodeId entry : connectedEntries_)
+            transport_.postToEntry(entry, MessageType::SuspectNotice, encode(notice));
+    };
+    hooks.record = [this](const SuspectVerdict& verdict) { hooks_.recordSuspect(verdict); };
+    hooks.targetName = [this](TargetId id) {
+        const auto* target = findTarget(id);
+        return target ? target->name : std::to_string(id.value());
+    };
+    hooks.now = [this] { return hooks_.now(); };
+    return hooks;
+}
+
 PoolHost::Pool* PoolHost::find(PoolId pool)
 {
     auto it = pools_.find(pool);
@@ -71,6 +88,7 @@
     restrictions_.updateTargets(config.targets);
     restrictedForAll_ = findRestrictedForAll();
     rateLimits_.onConfigChange(config, hooks_.now());
+    suspects_.onConfigChange(config);
     updateActivePools(config);
     dropReassignedPools(config);
     recordLostNodes(config);
@@ -123,6 +141,8 @@
         }
         poolLog().info("Pool " + it->second.assignment.name + " is no longer assigned to this node.");
         rateLimits_.forgetPool(it->first, hooks_.now());
+        for (const auto& [attempt, request] : it->second.requests)
+            suspects_.forget(attempt);
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
@@ -330,7 +350,7 @@
     if (sync.epoch < pool.assignment.epoch)
         return;
     mergeRateLimits(from, sync);
-    mergeSuspectParts(pool, sync);
+    suspects_.merge(sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -341,6 +361,7 @@
             pool.recentAttempts.push_back(recentAttempt);
     }
     pool.awaitedSyncs.erase(from);
+    refuseBlocked();
     activateIfReady(pool);
     applyActions(pool);
 }
@@ -357,7 +378,7 @@
             unlisted.push_back(attempt);
     }
     for (auto attempt : unlisted)
-        removeRequest(pool, attempt);
+        removeRequest(pool, attempt, false);
 }
 
 void PoolHost::restoreAttempt(Pool& pool, NodeId from, LinkId link, const RunningAttempt& running)
@@ -374,6 +395,7 @@
     request.deadline = hooks_.now() + std::chrono::milliseconds(running.request.deadlineMs);
     request.target = running.target;
     request.isStarted = running.started;
+    suspects_.attemptGranted(request.grantRequest, request.target, request.isStarted);
     if (pool.scheduler)
         pool.scheduler->restore(toPoolRequest(request.grantRequest, request.deadline, hooks_.now()), request.target, request.isStarted, hooks_.now());
 }
@@ -386,84 +408,66 @@
     auto it = pool->requests.find(cancel.attempt);
     if (it != pool->requests.end() && it->second.target.isValid() && cancel.isGrantReturned)
         rateLimits_.limiter().refundRequest(it->second.target, hooks_.now());
-    removeRequest(*pool, cancel.attempt);
+    // An entry cancels only what it has not sent.
+    removeRequest(*pool, cancel.attempt, true);
     applyActions(*pool);
 }
 
 void PoolHost::submit(Pool& pool, AttemptId attempt)
 {
     const auto& request = pool.requests.at(attempt);
-    const auto& parts = request.grantRequest.sharedParts;
-    auto now = hooks_.now();
-    if (auto block = pool.suspectParts.findBlock(parts, now)) {
+    if (auto block = suspects_.admit(request.grantRequest)) {
         refuse(pool, attempt, *block);
         return;
     }
-    if (pool.suspectParts.needsTrial(parts)) {
-        pool.suspectParts.beginTrial(parts, attempt, now);
-        poolLog().event("prompt part on trial", { { "pool", pool.assignment.name }, { "attempt", toString(attempt) } });
-    }
-    auto poolRequest = toPoolRequest(request.grantRequest, request.deadline, now);
-    poolRequest.mayCrashTarget = pool.suspectParts.hasSuspect(parts);
-    pool.scheduler->submit(std::move(poolRequest), now);
+    auto poolRequest = toPoolRequest(request.grantRequest, request.deadline, hooks_.now());
+    poolRequest.mayCrashTarget = suspects_.mayCrashTarget(request.grantRequest);
+    pool.scheduler->submit(std::move(poolRequest), hooks_.now());
 }
 
-void PoolHost::refuse(Pool& pool, AttemptId attempt, const PartBlock& block)
+void PoolHost::refuse(Pool& pool, AttemptId attempt, const SuspectBlock& block)
 {
     auto it = pool.requests.find(attempt);
-    GrantRefusal message { pool.assignment.id, attempt, ErrorKind::SuspectPrompt, clampMs(blockRetryAfter(block)), blockReason(block) };
+    auto error = blockError(block);
+    GrantRefusal message { pool.assignment.id, attempt, error.kind, clampMs(*error.retryAfter), error.message };
     auto entry = it->second.entry;
     pool.requests.erase(it);
-    metrics_.count("pool_suspect_part_refusals_total", "pool=\"" + pool.assignment.name + "\"");
     transport_.postToEntry(entry, MessageType::GrantRefusal, encode(message));
 }
 
-void PoolHost::applyVerdicts(Pool& pool, const std::vector<PartVerdict>& verdicts)
+void PoolHost::refuseBlocked()
 {
-    auto now = hooks_.now();
-    for (const auto& verdict : verdicts) {
-        std::string targets;
-        for (const auto& crash : verdict.evidence) {
-            const auto* target = findTarget(crash.target);
-            targets += (targets.empty() ? "" : ",") + (target ? target->name : std::to_string(crash.target.value()));
+    if (!suspects_.takeNewBlock())
+        return;
+    for (auto& [id, pool] : pools_) {
+        std::vector<std::pair<AttemptId, SuspectBlock>> blocked;
+        for (const auto& [attempt, request] : pool.requests) {
+            auto block = request.target.isValid() ? std::nullopt : suspects_.findBlock(request.grantRequest);
+            if (block)
+                blocked.emplace_back(attempt, *block);
+        }
+        for (const auto& [attempt, block] : blocked) {
+            if (pool.scheduler)
+                pool.scheduler->cancel(attempt, hooks_.now());
+            refuse(pool, attempt, block);
         }
-        poolLog().event("prompt part " + std::string(toString(verdict.state)), { { "pool", pool.assignment.name }, { "part", toString(verdict.part) }, { "crashes", int64_t(verdict.crashes) }, { "targets", targets }, { "blocked_ms", toMs(verdict.blockedFor) } });
-        metrics_.count("pool_part_verdicts_total", "state=\"" + std::string(toString(verdict.state)) + "\"");
-        if (verdict.state == PartState::Suspected)
-            continue;
-        for (NodeId entry : connectedEntries_)
-            transport_.postToEntry(entry, MessageType::SuspectPartNotice, encode(toNotice(pool.assignment.id, verdict, now)));
-    }
-    std::vector<std::pair<AttemptId, PartBlock>> blocked;
-    for (const auto& [attempt, request] : pool.requests) {
-        auto block = request.target.isValid() || verdicts.empty() ? std::nullopt : pool.suspectParts.findBlock(request.grantRequest.sharedParts, now);
-        if (block)
-            blocked.emplace_back(attempt, *block);
-    }
-    for (const auto& [attempt, block] : blocked) {
-        if (pool.scheduler)
-            pool.scheduler->cancel(attempt, now);
-        refuse(pool, attempt, block);
     }
 }
 
-void PoolHost::mergeSuspectParts(Pool& pool, const PoolSync& sync)
+bool PoolHost::isLeaving(TargetId target) const
 {
-    std::vector<PartVerdict> changed;
-    for (const auto& notice : sync.suspectParts) {
-        bool wasBlocked = pool.suspectParts.needsTrial({ notice.part });
-        auto verdict = pool.suspectParts.merge(toVerdict(notice, hooks_.now()), hooks_.now());
-        if (verdict && !wasBlocked)
-            changed.push_back(std::move(*verdict));
-    }
-    applyVerdicts(pool, changed);
+    const auto* listed = findTarget(target);
+    return !listed || listed->state != TargetState::Active || restrictions_.isLeaving(target, hooks_.now());
 }
 
-void PoolHost::removeRequest(Pool& pool, AttemptId attempt)
+void PoolHost::removeRequest(Pool& pool, AttemptId attempt, bool isUnsent)
 {
-    if (auto it = pool.requests.find(attempt); it != pool.requests.end())
-        pool.suspectParts.endTrial(it->second.grantRequest.sharedParts, attempt, hooks_.now());
-    if (pool.requests.erase(attempt) > 0 && pool.scheduler)
+    auto it = pool.requests.find(attempt);
+    if (it == pool.requests.end())
+        return;
+    suspects_.attemptCancelled(it->second.grantRequest, isUnsent);
+    pool.requests.erase(it);
+    if (pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
 }
 
@@ -476,7 +480,7 @@
     if (it == pool->requests.end())
         return;
     it->second.isStarted = true;
-    applyVerdicts(*pool, pool->suspectParts.recordStart(it->second.grantRequest.sharedParts, hooks_.now()));
+    suspects_.attemptStarted(started);
     if (pool->scheduler)
         pool->scheduler->attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), hooks_.now());
     applyActions(*pool);
@@ -490,15 +494,8 @@
         return;
     auto request = std::move(it->second);
     pool->requests.erase(it);
-    const auto& parts = request.grantRequest.sharedParts;
-    if (finished.hasBrokenBeforeFirstEvent) {
-        logBrokenAttempt(*pool, request);
-        applyVerdicts(*pool, pool->suspectParts.recordBreak(parts, request.target, hooks_.now()));
-    } else if (finished.outcome == AttemptOutcome::Completed) {
-        applyVerdicts(*pool, pool->suspectParts.recordStart(parts, hooks_.now()));
-    } else {
-        pool->suspectParts.endTrial(parts, finished.attempt, hooks_.now());
-    }
+    suspects_.attemptFinished(request.grantRequest, finished, request.target, isLeaving(request.target));
+    refuseBlocked();
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
             std::chrono::milliseconds(finished.durationMs), hooks_.now());
@@ -506,17 +503,6 @@
     applyActions(*pool);
 }
 
-void PoolHost::logBrokenAttempt(const Pool& pool, const HostedRequest& request) const
-{
-    const auto* target = findTarget(request.target);
-    auto running = std::count_if(pool.requests.begin(), pool.requests.end(), [&](const auto& entry) { return entry.second.target == request.target; });
-    std::string parts;
-    for (auto part : request.grantRequest.sharedParts)
-        parts += (parts.empty() ? "" : ",") + toString(part);
-    poolLog().event("target broke off before its first event", { { "target", target ? target->name : "" }, { "attempt", toString(request.grantRequest.attempt) }, { "request_digest", toString(request.grantRequest.digest) }, { "prompt_parts", parts }, { "running", int64_t(running) } });
-    metrics_.count("pool_broken_attempts_total", "pool=\"" + pool.assignment.name + "\"");
-}
-
 void PoolHost::onLoadReport(const LoadReport& report)
 {
     auto* pool = find(report.pool);
@@ -528,8 +514,8 @@
 
 void PoolHost::onAvailabilityNotice(NodeId from, const TargetAvailabilityNotice& notice)
 {
-    auto target = std::find_if(targets_.begin(), targets_.end(), [&](const Target& known) { return known.id == notice.target; });
-    if (target == targets_.end())
+    const auto* target = findTarget(notice.target);
+    if (!target)
         return;
     auto now = hooks_.now();
     bool isFirstReport = notice.isLeaving && !restrictions_.isLeaving(notice.target, now);
@@ -644,6 +630,7 @@
         if (it == pool.requests.end())
             return;
         it->second.target = grant->target;
+        suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
         sendGrant(pool, it->second);
         return;
     }
@@ -652,7 +639,7 @@
     if (it == pool.requests.end())
         return;
     auto entry = it->second.entry;
-    pool.suspectParts.endTrial(it->second.grantRequest.sharedParts, refusal.attempt, hooks_.now());
+    suspects_.attemptCancelled(it->second.grantRequest, true);
     if (refusal.isForRateLimit)
         metrics_.count("pool_rate_limit_refusals_total", "pool=\"" + pool.assignment.name + "\"");
     pool.requests.erase(it);
@@ -671,12 +658,8 @@
     connectedEntries_.insert(node);
     disconnectedSince_.erase(node);
     rateLimits_.setConnected(node, true, hooks_.now());
-    for (const auto& [id, pool] : pools_) {
-        for (const auto& verdict : pool.suspectParts.verdicts(hooks_.now())) {
-            if (verdict.state == PartState::Blocked)
-                transport_.postToEntry(node, MessageType::SuspectPartNotice, encode(toNotice(id, verdict, hooks_.now())));
-        }
-    }
+    for (const auto& notice : suspects_.blockedNotices())
+        transport_.postToEntry(node, MessageType::SuspectNotice, encode(notice));
     for (const auto& target : targets_) {
         if (!find(target.pool))
             continue;
@@ -709,7 +692,7 @@
                     lost.push_back(attempt);
             }
             for (auto attempt : lost)
-                removeRequest(pool, attempt);
+                removeRequest(pool, attempt, false);
         }
         it = disconnectedSince_.erase(it);
     }
@@ -731,6 +714,8 @@
     applyRestrictions();
     auto now = hooks_.now();
     rateLimits_.tick(now);
+    suspects_.tick();
+    refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
             // Without a lease this node may soon lose the pool; otherwise the scheduler is rebuilt from `requests`.
@@ -738,7 +723,6 @@
             continue;
         }
         activateIfReady(pool);
-        pool.suspectParts.tick(now);
         if (pool.scheduler)
             pool.scheduler->tick(now);
         applyActions(pool);
@@ -771,7 +755,6 @@
         ++count;
     }
     auto labels = "pool=\"" + pool.assignment.name + "\"";
-    metrics_.setGauge("pool_blocked_prompt_parts", labels, static_cast<double>(pool.suspectParts.blockedCount()));
     metrics_.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
     metrics_.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
     metrics_.setGauge("pool_rate_limit_held", labels, static_cast<double>(stats.heldByRateLimit));
@@ -793,6 +776,7 @@
             metrics_.setGauge("pool_running", labels, static_cast<double>(stats.running[tier]));
         }
     }
+    suspects_.publishGauges();
     metrics_.setGauge("pool_owned", {}, static_cast<double>(pools_.size()));
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -313,7 +313,7 @@
     outputTokens_ = 0;
     sendBlocker_.reset();
     hasFirstToken_ = false;
-    hasBrokenBeforeFirstToken_ = false;
+    hasTargetClosed_ = false;
     auto call = makeCall(grant, target);
     bool isStream = request_.poolKind == PoolKind::Model && request_.isStream;
     auto failure = isStream ? relayStream(call) : relayCompleteResponse(call);
@@ -331,7 +331,7 @@
     finished.promptTokens = request_.promptTokens;
     finished.outputTokens = Tokens(outputTokens_);
     finished.durationMs = clampMs(now() - sentAt_);
-    finished.hasBrokenBeforeFirstEvent = hasBrokenBeforeFirstToken_;
+    finished.hasTargetClosed = hasTargetClosed_;
     runner_.pools.reportFinished(finished);
 }
 
--- a/src/entry/RequestRun.h
+++ b/src/entry/RequestRun.h
@@ -110,8 +110,8 @@
     Instant sentAt_;
     bool isStreamStarted_ { false };
     bool hasFirstToken_ { false };
-    /** The target closed the connection of the current attempt after the request was sent and before the first token. */
-    bool hasBrokenBeforeFirstToken_ { false };
+    /** The target closed the connection of the current attempt before its answer was complete. */
+    bool hasTargetClosed_ { false };
     int64_t outputTokens_ { 0 };
     std::string relayedEvents_;
 };
--- a/src/entry/RequestRunRelay.cpp
+++ b/src/entry/RequestRunRelay.cpp
@@ -229,7 +229,7 @@
         }
         countWastedPrefill(errorName(error.kind));
     }
-    hasBrokenBeforeFirstToken_ = mayRun && !hasFirstToken_ && error.kind == ErrorKind::TargetFailed;
+    hasTargetClosed_ = mayRun && error.kind == ErrorKind::TargetClosed;
     finishAttempt(AttemptOutcome::Failed);
     return { error, errorName(error.kind), true };
 }
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -303,7 +303,9 @@
     sentAt_ = now();
     attemptEvents_ = 0;
     hasFirstEvent_ = false;
-    hasBrokenBeforeFirstEvent_ = false;
+    hasTargetClosed_ = false;
+    hasRefusedConnection_ = false;
+    connectionAge_ = Duration::zero();
     auto settings = callSettings(target);
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
     settings.onSending = [sending](const std::shared_ptr<HttpCall>& call) { *sending = call; };
@@ -320,12 +322,13 @@
         ++sentAttempts_;
         failure = handleResponse(*response);
     } else if (response.error().ran == Ran::No) {
+        hasRefusedConnection_ = response.error().kind == ErrorKind::TargetClosed;
         failure = failAttempt(response.error(), AttemptOutcome::Unreachable);
         failure->isNotSent = true;
         count("routed_unsent_total", "reason", "connect");
     } else {
         ++sentAttempts_;
-        failure = callerState_->isDisconnected ? endForDisconnectedCaller() : failBrokenAttempt(response.error());
+        failure = callerState_->isDisconnected ? endForDisconnectedCaller() : failAttempt(response.error(), AttemptOutcome::Failed);
     }
     callerState_->onDisconnect = nullptr;
     return failure;
@@ -352,6 +355,7 @@
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::handleResponse(const std::shared_ptr<HttpCall>& call)
 {
     auto signals = runner_.protocol.targetSignals(call->headers(), call->status());
+    connectionAge_ = call->connectionAge();
     reportAvailability(signals);
     auto kind = runner_.protocol.classifyResponse(request_, call->status(), call->headers());
     if (kind != ResponseKind::WrongTarget)
@@ -385,17 +389,11 @@
 {
     recordEvent(outcome == AttemptOutcome::Refused ? "refused by target" : "attempt failed", error.message, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
     ran_ = std::max(ran_, error.ran);
+    hasTargetClosed_ = error.kind == ErrorKind::TargetClosed && error.ran != Ran::No;
     finishAttempt(outcome);
     return { std::move(error) };
 }
 
-RoutedRequestRun::Failure RoutedRequestRun::failBrokenAttempt(Error error)
-{
-    // A target that has ended closes its connections; one that is slow or hangs does not.
-    hasBrokenBeforeFirstEvent_ = !hasFirstEvent_ && error.kind == ErrorKind::TargetFailed;
-    return failAttempt(std::move(error), AttemptOutcome::Failed);
-}
-
 RoutedRequestRun::Failure RoutedRequestRun::endForDisconnectedCaller()
 {
     recordEvent("caller left", {}, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
@@ -418,7 +416,9 @@
     finished.promptTokens = request_.promptTokens.value_or(Tokens());
     finished.outputTokens = Tokens(static_cast<int64_t>(attemptEvents_ * service_->tokensPerEvent));
     finished.durationMs = clampMs(now() - sentAt_);
-    finished.hasBrokenBeforeFirstEvent = hasBrokenBeforeFirstEvent_;
+    finished.hasTargetClosed = hasTargetClosed_;
+    finished.connectionAgeMs = clampMs(connectionAge_);
+    finished.hasRefusedConnection = hasRefusedConnection_;
     runner_.pools.reportFinished(finished);
 }
 
@@ -431,9 +431,14 @@
     ran_ = std::max(ran_, error.ran);
     bool promisesNotRun = errorInfo(error.kind).defaultRan == Ran::No;
     // A refusal promises that the request did not run, so it is sent only if that is certain; TargetFailed promises nothing.
-    if (ran_ != Ran::No && promisesNotRun)
+    if (ran_ != Ran::No && promisesNotRun) {
+        // A request that was blocked between its attempts may come back no sooner than one that was not sent.
+        auto retryAfter = error.retryAfter;
+        bool isBlocked = error.kind == ErrorKind::SuspectRequest || error.kind == ErrorKind::SuspectPrompt;
         error = makeError(ErrorKind::TargetFailed, error.message);
-    else if (ran_ == Ran::No && !promisesNotRun)
+        if (isBlocked)
+            error.retryAfter = retryAfter;
+    } else if (ran_ == Ran::No && !promisesNotRun)
         error = makeError(ErrorKind::NoTarget, error.message);
     const auto& info = errorInfo(error.kind);
     hasFailed_ = true;
@@ -453,7 +458,7 @@
 {
     hasFirstEvent_ = true;
     ran_ = Ran::Yes;
-    runner_.pools.reportStarted({ grant_.pool, grant_.attempt, clampMs(now() - sentAt_) });
+    runner_.pools.reportStarted({ grant_.pool, grant_.attempt, clampMs(now() - sentAt_), clampMs(connectionAge_) });
     if (!isStreamStarted_) {
         firstEventAt_ = now();
         runner_.metrics.observe("routed_first_event_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - startedAt_));
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -63,14 +63,12 @@
     std::optional<Failure> resumeOn(const Grant& grant);
     /** False if the caller has disconnected. */
     bool relayEvent(const HttpCall& response, const ServerSentEvent& event);
-    std::optional<Failure> endStream(const std::string& rest);
+    std::optional<Failure> endStream(const HttpCall& response, const std::string& rest);
     bool mayRetry(const Failure& failure);
     [[nodiscard]] bool mayRunAgain() const;
 
     // End of an attempt or of the request.
     Failure failAttempt(Error error, AttemptOutcome outcome);
-    /** For an attempt whose connection has broken or is silent. */
-    Failure failBrokenAttempt(Error error);
     Failure endForDisconnectedCaller();
     void finishAttempt(AttemptOutcome outcome);
     void refuse(Error error);
@@ -116,8 +114,12 @@
     Instant lastEventAt_;
     Duration longestGap_ { 0 };
     bool hasFirstEvent_ { false };
-    /** The connection of the current attempt broke after the request was sent and before the first event. */
-    bool hasBrokenBeforeFirstEvent_ { false };
+    /** The target closed the connection of the current attempt before its answer was complete. */
+    bool hasTargetClosed_ { false };
+    /** The target of the current attempt refused the connection. */
+    bool hasRefusedConnection_ { false };
+    /** Of the current attempt, when its response was last read; zero if there is none. */
+    Duration connectionAge_ { 0 };
     bool isStreamStarted_ { false };
     std::optional<uint64_t> lastEventId_;
     uint64_t attemptEvents_ { 0 };
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -31,6 +31,7 @@
         }
     }
     ran_ = Ran::Yes;
+    connectionAge_ = response.connectionAge();
     finishAttempt(isFailure ? AttemptOutcome::Errored : AttemptOutcome::Completed);
     outcome_ = absl::StrCat("status ", response.status());
     if (!exchange_.send(response.status(), endToEndHeaders(response.headers()), *body))
@@ -61,7 +62,7 @@
             response.cancel();
             if (migrationGrant_)
                 return resumeAfterMigration();
-            auto failure = failBrokenAttempt(chunk.error());
+            auto failure = failAttempt(chunk.error(), AttemptOutcome::Failed);
             return otherGrant ? resumeOn(*otherGrant) : failure;
         }
         if (!*chunk)
@@ -86,7 +87,7 @@
         runner_.pools.release(*std::exchange(migrationGrant_, std::nullopt));
         kvCacheSource_.clear();
     }
-    return endStream(parser.pending());
+    return endStream(response, parser.pending());
 }
 
 Duration RoutedRequestRun::stallLimit() const
@@ -215,15 +216,17 @@
     return exchange_.write(event.text);
 }
 
-std::optional<RoutedRequestRun::Failure> RoutedRequestRun::endStream(const std::string& rest)
+std::optional<RoutedRequestRun::Failure> RoutedRequestRun::endStream(const HttpCall& response, const std::string& rest)
 {
     ran_ = Ran::Yes;
+    auto endKind = response.endsWithConnection() ? ErrorKind::TargetClosed : ErrorKind::TargetFailed;
     // A stream without a length ends with its connection, also when the target crashes. One that resumes a stream and sends
     // nothing does not show that nothing was missing.
     if (attemptEvents_ == 0)
-        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended without a new event"));
+        return failAttempt(makeError(endKind, "the target's stream ended without a new event"), AttemptOutcome::Failed);
     if (rest.find_first_not_of("\r\n") != std::string::npos)
-        return failBrokenAttempt(makeError(ErrorKind::TargetFailed, "the target's stream ended inside an event"));
+        return failAttempt(makeError(endKind, "the target's stream ended inside an event"), AttemptOutcome::Failed);
+    connectionAge_ = response.connectionAge();
     finishAttempt(AttemptOutcome::Completed);
     bool isDelivered = (rest.empty() || exchange_.write(rest)) && exchange_.endStream();
     outcome_ = absl::StrCat("stream of ", attemptEvents_, " events");
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -84,6 +84,7 @@
         tcp::socket socket;
         SocketDeadline deadline;
         boost::beast::flat_buffer buffer { maxUnparsedBytes };
+        const Instant openedAt { BootClock::now() };
         Instant idleUntil;
     };
 
@@ -153,6 +154,11 @@
         size_t reservedBytes_ { 0 };
     };
 
+    bool isClosedByPeer(boost::system::error_code error)
+    {
+        return error == boost::asio::error::eof || error == boost::asio::error::connection_reset || error == boost::asio::error::broken_pipe || error == http::error::end_of_stream || error == http::error::partial_message;
+    }
+
     Error withRan(Error error, Ran ran)
     {
         error.ran = ran;
@@ -163,6 +169,7 @@
     public:
         BeastCall(std::shared_ptr<Connection> connection, bool isReused, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<BufferBudget> bufferBudget, Address address, size_t maxResponseBytes)
             : connection_(std::move(connection))
+            , connectionOpenedAt_(connection_->openedAt)
             , isReused_(isReused)
             , pool_(std::move(pool))
             , bufferBudget_(std::move(bufferBudget))
@@ -222,6 +229,7 @@
         [[nodiscard]] int status() const override { return static_cast<int>(parser_->get().result_int()); }
         [[nodiscard]] const HttpHeaders& headers() const override { return headers_; }
         [[nodiscard]] bool endsWithConnection() const override { return parser_->need_eof(); }
+        [[nodiscard]] Duration connectionAge() const override { return BootClock::now() - connectionOpenedAt_; }
 
         Result<std::optional<std::string>> read(Duration timeout) override
         {
@@ -329,10 +337,11 @@
                 return makeError(ErrorKind::CallerLeft, "the request was cancelled");
             if (connection_ && connection_->deadline.hasExpired())
                 return makeError(ErrorKind::TargetTimeout, "no response in time from " + address_.text());
-            return makeError(ErrorKind::TargetFailed, "connection to " + address_.text() + " broke: " + error.message());
+            return makeError(isClosedByPeer(error) ? ErrorKind::TargetClosed : ErrorKind::TargetFailed, "connection to " + address_.text() + " broke: " + error.message());
         }
 
         std::shared_ptr<Connection> connection_;
+        Instant connectionOpenedAt_;
         bool isReused_;
         std::shared_ptr<ConnectionPool> pool_;
         std::shared_ptr<BufferBudget> bufferBudget_;
@@ -355,8 +364,8 @@
 
     Result<std::shared_ptr<Connection>> connect(const HttpCallSettings& settings) const
     {
-        auto unreachable = [&](const std::string& why) {
-            Error error = makeError(ErrorKind::TargetFailed, "cannot connect to " + settings.host + ":" + std::to_string(settings.port) + ": " + why);
+        auto unreachable = [&](const std::string& why, ErrorKind kind = ErrorKind::TargetFailed) {
+            Error error = makeError(kind, "cannot connect to " + settings.host + ":" + std::to_string(settings.port) + ": " + why);
             return tl::unexpected(withRan(std::move(error), Ran::No));
         };
         boost::system::error_code error;
@@ -371,6 +380,8 @@
         connection->deadline.arm(settings.connectTimeout);
         auto result = awaitIo([&](auto handler) { connection->socket.async_connect(tcp::endpoint(address, settings.port), handler); });
         connection->deadline.disarm();
+        if (result.error == boost::asio::error::connection_refused)
+            return unreachable(result.error.message(), ErrorKind::TargetClosed);
         if (result.error)
             return unreachable(connection->deadline.hasExpired() ? "connect timeout" : result.error.message());
         boost::system::error_code ignored;
@@ -405,7 +416,7 @@
     if (sent)
         return std::shared_ptr<HttpCall>(call);
     // GET has no effect on the server, so it may be sent again when a reused connection fails.
-    if (isReused && settings.isResendAllowed && settings.method == "GET" && sent.error().kind == ErrorKind::TargetFailed) {
+    if (isReused && settings.isResendAllowed && settings.method == "GET" && sent.error().kind == ErrorKind::TargetClosed) {
         auto retrySettings = settings;
         retrySettings.isReuseAllowed = false;
         return start(retrySettings);
--- a/src/model/ClusterConfig.cpp
+++ b/src/model/ClusterConfig.cpp
@@ -18,6 +18,10 @@
         config.pools[pool.id] = pool;
     for (auto target : delta.removedTargets)
         config.targets.erase(target);
+    for (const auto& suspect : delta.suspects)
+        config.suspects[suspect.id] = suspect;
+    for (auto suspect : delta.clearedSuspects)
+        config.suspects.erase(suspect);
     config.version = delta.version;
     return true;
 }
--- /dev/null
+++ b/src/sched/CrashSuspects.cpp
@@ -0,0 +1,471 @@
+#include "briarhitch/sched/CrashSuspects.h"
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    // What it takes to block a suspect that no target answered before: two crashes, or four after a part of the answer.
+    constexpr uint32_t strengthOfCrash = 2;
+    constexpr uint32_t strengthOfCrashAfterProgress = 1;
+    constexpr uint32_t enoughStrength = 4;
+    constexpr uint32_t firstBlockCrashes = enoughStrength / strengthOfCrash;
+    /** A suspect that targets answered shortly before is in many requests, and breaks with each target that ends. */
+    constexpr uint32_t crashesOfSoundSuspect = 5;
+    constexpr Duration minTimeSinceSound = 2s;
+    constexpr Duration soundRetention = 10s;
+    /** Between two records of the same sound suspect. */
+    constexpr Duration soundInterval = 1s;
+    /** An answer that arrives this shortly before a record of the log shows that the record is out of date. */
+    constexpr Duration recordLag = 5s;
+    /** Targets that end this close together have another cause in common, or are one target seen by several attempts. */
+    constexpr Duration commonCauseInterval = 50ms;
+    /** All attempts on a target that has ended break within this time. */
+    constexpr Duration sameCrashInterval = 2s;
+
+    // Time until a trial, by the number of crashes: short while a sound suspect may be blocked by chance, then so long that
+    // few targets crash by trials.
+    constexpr Duration firstBlock = 1s;
+    constexpr Duration secondBlock = 4s;
+    constexpr Duration thirdBlock = 15s;
+    constexpr Duration longBlock = 60s;
+    constexpr Duration maxBlock = 1h;
+    constexpr uint32_t crashesUntilLongBlock = 5;
+
+    // Time until a trial of a request that was never answered: by then the targets that it crashed are back; and once it has
+    // crashed three, by the times that it was sent since.
+    constexpr Duration firstBlockOfRequest = 4s;
+    constexpr uint32_t freeCrashes = 3;
+    constexpr std::array<Duration, 3> blockOfRequest { 30s, 10min, 1h };
+
+    /** A trial that was neither answered nor broken by then does not hold up others. */
+    constexpr Duration trialTimeout = 10s;
+    constexpr Duration blockAfterUndecidedTrial = 500ms;
+
+    constexpr Duration partSuspicionRetention = 60s;
+    constexpr Duration partBlockRetention = 10min;
+    /** The same request may come again after hours. */
+    constexpr Duration requestSuspicionRetention = 24h;
+    constexpr size_t maxSuspicions = 1024;
+    constexpr size_t maxSoundRecords = 16384;
+    constexpr size_t maxEvidence = 8;
+    constexpr size_t maxRequestsOfCrash = 16;
+
+    Duration distance(Instant left, Instant right)
+    {
+        return left > right ? left - right : right - left;
+    }
+
+    bool isSameEnd(const SuspectCrash& crash, TargetId target, Instant at)
+    {
+        return crash.target == target && distance(crash.at, at) < sameCrashInterval;
+    }
+
+    bool haveRequestInCommon(const SuspectCrash& left, const SuspectCrash& right)
+    {
+        return std::any_of(left.requests.begin(), left.requests.end(), [&](RequestDigest request) { return std::find(right.requests.begin(), right.requests.end(), request) != right.requests.end(); });
+    }
+
+    void addRequests(SuspectCrash& crash, const std::vector<RequestDigest>& requests)
+    {
+        for (auto request : requests) {
+            if (crash.requests.size() < maxRequestsOfCrash && std::find(crash.requests.begin(), crash.requests.end(), request) == crash.requests.end())
+                crash.requests.push_back(request);
+        }
+    }
+
+    /** Counts the crashes of one request, and all that it connects, once. */
+    uint32_t countIndependent(const std::deque<SuspectCrash>& crashes)
+    {
+        std::vector<SuspectCrash> groups;
+        for (const auto& crash : crashes) {
+            auto joined = crash;
+            std::erase_if(groups, [&](const SuspectCrash& group) {
+                bool isConnected = haveRequestInCommon(group, joined);
+                if (isConnected)
+                    joined.requests.insert(joined.requests.end(), group.requests.begin(), group.requests.end());
+                return isConnected;
+            });
+            groups.push_back(std::move(joined));
+        }
+        return static_cast<uint32_t>(groups.size());
+    }
+
+    Duration blockTimeByCrashes(uint32_t crashes)
+    {
+        if (crashes <= firstBlockCrashes)
+            return firstBlock;
+        if (crashes == firstBlockCrashes + 1)
+            return secondBlock;
+        if (crashes < crashesUntilLongBlock)
+            return thirdBlock;
+        constexpr uint32_t maxDoublings = 6;
+        return std::min<Duration>(maxBlock, longBlock * (1U << std::min(crashes - crashesUntilLongBlock, maxDoublings)));
+    }
+
+}
+
+uint32_t CrashSuspects::crashCount(const Suspicion& suspicion)
+{
+    return suspicion.olderCrashes + countIndependent(suspicion.evidence);
+}
+
+bool CrashSuspects::isEnough(SuspectId id, const Suspicion& suspicion, Instant now) const
+{
+    if (suspicion.wasSound || wasSoundWithin(id, soundRetention, now))
+        return crashCount(suspicion) >= crashesOfSoundSuspect && !wasSoundWithin(id, minTimeSinceSound, now);
+    if (id.kind == SuspectKind::PromptPart)
+        return crashCount(suspicion) >= firstBlockCrashes;
+    auto strength = std::accumulate(suspicion.evidence.begin(), suspicion.evidence.end(), suspicion.olderCrashes * strengthOfCrash,
+        [](uint32_t sum, const SuspectCrash& crash) { return sum + (crash.hadProgress ? strengthOfCrashAfterProgress : strengthOfCrash); });
+    return strength >= enoughStrength;
+}
+
+bool CrashSuspects::isFinal(SuspectId id, const Suspicion& suspicion)
+{
+    return id.kind == SuspectKind::Request && !suspicion.wasSound && crashCount(suspicion) >= freeCrashes && suspicion.sendsAfterThirdCrash >= blockOfRequest.size();
+}
+
+Duration CrashSuspects::blockTime(SuspectId id, const Suspicion& suspicion)
+{
+    auto crashes = crashCount(suspicion);
+    if (suspicion.wasSound)
+        return blockTimeByCrashes(crashes - std::min(crashes, crashesOfSoundSuspect - firstBlockCrashes));
+    if (id.kind == SuspectKind::PromptPart)
+        return blockTimeByCrashes(crashes);
+    if (crashes < freeCrashes)
+        return firstBlockOfRequest;
+    return blockOfRequest[std::min<size_t>(suspicion.sendsAfterThirdCrash, blockOfRequest.size() - 1)];
+}
+
+bool CrashSuspects::isBlockedAt(SuspectId id, const Suspicion& suspicion, Instant now)
+{
+    bool isTrialRunning = suspicion.trial && now - suspicion.trialBeganAt < trialTimeout;
+    return suspicion.isBlocked && (now < suspicion.blockedUntil || isTrialRunning || isFinal(id, suspicion));
+}
+
+SuspectVerdict CrashSuspects::verdictOf(SuspectState state, SuspectId id, const Suspicion& suspicion, Instant now)
+{
+    SuspectVerdict verdict { state, id, crashCount(suspicion), suspicion.sendsAfterThirdCrash, suspicion.wasSound, { suspicion.evidence.begin(), suspicion.evidence.end() }, {} };
+    if (suspicion.isBlocked)
+        verdict.blockedFor = std::max<Duration>(suspicion.blockedUntil - now, 0ms);
+    return verdict;
+}
+
+bool CrashSuspects::wasSoundWithin(SuspectId id, Duration time, Instant now) const
+{
+    auto sound = lastSoundAt_.find(id);
+    return sound != lastSoundAt_.end() && now - sound->second < time;
+}
+
+CrashSuspects::Suspicion& CrashSuspects::findOrCreate(SuspectId id, Instant now)
+{
+    if (auto known = suspicions_.find(id); known != suspicions_.end())
+        return known->second;
+    if (suspicions_.size() >= maxSuspicions) {
+        auto isWeaker = [](const auto& left, const auto& right) { return std::pair(left.second.isBlocked, left.second.lastCrashAt) < std::pair(right.second.isBlocked, right.second.lastCrashAt); };
+        suspicions_.erase(std::min_element(suspicions_.begin(), suspicions_.end(), isWeaker));
+    }
+    auto& suspicion = suspicions_[id];
+    suspicion.wasSound = wasSoundWithin(id, soundRetention, now);
+    return suspicion;
+}
+
+void CrashSuspects::addCrash(SuspectId id, Suspicion& suspicion, const SuspectCrash& crash)
+{
+    auto known = std::find_if(suspicion.evidence.begin(), suspicion.evidence.end(), [&](const SuspectCrash& earlier) {
+        // Targets that run the same deadly request end together only by chance.
+        bool hasCommonCause = (id.kind == SuspectKind::PromptPart || suspicion.wasSound) && distance(earlier.at, crash.at) < commonCauseInterval;
+        return isSameEnd(earlier, crash.target, crash.at) || hasCommonCause;
+    });
+    if (known != suspicion.evidence.end()) {
+        addRequests(*known, crash.requests);
+        return;
+    }
+    suspicion.lastCrashAt = std::max(suspicion.lastCrashAt, crash.at);
+    suspicion.evidence.push_back(crash);
+    if (suspicion.evidence.size() <= maxEvidence)
+        return;
+    auto oldest = std::move(suspicion.evidence.front());
+    suspicion.evidence.pop_front();
+    bool isListedStill = std::any_of(suspicion.evidence.begin(), suspicion.evidence.end(), [&](const SuspectCrash& later) { return haveRequestInCommon(oldest, later); });
+    suspicion.olderCrashes += isListedStill ? 0 : 1;
+}
+
+std::vector<SuspectVerdict> CrashSuspects::recordRequestCrash(RequestDigest request, TargetId target, Instant at, bool hadProgress, Instant now)
+{
+    return recordCrash(SuspectId(request), { target, at, hadProgress, {} }, now);
+}
+
+std::vector<SuspectVerdict> CrashSuspects::recordPartCrash(PromptPartId part, RequestDigest request, TargetId target, Instant at, Instant now)
+{
+    return recordCrash(SuspectId(part), { target, at, false, { request } }, now);
+}
+
+std::vector<SuspectVerdict> CrashSuspects::recordCrash(SuspectId id, const SuspectCrash& crash, Instant now)
+{
+    auto& suspicion = findOrCreate(id, now);
+    auto crashesBefore = crashCount(suspicion);
+    bool wasTrial = suspicion.trial.has_value();
+    suspicion.trial.reset();
+    addCrash(id, suspicion, crash);
+    auto crashes = crashCount(suspicion);
+    if (crashes == crashesBefore)
+        return {};
+    if (crashes < crashesBefore)
+        return unblockIfTooWeak(id, suspicion, now);
+    // A trial was counted when it began.
+    if (id.kind == SuspectKind::Request && crashesBefore >= freeCrashes && !wasTrial)
+        ++suspicion.sendsAfterThirdCrash;
+    suspicion.isBlocked = suspicion.isBlocked || isEnough(id, suspicion, now);
+    if (!suspicion.isBlocked)
+        return suspicion.wasSound ? std::vector<SuspectVerdict>() : std::vector { verdictOf(SuspectState::Suspected, id, suspicion, now) };
+    suspicion.blockedUntil = now + blockTime(id, suspicion);
+    return { verdictOf(SuspectState::Blocked, id, suspicion, now) };
+}
+
+std::vector<SuspectVerdict> CrashSuspects::unblockIfTooWeak(SuspectId id, Suspicion& suspicion, Instant now) const
+{
+    if (!suspicion.isBlocked || isEnough(id, suspicion, now))
+        return {};
+    auto verdict = verdictOf(SuspectState::Cleared, id, suspicion, now);
+    suspicion.isBlocked = false;
+    suspicion.trial.reset();
+    return { std::move(verdict) };
+}
+
+void CrashSuspects::explainCrash(TargetId target, Instant at)
+{
+    std::deque<SuspectCrash> explained;
+    for (const auto& [id, suspicion] : suspicions_) {
+        bool isCause = id.kind == SuspectKind::Request && suspicion.isBlocked
+            && std::any_of(suspicion.evidence.begin(), suspicion.evidence.end(), [&](const SuspectCrash& crash) { return isSameEnd(crash, target, at); });
+        if (isCause)
+            explained.insert(explained.end(), suspicion.evidence.begin(), suspicion.evidence.end());
+    }
+    if (!explained.empty())
+        removeExplained(explained);
+}
+
+void CrashSuspects::removeExplained(const std::deque<SuspectCrash>& explained)
+{
+    auto isExplained = [&](const SuspectCrash& crash) {
+        return std::any_of(explained.begin(), explained.end(), [&](const SuspectCrash& known) { return isSameEnd(known, crash.target, crash.at); });
+    };
+    for (auto it = suspicions_.begin(); it != suspicions_.end();) {
+        auto& [id, suspicion] = *it;
+        bool isBystander = id.kind == SuspectKind::Request && !suspicion.isBlocked;
+        if (isBystander)
+            std::erase_if(suspicion.evidence, isExplained);
+        it = isBystander && suspicion.evidence.empty() && suspicion.olderCrashes == 0 ? suspicions_.erase(it) : std::next(it);
+    }
+}
+
+std::vector<SuspectVerdict> CrashSuspects::recordStart(const std::vector<SuspectId>& ids, Instant now)
+{
+    std::vector<SuspectVerdict> cleared;
+    for (auto id : ids) {
+        if (id.kind == SuspectKind::PromptPart)
+            recordSound(id, now, cleared);
+    }
+    return cleared;
+}
+
+std::vector<SuspectVerdict> CrashSuspects::recordAnswer(const std::vector<SuspectId>& ids, Instant now)
+{
+    std::vector<SuspectVerdict> cleared;
+    for (auto id : ids)
+        recordSound(id, now, cleared);
+    return cleared;
+}
+
+std::vector<SuspectVerdict> CrashSuspects::withdrawCrash(TargetId target, Instant at, Instant now)
+{
+    std::vector<SuspectVerdict> cleared;
+    for (auto it = suspicions_.begin(); it != suspicions_.end();) {
+        auto& [id, suspicion] = *it;
+        auto withdrawn = std::erase_if(suspicion.evidence, [&](const SuspectCrash& crash) { return isSameEnd(crash, target, at); });
+        if (withdrawn > 0) {
+            auto unblocked = unblockIfTooWeak(id, suspicion, now);
+            std::move(unblocked.begin(), unblocked.end(), std::back_inserter(cleared));
+        }
+        it = withdrawn > 0 && suspicion.evidence.empty() && suspicion.olderCrashes == 0 ? suspicions_.erase(it) : std::next(it);
+    }
+    return cleared;
+}
+
+void CrashSuspects::recordSound(SuspectId id, Instant now, std::vector<SuspectVerdict>& cleared)
+{
+    rememberSound(id, now);
+    auto known = suspicions_.find(id);
+    if (known == suspicions_.end())
+        return;
+    if (known->second.isBlocked)
+        cleared.push_back(verdictOf(SuspectState::Cleared, id, known->second, now));
+    suspicions_.erase(known);
+}
+
+void CrashSuspects::rememberSound(SuspectId id, Instant now)
+{
+    auto [it, isNew] = lastSoundAt_.try_emplace(id, now);
+    if (!isNew && now - it->second < soundInterval)
+        return;
+    it->second = now;
+    auto& records = id.kind == SuspectKind::Request ? soundRequests_ : soundParts_;
+    records.push_back({ id, now });
+    while (!records.empty() && (records.size() > maxSoundRecords || records.front().at < now - soundRetention)) {
+        auto oldest = lastSoundAt_.find(records.front().id);
+        if (oldest != lastSoundAt_.end() && oldest->second == records.front().at)
+            lastSoundAt_.erase(oldest);
+        records.pop_front();
+    }
+}
+
+std::optional<SuspectVerdict> CrashSuspects::merge(const SuspectVerdict& verdict, Instant now)
+{
+    auto id = verdict.id;
+    if (verdict.state == SuspectState::Cleared) {
+        suspicions_.erase(id);
+        return std::nullopt;
+    }
+    auto& suspicion = findOrCreate(id, now);
+    bool wasBlocked = suspicion.isBlocked;
+    for (const auto& crash : verdict.evidence)
+        addCrash(id, suspicion, crash);
+    auto listed = countIndependent(suspicion.evidence);
+    suspicion.olderCrashes = std::max(suspicion.olderCrashes, verdict.crashes - std::min(verdict.crashes, listed));
+    suspicion.sendsAfterThirdCrash = std::max(suspicion.sendsAfterThirdCrash, verdict.sendsAfterThirdCrash);
+    suspicion.wasSound = suspicion.wasSound || verdict.wasSound;
+    if (verdict.state == SuspectState::Blocked) {
+        suspicion.isBlocked = true;
+        suspicion.blockedUntil = std::max<Instant>(suspicion.blockedUntil, now + std::min(verdict.blockedFor, maxBlock));
+    } else if (!wasBlocked && isEnough(id, suspicion, now)) {
+        suspicion.isBlocked = true;
+        suspicion.blockedUntil = now + blockTime(id, suspicion);
+    }
+    if (!suspicion.isBlocked)
+        return std::nullopt;
+    return verdictOf(SuspectState::Blocked, id, suspicion, now);
+}
+
+void CrashSuspects::adopt(const SuspectRecord& record, Instant now)
+{
+    if (wasSoundWithin(record.id, recordLag, now))
+        return;
+    bool isKnown = suspicions_.contains(record.id) && suspicions_.at(record.id).isBlocked;
+    merge({ SuspectState::Blocked, record.id, record.crashes, record.sendsAfterThirdCrash, record.wasSound, {}, {} }, now);
+    // How long ago the block began is not known; a node that learns of it only now waits for its whole length.
+    if (!isKnown)
+        suspicions_.at(record.id).blockedUntil = now + blockTime(record.id, suspicions_.at(record.id));
+}
+
+std::optional<SuspectBlock> CrashSuspects::findBlock(const std::vector<SuspectId>& ids, Instant now) const
+{
+    for (auto id : ids) {
+        auto known = suspicions_.find(id);
+        if (known == suspicions_.end() || !isBlockedAt(id, known->second, now))
+            continue;
+        auto remaining = isFinal(id, known->second) ? maxBlock : std::max<Duration>(known->second.blockedUntil - now, blockAfterUndecidedTrial);
+        return SuspectBlock { id, crashCount(known->second), remaining };
+    }
+    return std::nullopt;
+}
+
+std::optional<SuspectBlock> CrashSuspects::findBlockWithoutTrial(const std::vector<SuspectId>& ids, Instant now) const
+{
+    if (auto block = findBlock(ids, now))
+        return block;
+    for (auto id : ids) {
+        auto known = suspicions_.find(id);
+        if (known != suspicions_.end() && known->second.isBlocked)
+            return SuspectBlock { id, crashCount(known->second), firstBlock };
+    }
+    return std::nullopt;
+}
+
+bool CrashSuspects::needsTrial(const std::vector<SuspectId>& ids) const
+{
+    return std::any_of(ids.begin(), ids.end(), [this](SuspectId id) {
+        auto known = suspicions_.find(id);
+        return known != suspicions_.end() && known->second.isBlocked;
+    });
+}
+
+bool CrashSuspects::hasSuspect(const std::vector<SuspectId>& ids) const
+{
+    return std::any_of(ids.begin(), ids.end(), [this](SuspectId id) { return suspicions_.contains(id) && !lastSoundAt_.contains(id); });
+}
+
+std::vector<SuspectVerdict> CrashSuspects::beginTrial(const std::vector<SuspectId>& ids, AttemptId attempt, Instant now)
+{
+    std::vector<SuspectVerdict> counted;
+    for (auto id : ids) {
+        auto known = suspicions_.find(id);
+        if (known == suspicions_.end() || !known->second.isBlocked)
+            continue;
+        auto& suspicion = known->second;
+        suspicion.trial = attempt;
+        suspicion.trialBeganAt = now;
+        if (id.kind == SuspectKind::Request && crashCount(suspicion) >= freeCrashes) {
+            ++suspicion.sendsAfterThirdCrash;
+            suspicion.blockedUntil = now + blockTime(id, suspicion);
+            counted.push_back(verdictOf(SuspectState::Blocked, id, suspicion, now));
+        }
+    }
+    return counted;
+}
+
+void CrashSuspects::endTrial(const std::vector<SuspectId>& ids, AttemptId attempt, bool isUnsent, Instant now)
+{
+    for (auto id : ids) {
+        auto known = suspicions_.find(id);
+        if (known == suspicions_.end() || known->second.trial != attempt)
+            continue;
+        auto& suspicion = known->second;
+        suspicion.trial.reset();
+        bool wasCounted = id.kind == SuspectKind::Request && crashCount(suspicion) >= freeCrashes && suspicion.sendsAfterThirdCrash > 0;
+        if (wasCounted && !isUnsent)
+            continue;
+        if (wasCounted)
+            --suspicion.sendsAfterThirdCrash;
+        suspicion.blockedUntil = now + blockAfterUndecidedTrial;
+    }
+}
+
+void CrashSuspects::tick(Instant now)
+{
+    std::erase_if(suspicions_, [now](const auto& entry) {
+        const auto& [id, suspicion] = entry;
+        if (id.kind == SuspectKind::Request)
+            return !suspicion.isBlocked && now - suspicion.lastCrashAt > requestSuspicionRetention;
+        auto retention = suspicion.isBlocked ? partBlockRetention : partSuspicionRetention;
+        return now - suspicion.lastCrashAt > retention && now > suspicion.blockedUntil + retention;
+    });
+}
+
+std::vector<SuspectVerdict> CrashSuspects::verdicts(Instant now, size_t limit) const
+{
+    std::vector<std::pair<SuspectId, const Suspicion*>> sorted;
+    for (const auto& [id, suspicion] : suspicions_)
+        sorted.emplace_back(id, &suspicion);
+    std::stable_sort(sorted.begin(), sorted.end(), [](const auto& left, const auto& right) {
+        return std::pair(left.second->isBlocked, left.second->lastCrashAt) > std::pair(right.second->isBlocked, right.second->lastCrashAt);
+    });
+    sorted.resize(std::min(sorted.size(), limit));
+    std::vector<SuspectVerdict> result;
+    for (const auto& [id, suspicion] : sorted)
+        result.push_back(verdictOf(suspicion->isBlocked ? SuspectState::Blocked : SuspectState::Suspected, id, *suspicion, now));
+    return result;
+}
+
+size_t CrashSuspects::blockedCount() const
+{
+    return static_cast<size_t>(std::count_if(suspicions_.begin(), suspicions_.end(), [](const auto& entry) { return entry.second.isBlocked; }));
+}
+
+}
--- /dev/null
+++ b/src/sched/CrashWatch.cpp
@@ -0,0 +1,175 @@
+#include "briarhitch/sched/CrashWatch.h"
+
+#include <algorithm>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    /** All attempts on a target that has ended break within this time, and it starts again later than that. */
+    constexpr Duration sameEndInterval = 2s;
+    /** A target that has ended answers nothing for longer than this, also through a proxy that keeps its connections. */
+    constexpr Duration minDownTime = 1s;
+    /** The list of targets may show an end that was noticed before. */
+    constexpr Duration endRetention = 10s;
+    /** Reports of different entries about one end differ by this much at most. */
+    constexpr Duration settleTime = 100ms;
+    /** Time in which a target that has closed a single connection answers others. */
+    constexpr Duration silentAttemptsDelay = 500ms;
+    /** Latency between the entries that report an answer and an end. */
+    constexpr Duration reportMargin = 50ms;
+    /** An attempt that was given up no longer than this before its target ended may have been the cause. */
+    constexpr Duration givenUpBeforeBreak = 1s;
+    // The list of targets shows an end this late.
+    constexpr Duration minListLag = 3s;
+    constexpr Duration listLag = 6s;
+    constexpr size_t maxGivenUp = 1024;
+    constexpr size_t maxEnds = 512;
+
+    void append(std::vector<SuspectVerdict>& verdicts, std::vector<SuspectVerdict> more)
+    {
+        std::move(more.begin(), more.end(), std::back_inserter(verdicts));
+    }
+
+}
+
+void CrashWatch::attemptGranted(AttemptId attempt, std::vector<SuspectId> ids, TargetId target, bool isStarted, Instant now)
+{
+    running_[attempt] = { std::move(ids), target, now, isStarted };
+}
+
+std::vector<SuspectVerdict> CrashWatch::attemptStarted(AttemptId attempt, Duration connectionAge, Instant now)
+{
+    std::vector<SuspectVerdict> verdicts;
+    auto it = running_.find(attempt);
+    if (it == running_.end())
+        return verdicts;
+    it->second.hadProgress = true;
+    recordLife(it->second.target, connectionAge, now, verdicts);
+    append(verdicts, suspects_.recordStart(it->second.ids, now));
+    return verdicts;
+}
+
+std::vector<SuspectVerdict> CrashWatch::attemptEnded(AttemptId attempt, AttemptEnd end, Duration connectionAge, bool isTargetLeaving, Instant now)
+{
+    std::vector<SuspectVerdict> verdicts;
+    auto it = running_.find(attempt);
+    if (it == running_.end())
+        return verdicts;
+    auto ended = std::move(it->second);
+    running_.erase(it);
+    if (end == AttemptEnd::Answered) {
+        recordLife(ended.target, connectionAge, now, verdicts);
+        append(verdicts, suspects_.recordAnswer(ended.ids, now));
+        return verdicts;
+    }
+    suspects_.endTrial(ended.ids, attempt, end == AttemptEnd::Unsent, now);
+    if (end == AttemptEnd::Unsent || isTargetLeaving)
+        return verdicts;
+    if (end == AttemptEnd::Broken) {
+        auto* known = findEnd(ended.target, sameEndInterval, now);
+        auto& targetEnd = known ? *known : addEnd(ended.target, givenUpBeforeBreak, now, verdicts);
+        addEvidence(targetEnd, ended, now, verdicts);
+        return verdicts;
+    }
+    givenUp_.push_back({ std::move(ended), now });
+    if (givenUp_.size() > maxGivenUp)
+        givenUp_.pop_front();
+    return verdicts;
+}
+
+std::vector<SuspectVerdict> CrashWatch::targetRefused(TargetId target, Instant now)
+{
+    std::vector<SuspectVerdict> verdicts;
+    if (!findEnd(target, sameEndInterval, now))
+        addEnd(target, givenUpBeforeBreak, now, verdicts);
+    return verdicts;
+}
+
+std::vector<SuspectVerdict> CrashWatch::targetReplaced(TargetId target, Instant now)
+{
+    std::vector<SuspectVerdict> verdicts;
+    if (findEnd(target, endRetention, now))
+        return verdicts;
+    auto& end = addEnd(target, listLag, now, verdicts);
+    judgeSilentAttempts(end, now - minListLag, now, verdicts);
+    return verdicts;
+}
+
+CrashWatch::TargetEnd* CrashWatch::findEnd(TargetId target, Duration within, Instant now)
+{
+    auto known = std::find_if(ends_.rbegin(), ends_.rend(), [&](const TargetEnd& end) { return end.target == target && now - end.at < within; });
+    return known == ends_.rend() ? nullptr : &*known;
+}
+
+CrashWatch::TargetEnd& CrashWatch::addEnd(TargetId target, Duration givenUpWithin, Instant now, std::vector<SuspectVerdict>& verdicts)
+{
+    if (ends_.size() >= maxEnds)
+        ends_.pop_front();
+    auto& end = ends_.emplace_back(TargetEnd { target, now });
+    for (const auto& givenUp : givenUp_) {
+        if (givenUp.attempt.target == target && now - givenUp.at < givenUpWithin)
+            addEvidence(end, givenUp.attempt, now, verdicts);
+    }
+    std::erase_if(givenUp_, [&](const GivenUpAttempt& givenUp) { return givenUp.attempt.target == target; });
+    return end;
+}
+
+void CrashWatch::addEvidence(const TargetEnd& end, const Attempt& attempt, Instant now, std::vector<SuspectVerdict>& verdicts)
+{
+    RequestDigest request;
+    for (auto id : attempt.ids) {
+        if (id.kind == SuspectKind::Request) {
+            request = RequestDigest(id.value);
+            append(verdicts, suspects_.recordRequestCrash(request, end.target, end.at, attempt.hadProgress, now));
+        } else if (!attempt.hadProgress) {
+            append(verdicts, suspects_.recordPartCrash(PromptPartId(id.value), request, end.target, end.at, now));
+        }
+    }
+}
+
+void CrashWatch::judgeSilentAttempts(TargetEnd& end, Instant grantedUntil, Instant now, std::vector<SuspectVerdict>& verdicts)
+{
+    end.areSilentAttemptsJudged = true;
+    std::vector<Attempt> silent;
+    for (const auto& [id, attempt] : running_) {
+        if (attempt.target == end.target && attempt.grantedAt <= grantedUntil)
+            silent.push_back(attempt);
+    }
+    for (const auto& attempt : silent)
+        addEvidence(end, attempt, now, verdicts);
+}
+
+void CrashWatch::recordLife(TargetId target, Duration connectionAge, Instant now, std::vector<SuspectVerdict>& verdicts)
+{
+    auto openedAt = now - connectionAge;
+    for (auto it = ends_.begin(); it != ends_.end();) {
+        bool wasAliveSince = it->target == target && openedAt + reportMargin < it->at && it->at + reportMargin < now && now < it->at + minDownTime;
+        if (wasAliveSince)
+            append(verdicts, suspects_.withdrawCrash(target, it->at, now));
+        it = wasAliveSince ? ends_.erase(it) : std::next(it);
+    }
+}
+
+std::vector<SuspectVerdict> CrashWatch::tick(Instant now)
+{
+    std::vector<SuspectVerdict> verdicts;
+    for (auto& end : ends_) {
+        if (!end.isSettled && now - end.at >= settleTime) {
+            end.isSettled = true;
+            suspects_.explainCrash(end.target, end.at);
+        }
+        if (!end.areSilentAttemptsJudged && now - end.at >= silentAttemptsDelay)
+            judgeSilentAttempts(end, end.at, now, verdicts);
+    }
+    while (!ends_.empty() && now - ends_.front().at >= endRetention)
+        ends_.pop_front();
+    while (!givenUp_.empty() && now - givenUp_.front().at >= listLag)
+        givenUp_.pop_front();
+    suspects_.tick(now);
+    return verdicts;
+}
+
+}
--- a/tests/ControlServerTest.cpp
+++ b/tests/ControlServerTest.cpp
@@ -296,6 +296,33 @@
         });
     }
 
+    // Guards against blocks of requests that operators can neither see nor clear, and that nodes are not told of.
+    TEST(AdminApiTest, BlockedSuspectsAreListedAndCleared)
+    {
+        runInLoop([](Loop& loop) {
+            Voter leader(loop, 1, true, { { NodeId(1), "127.0.0.1", 7001, 7002 } });
+            Admin admin(loop, leader);
+            Entry entry(loop, 5, { leader.address() });
+            const SuspectId suspect { RequestDigest(0xabc) };
+            ASSERT_TRUE(entry.client.recordSuspects({ { { suspect, 3, 2, false, 0 } }, {} }, 5s));
+            waitUntil(loop, "the entry knows the block", [&] { return entry.view.config().suspects.contains(suspect); });
+            auto listed = admin.send("GET", "/v1/suspects").second["suspects"];
+            ASSERT_EQ(listed.size(), 1u);
+            EXPECT_EQ(listed[0]["suspect"], "request-0000000000000abc");
+            EXPECT_EQ(listed[0]["crashes"], 3);
+            EXPECT_EQ(listed[0]["sends_after_third_crash"], 2);
+            EXPECT_EQ(admin.send("POST", "/v1/suspects/abc/clear").first, 404);
+            EXPECT_EQ(admin.send("POST", "/v1/suspects/request-abc/clear", {}, "wrong key").first, 401);
+            for (int i = 0; i < 2; ++i) {
+                auto [status, cleared] = admin.send("POST", "/v1/suspects/request-abc/clear");
+                EXPECT_EQ(status, 200);
+                EXPECT_EQ(cleared["in_force"], true);
+            }
+            EXPECT_FALSE(entry.view.config().suspects.contains(suspect));
+            EXPECT_TRUE(admin.send("GET", "/v1/suspects").second["suspects"].empty());
+        });
+    }
+
     // Guards against "in_force" while a node has not applied the change, and "drained" while requests are in flight.
     TEST(AdminApiTest, WaitsForNodesAndForRequestsInFlight)
     {
--- a/tests/StateMachineTest.cpp
+++ b/tests/StateMachineTest.cpp
@@ -380,5 +380,42 @@
         EXPECT_EQ(encodings.size(), 1u);
     }
 
+    // Guards against blocks that are lost with a voter, that old reports weaken, or that grow without bound.
+    TEST(StateMachineTest, BlockedSuspectsAreKeptUntilTheyAreCleared)
+    {
+        TestState state;
+        const SuspectId request { RequestDigest(5) };
+        const SuspectId part { PromptPartId(5) };
+        RecordSuspectsCommand command { { { { request, 3, 1, false, 0 }, { part, 2, 0, false, 0 } }, {} } };
+        ASSERT_TRUE(state.apply(command, int64_t { 1000 }).accepted);
+        auto version = state.machine.config().version;
+        command.changes.blocked = { { request, 2, 0, false, 0 } };
+        state.apply(command, int64_t { 2000 });
+        EXPECT_EQ(state.machine.config().version, version) << "an older report changes nothing";
+        EXPECT_EQ(state.machine.config().suspects.at(request), (SuspectRecord { request, 3, 1, false, 1000 }));
+
+        StateMachine restored;
+        ASSERT_TRUE(restored.loadSnapshot(state.machine.takeSnapshot()));
+        EXPECT_EQ(restored.config().suspects, state.machine.config().suspects);
+        HeartbeatReply reply;
+        state.machine.addChangesSince(Version(1), reply);
+        ClusterConfig first;
+        first.version = Version(1);
+        reply.snapshot = first;
+        ClusterView view;
+        view.apply(reply);
+        EXPECT_EQ(view.config().suspects, state.machine.config().suspects);
+
+        state.apply(RecordSuspectsCommand { { {}, { request, SuspectId(RequestDigest(99)) } } }, int64_t { 3000 });
+        EXPECT_FALSE(state.machine.config().suspects.contains(request));
+        EXPECT_TRUE(state.machine.config().suspects.contains(part));
+        constexpr size_t maxSuspects = 4096;
+        for (uint64_t digest = 100; digest < 200 + maxSuspects; ++digest)
+            state.apply(RecordSuspectsCommand { { { { SuspectId(RequestDigest(digest)), 2, 0, false, 0 } }, {} } }, static_cast<int64_t>(10000 + digest));
+        EXPECT_EQ(state.machine.config().suspects.size(), maxSuspects);
+        EXPECT_TRUE(state.machine.config().suspects.contains(SuspectId(RequestDigest(199 + maxSuspects))));
+        EXPECT_FALSE(state.machine.config().suspects.contains(part));
+    }
+
 }
 }
--- a/tools/ctl/CtlCommands.cpp
+++ b/tools/ctl/CtlCommands.cpp
@@ -74,6 +74,8 @@
         return target(words);
     if (words[0] == "voter")
         return voter(words);
+    if (words[0] == "suspect")
+        return suspect(words);
     if (words[0] == "status" && words.size() == 1)
         return show("/v1/status", statusToText);
     if (words[0] == "change" && words.size() == 3 && words[1] == "show")
@@ -126,6 +128,15 @@
     return report(answer, [](const Json& json) { return json.dump() + "\n"; });
 }
 
+CtlExit CtlCommands::suspect(const Words& words)
+{
+    if (words.size() == 2 && words[1] == "list")
+        return show("/v1/suspects", suspectsToText);
+    if (words.size() != 3 || words[1] != "clear")
+        return wrongUsage("suspect needs list, or clear and a SUSPECT");
+    return report(client_.send("POST", "/v1/suspects/" + words[2] + "/clear", {}), [](const Json& json) { return json.dump() + "\n"; });
+}
+
 CtlExit CtlCommands::explain(const Words& words)
 {
     if (words.size() == 2 && !options_.logs.empty()) {
--- a/tools/ctl/CtlMain.cpp
+++ b/tools/ctl/CtlMain.cpp
@@ -36,6 +36,8 @@
                                "  target drain NAME                  send it no new work\n"
                                "  target retire NAME                 take it out for good\n"
                                "  target list\n"
+                               "  suspect list                       requests and prompt parts that are blocked because they crash targets\n"
+                               "  suspect clear SUSPECT              let it run again\n"
                                "  change show CHANGE_ID              the answer that a change got\n"
                                "  voter add|remove NODE             change the members of the control log\n"
                                "  status                             leader, nodes, pools, repairs under way\n"
--- a/tools/ctl/CtlPrinter.cpp
+++ b/tools/ctl/CtlPrinter.cpp
@@ -121,6 +121,14 @@
     return table({ targetHeader, targetRow(answer) });
 }
 
+std::string suspectsToText(const Json& answer)
+{
+    std::vector<Row> rows { { "SUSPECT", "CRASHES", "SENDS AFTER THIRD CRASH", "CHANGED AT MS" } };
+    for (const auto& suspect : answer.at("suspects"))
+        rows.push_back({ word(suspect.at("suspect")), word(suspect.at("crashes")), word(suspect.at("sends_after_third_crash")), word(suspect.at("changed_at_ms")) });
+    return table(rows);
+}
+
 std::string changeToText(const Json& answer)
 {
     if (!answer.contains("in_force"))
--- a/tools/ctl/CtlPrinter.h
+++ b/tools/ctl/CtlPrinter.h
@@ -12,6 +12,7 @@
 std::string customerToText(const Json& answer);
 std::string targetsToText(const Json& answer);
 std::string targetToText(const Json& answer);
+std::string suspectsToText(const Json& answer);
 std::string changeToText(const Json& answer);
 std::string statusToText(const Json& answer);
 /** An error's kind, message and what to do. */
