Play requests that crash their targets in the stand-ins, against the platform's processes and in the soak

The stand-ins crash by a request (--crash_on, crash_on in orders), and do it as a process that ends does: all connections close, none is accepted for 1.5 s, what ran is lost. The soak sends one prompt and one call that crash targets, again and again, in 8 of 100 requests, and judges arrivals from the ledgers: no more than three later than 3 s after the third. DeadlyChargeStaysBlockedAfterALossOfAllNodes kills every process of the fleet and starts it again.

--- a/src/sched/CrashSuspects.cpp
+++ b/src/sched/CrashSuspects.cpp
@@ -458,6 +458,7 @@
     });
     sorted.resize(std::min(sorted.size(), limit));
     std::vector<SuspectVerdict> result;
+    result.reserve(sorted.size());
     for (const auto& [id, suspicion] : sorted)
         result.push_back(verdictOf(suspicion->isBlocked ? SuspectState::Blocked : SuspectState::Suspected, id, *suspicion, now));
     return result;
--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -40,6 +40,8 @@
     constexpr int engineSlots = 4;
     /** Hexadecimal id of the prompt part that crashes the engine. */
     constexpr auto deadlyPart = "29a";
+    /** Body of the charge that crashes the service. */
+    constexpr auto deadlyBody = "deadly charge";
     /** A target that ends again this long after it ended has crashed twice. */
     constexpr Duration timeBetweenCrashes = 2100ms;
 
@@ -70,6 +72,8 @@
         std::atomic<int> slots { engineSlots };
         /** Requests with the deadly part that reached the engine, which closed their connections before the first event. */
         std::atomic<int> deadlyArrivals { 0 };
+        /** Charges with the deadly body that reached the service, which closed their connections. */
+        std::atomic<int> deadlyCharges { 0 };
 
     private:
         void serve()
@@ -110,6 +114,11 @@
                     exchange.abort();
                     return;
                 }
+                if (request.body == deadlyBody) {
+                    ++deadlyCharges;
+                    exchange.abort();
+                    return;
+                }
                 if (request.path == endlessCharge) {
                     exchange.beginStream(200, headers);
                     writeEndlessly(exchange);
@@ -600,6 +609,41 @@
         EXPECT_EQ(ask("77").status, 200);
     }
 
+    // Guards against a charge that crashes services again and again, also through nodes that have lost their memory: a new
+    // owner, and a fleet that has lost power as a whole.
+    TEST_F(PlatformFleetTest, DeadlyChargeStaysBlockedAfterALossOfAllNodes)
+    {
+        startServingFleet();
+        int asked = 0;
+        auto charge = [&](const std::string& body) { return call(host(20), callerPort, "POST", "/charge/1", body, requestHeaders("r" + std::to_string(++asked), "key", 20000)); };
+        EXPECT_EQ(charge(deadlyBody).status, 502) << "it may have run";
+        std::this_thread::sleep_for(timeBetweenCrashes);
+        EXPECT_EQ(charge(deadlyBody).status, 502);
+        auto refusal = charge(deadlyBody);
+        EXPECT_EQ(refusal.status, 503);
+        EXPECT_NE(refusal.body.find("this request has crashed 2 targets"), std::string::npos) << refusal.body;
+        EXPECT_GE(std::stod("0" + std::string(findHeader(refusal.headers, "Retry-After"))), 1);
+        EXPECT_EQ(platform_.deadlyCharges, 2);
+        EXPECT_EQ(charge("sound charge").status, 200);
+        expectExplained("r3", { "request_digest=", "suspect_request: this request has crashed 2 targets", "request blocked suspect=request-" });
+        waitUntil("the block in the control log", [&] {
+            auto hasRecorded = [&](const char* name) { return processes_.at(name)->log().find("is recorded as blocked") != std::string::npos; };
+            return hasRecorded("control-1") || hasRecorded("control-2") || hasRecorded("control-3");
+        });
+
+        for (const auto* name : { "front-20", "pools-4", "control-1", "control-2", "control-3" })
+            processes_.at(name)->kill();
+        startFront(20);
+        startPoolOwner(4);
+        for (int number : { 1, 2, 3 })
+            startControl(number, false);
+        waitUntil("a response after all nodes were lost", [&] { return charge("another sound charge").status == 200; });
+        for (int i = 0; i < 20; ++i)
+            EXPECT_NE(charge(deadlyBody).status, 200);
+        // A single trial may have become due meanwhile.
+        EXPECT_LE(platform_.deadlyCharges, 3);
+    }
+
     // Guards against a voter that acknowledges entries it could not write, or does not recover from a full disk.
     TEST_F(PlatformFleetTest, ControlExitsIfItsLogCannotGrowAndRecoversAllDocuments)
     {
--- a/tests/process/ProcessFixture.cpp
+++ b/tests/process/ProcessFixture.cpp
@@ -288,14 +288,15 @@
 
 Json ProcessFixture::ledger(const Daemon& standIn)
 {
-    auto answer = callPlain(standIn.port, { "GET", "/admin/ledger", {}, "" });
-    EXPECT_TRUE(answer.isWhole) << standIn.name;
+    PlainAnswer answer;
+    waitUntil("the ledger of " + standIn.name, [&] { return (answer = callPlain(standIn.port, { "GET", "/admin/ledger", {}, "" })).isWhole; });
     return parse(answer.body);
 }
 
 void ProcessFixture::orderFaults(const Daemon& standIn, const Json& faults)
 {
-    EXPECT_EQ(callPlain(standIn.port, { "POST", "/admin/faults", {}, faults.dump() }).status, 200);
+    // A stand-in that has crashed accepts no connection for a while.
+    waitUntil(standIn.name + " takes the order", [&] { return callPlain(standIn.port, { "POST", "/admin/faults", {}, faults.dump() }).status == 200; });
 }
 
 void ProcessFixture::orderServiceFaults(const Json& faults)
--- a/tests/soak/SoakFleet.cpp
+++ b/tests/soak/SoakFleet.cpp
@@ -51,7 +51,7 @@
     startEngine("engine-1", { "--step_time=4ms", "--check_fencing", crashFlag });
     startEngine("engine-2", { "--step_time=8ms", crashFlag });
     for (const auto& name : serviceNames)
-        startService(name);
+        startService(name, { crashFlag });
     startControls(voters, [this](int, int, uint16_t port) { return forwarderPort(port); });
     putCustomer(defaultContract());
     for (const auto& name : engineNames)
@@ -218,8 +218,7 @@
 {
     if (auto limit = rateLimits_.find(target.name); limit != rateLimits_.end())
         faults["rate_limit"] = limit->second;
-    if (target.name.starts_with("engine"))
-        faults["crash_on"] = SoakTraffic::deadlyText();
+    faults["crash_on"] = SoakTraffic::deadlyText();
     orderFaults(target, faults);
 }
 
@@ -272,33 +271,50 @@
     }
 }
 
-void SoakFleet::judgeDeadlyPrompts()
+void SoakFleet::judgeDeadlyRequests()
 {
-    constexpr size_t freeCrashes = 5;
-    constexpr size_t allowedArrivals = 3;
-    constexpr milliseconds stabilityWindow = 3s;
-    std::vector<int64_t> arrivalsMs;
+    constexpr size_t freeCrashesOfRequest = 3;
+    constexpr size_t freeCrashesOfPart = 5;
+    auto repeated = checksumOf("user: " + SoakTraffic::deadlyPrompt() + "\n");
+    std::vector<int64_t> partsMs;
+    std::vector<int64_t> promptsMs;
+    std::vector<int64_t> callsMs;
     for (const auto& name : engineNames) {
         auto book = ledger(daemon(name));
         for (const auto& request : book["requests"]) {
             if (request["deadly"])
-                arrivalsMs.push_back(request["arrived_ms"]);
+                (request["prompt"] == repeated ? promptsMs : partsMs).push_back(request["arrived_ms"]);
+        }
+    }
+    for (const auto& name : serviceNames) {
+        auto book = ledger(daemon(name));
+        for (const auto& call : book["requests"]) {
+            if (call["deadly"] && call["ran"])
+                callsMs.push_back(call["arrived_ms"]);
         }
     }
+    judgeDeadlyArrivals("requests with a deadly part of their prompt", std::move(partsMs), freeCrashesOfPart);
+    judgeDeadlyArrivals("repeats of a deadly prompt", std::move(promptsMs), freeCrashesOfRequest);
+    judgeDeadlyArrivals("repeats of a deadly call", std::move(callsMs), freeCrashesOfRequest);
+}
+
+void SoakFleet::judgeDeadlyArrivals(const std::string& what, std::vector<int64_t> arrivalsMs, size_t freeCrashes)
+{
+    constexpr size_t allowedArrivals = 3;
+    constexpr milliseconds stabilityWindow = 3s;
     std::sort(arrivalsMs.begin(), arrivalsMs.end());
-    result_.deadlyArrivals = arrivalsMs.size();
-    if (arrivalsMs.size() <= freeCrashes)
-        return;
+    result_.deadlyArrivals += arrivalsMs.size();
+    size_t bounded = 0;
     for (size_t i = freeCrashes; i < arrivalsMs.size(); ++i) {
         bool isInTouch = std::none_of(disruptions_.begin(), disruptions_.end(), [&](Instant end) {
             auto endMs = toMs(end.time_since_epoch());
             return arrivalsMs[i] < endMs + stabilityWindow.count() && arrivalsMs[i] > endMs - longestFault.count();
         });
-        if (isInTouch && arrivalsMs[i] > arrivalsMs[freeCrashes - 1] + stabilityWindow.count())
-            ++result_.boundedDeadlyArrivals;
+        bounded += isInTouch && arrivalsMs[i] > arrivalsMs[freeCrashes - 1] + stabilityWindow.count() ? 1 : 0;
     }
-    if (result_.boundedDeadlyArrivals > allowedArrivals)
-        violation(std::to_string(result_.boundedDeadlyArrivals) + " requests with a deadly prompt reached engines later than 3 s after the fifth; allowed 3");
+    result_.boundedDeadlyArrivals += bounded;
+    if (bounded > allowedArrivals)
+        violation(std::to_string(bounded) + " " + what + " reached targets later than 3 s after the " + std::to_string(freeCrashes) + "th; allowed 3");
 }
 
 void SoakFleet::changeCustomers()
@@ -334,7 +350,7 @@
     result_.charges = traffic.charges.size();
     result_.violations.insert(result_.violations.end(), traffic.violations.begin(), traffic.violations.end());
     judgeRateLimits();
-    judgeDeadlyPrompts();
+    judgeDeadlyRequests();
     std::map<std::string, uint64_t> charged;
     for (const auto& name : serviceNames) {
         auto book = ledger(daemon(name));
--- a/tests/soak/SoakFleet.h
+++ b/tests/soak/SoakFleet.h
@@ -23,7 +23,7 @@
     /** Calls that reached targets while these named a limit, and the most that the limits allow in that time. */
     size_t rateLimitedCalls { 0 };
     double rateLimitedCapacity { 0 };
-    /** Deadly prompts that reached engines, and those of them that the bound covers. */
+    /** Requests that crash targets and reached some, and those of them that a bound covers. */
     size_t deadlyArrivals { 0 };
     size_t boundedDeadlyArrivals { 0 };
 };
@@ -54,7 +54,9 @@
     /** Orders faults of a target; a rate limit that it names stays. */
     void orderTargetFaults(const Daemon& target, Json faults);
     void judgeRateLimits();
-    void judgeDeadlyPrompts();
+    void judgeDeadlyRequests();
+    /** `freeCrashes`: arrivals later than the stability window after this many are bounded. */
+    void judgeDeadlyArrivals(const std::string& what, std::vector<int64_t> arrivalsMs, size_t freeCrashes);
     void changeCustomers();
     void later(std::chrono::milliseconds delay, std::function<void()> action);
     void runDue(std::chrono::milliseconds now);
--- a/tests/soak/SoakMain.cpp
+++ b/tests/soak/SoakMain.cpp
@@ -59,7 +59,7 @@
         auto result = playOnce(seed, schedule, length);
         std::cout << "seed " << seed << ": " << schedule.size() << " faults, asked " << result.asked << ", answered " << result.answered << ", charges " << result.charges
                   << ", told not run " << result.promisedNotRun << ", changes " << result.acknowledgedChanges
-                  << ", calls under a rate limit " << result.rateLimitedCalls << " of " << static_cast<int>(result.rateLimitedCapacity) << ", deadly prompts at engines " << result.deadlyArrivals << " (" << result.boundedDeadlyArrivals << " of 3)"
+                  << ", calls under a rate limit " << result.rateLimitedCalls << " of " << static_cast<int>(result.rateLimitedCapacity) << ", deadly requests at targets " << result.deadlyArrivals << " (" << result.boundedDeadlyArrivals << " bounded)"
                   << ", violations " << result.violations.size() << std::endl;
         for (size_t kind = 0; kind < faultKindCount; ++kind)
             injected[kind] += result.injected[kind];
--- a/tests/soak/SoakTraffic.cpp
+++ b/tests/soak/SoakTraffic.cpp
@@ -13,7 +13,10 @@
     constexpr uint64_t longestPauseMs = 60;
     constexpr int keyedTries = 5;
     constexpr uint64_t mostTokens = 40;
-    constexpr double deadlyFraction = 0.03;
+    constexpr double deadlyPartFraction = 0.03;
+    /** Of all requests; two requests of this kind come again and again. */
+    constexpr double deadlyRequestFraction = 0.08;
+    constexpr size_t deadlyTextBytes = 64;
     // With the role before it, the first block of each prompt's prefix, and a whole second block.
     constexpr size_t firstBlockBytes = 250;
     constexpr size_t blockBytes = 256;
@@ -60,7 +63,9 @@
     Random random(seed);
     for (uint64_t i = 0; !isStopping_; ++i) {
         auto name = std::to_string(seed) + "-" + std::to_string(i);
-        if (random.chance(0.5))
+        if (random.chance(deadlyRequestFraction))
+            askDeadly(random);
+        else if (random.chance(0.5))
             askModel(random, name);
         else
             askCharge(random, name);
@@ -69,10 +74,20 @@
 }
 
 std::string SoakTraffic::deadlyText()
+{
+    return std::string(deadlyTextBytes, 'd');
+}
+
+std::string SoakTraffic::deadlyPart()
 {
     return std::string(blockBytes, 'd');
 }
 
+std::string SoakTraffic::deadlyPrompt()
+{
+    return std::string(firstBlockBytes, 'p') + std::string(blockBytes, 's') + "again " + deadlyText();
+}
+
 Result<HttpResponse> SoakTraffic::send(Random& random, const PlainRequest& request)
 {
     HttpCallSettings settings;
@@ -102,7 +117,7 @@
 
 void SoakTraffic::askModel(Random& random, const std::string& name)
 {
-    auto prompt = std::string(firstBlockBytes, 'p') + (random.chance(deadlyFraction) ? deadlyText() : std::string(blockBytes, 's')) + "soak " + name;
+    auto prompt = std::string(firstBlockBytes, 'p') + (random.chance(deadlyPartFraction) ? deadlyPart() : std::string(blockBytes, 's')) + "soak " + name;
     auto tokens = static_cast<int>(1 + random.below(mostTokens));
     bool isStream = random.chance(0.5);
     auto answer = send(random, ProcessFixture::chat(prompt, tokens, isStream));
@@ -115,6 +130,15 @@
         violations.push_back("the answer to \"" + prompt + "\" looks complete and is not the engine's: " + answer->body.substr(0, 300));
 }
 
+void SoakTraffic::askDeadly(Random& random)
+{
+    constexpr int tokens = 5;
+    if (random.chance(0.5))
+        (void)send(random, ProcessFixture::chat(deadlyPrompt(), tokens, random.chance(0.5)));
+    else
+        (void)send(random, ProcessFixture::lookup(deadlyCall()));
+}
+
 void SoakTraffic::askCharge(Random& random, const std::string& name)
 {
     auto& told = charges[name];
--- a/tests/soak/SoakTraffic.h
+++ b/tests/soak/SoakTraffic.h
@@ -30,8 +30,13 @@
     /** Lets requests that are under way end. */
     void stop();
 
-    /** Text that is in each deadly prompt and in no other. */
+    /** Text that is in each request which crashes its target, and in no other. */
     static std::string deadlyText();
+    /** A part that deadly prompts have in common. */
+    static std::string deadlyPart();
+    /** A prompt that is sent again and again, and the id of a call to a service that is. */
+    static std::string deadlyPrompt();
+    static std::string deadlyCall() { return deadlyText(); }
 
     // To be read after stop().
     std::map<std::string, ToldOutcome> charges;
@@ -43,6 +48,7 @@
 private:
     void runCaller(uint64_t seed);
     void askModel(Random& random, const std::string& name);
+    void askDeadly(Random& random);
     void askCharge(Random& random, const std::string& name);
     Result<HttpResponse> send(Random& random, const PlainRequest& request);
     void note(ToldOutcome& told, const Result<HttpResponse>& answer);
--- a/tools/fake_engine/EngineApi.cpp
+++ b/tools/fake_engine/EngineApi.cpp
@@ -17,8 +17,6 @@
 
     // A reader also looks up from time to time, because its caller may have left.
     constexpr Duration readerCheckInterval = 100ms;
-    /** Time for which an engine that has crashed is down. */
-    constexpr Duration crashTime = 1500ms;
     constexpr std::string_view streamsPath = "/v1/streams/";
     constexpr std::array<std::string_view, 7> stateNames { "waiting", "running", "done", "cancelled", "abandoned", "refused", "fenced" };
 
@@ -159,10 +157,6 @@
         sendJson(exchange, 400, errorBody("bad_request"));
         return;
     }
-    if (isDown()) {
-        exchange.abort();
-        return;
-    }
     std::string id(request.header("X-Request-Id"));
     if (id.empty())
         id = absl::StrCat("unnamed-", ++unnamedRequests_);
@@ -195,10 +189,6 @@
         sendJson(exchange, 404, errorBody("unknown_stream"));
         return;
     }
-    if (isDown()) {
-        exchange.abort();
-        return;
-    }
     if (request.method == "DELETE") {
         engine_.end(*stream, StreamState::Cancelled);
         sendJson(exchange, 200, "{}");
@@ -213,7 +203,7 @@
 
 void EngineApi::crash()
 {
-    downUntil_ = BootClock::now() + crashTime;
+    faults_.crash();
     for (const auto& stream : engine_.ledger())
         engine_.end(*stream, StreamState::Abandoned);
 }
@@ -244,7 +234,7 @@
         }
         if (stream.isDeadly)
             crash();
-        if (isDown()) {
+        if (faults_.isDown()) {
             exchange.abort();
             return;
         }
--- a/tools/fake_engine/EngineApi.h
+++ b/tools/fake_engine/EngineApi.h
@@ -19,9 +19,8 @@
     bool isFenced(const HttpRequest& request);
     void sendEvents(EngineStream& stream, int64_t firstEvent, HttpExchange& exchange);
     void sendWhole(EngineStream& stream, HttpExchange& exchange);
-    /** Ends all streams, and closes all connections with a request until the engine is back. */
+    /** The engine ends, and all its streams with it. */
     void crash();
-    [[nodiscard]] bool isDown() const { return BootClock::now() < downUntil_; }
     void answerMetrics(HttpExchange& exchange) const;
     void answerLedger(HttpExchange& exchange) const;
 
@@ -30,7 +29,6 @@
     bool checksFencing_;
     uint64_t newestFencingToken_ { 0 };
     uint64_t unnamedRequests_ { 0 };
-    Instant downUntil_ {};
 };
 
 }
--- a/tools/fake_engine/FakeEngineMain.cpp
+++ b/tools/fake_engine/FakeEngineMain.cpp
@@ -45,7 +45,7 @@
         BatchEngine engine(loop, settingsFromFlags(), [&faults] { return faults.slowdown(); });
         EngineApi api(engine, faults, absl::GetFlag(FLAGS_check_fencing));
         engine.start();
-        return runStandIn(loop, [&api](const HttpRequest& request, HttpExchange& exchange) { api.handle(request, exchange); });
+        return runStandIn(loop, faults, [&api](const HttpRequest& request, HttpExchange& exchange) { api.handle(request, exchange); });
     }
 
 }
--- a/tools/fake_service/FakeServiceMain.cpp
+++ b/tools/fake_service/FakeServiceMain.cpp
@@ -8,6 +8,7 @@
 ABSL_FLAG(absl::Duration, call_time, absl::Milliseconds(5), "time of one call");
 ABSL_FLAG(uint32_t, slots, 16, "calls that run side by side at full speed");
 ABSL_FLAG(double, rate_limit, -1, "requests per second that the answers name as limit for all callers together; negative: none");
+ABSL_FLAG(std::string, crash_on, "", "text; a call whose path or body contains it crashes the service when it begins to run it");
 ABSL_FLAG(absl::Duration, load_delay, absl::Milliseconds(200), "age of the published load, up to twice this");
 
 namespace briarhitch {
@@ -21,11 +22,12 @@
         settings.loadDelay = absl::ToChronoNanoseconds(absl::GetFlag(FLAGS_load_delay));
         Loop loop;
         FaultSwitch faults(loop);
+        faults.setCrashText(absl::GetFlag(FLAGS_crash_on));
         if (auto limit = absl::GetFlag(FLAGS_rate_limit); limit >= 0)
             faults.setRateLimit(limit);
         ServiceApi api(loop, faults, settings);
         api.start();
-        return runStandIn(loop, [&api](const HttpRequest& request, HttpExchange& exchange) { api.handle(request, exchange); });
+        return runStandIn(loop, faults, [&api](const HttpRequest& request, HttpExchange& exchange) { api.handle(request, exchange); });
     }
 
 }
--- a/tools/fake_service/ServiceApi.cpp
+++ b/tools/fake_service/ServiceApi.cpp
@@ -57,28 +57,36 @@
     std::string requestId(request.header("X-Request-Id"));
     auto call = absl::StrCat(request.method, " ", request.path);
     auto arrivedMs = toMs(BootClock::now().time_since_epoch());
+    bool isDeadly = faults_.crashesOn(request.path) || faults_.crashesOn(request.body);
     if (faults_.take(FaultMode::Refuse)) {
-        receipts_.push_back({ requestId, call, false, arrivedMs });
+        receipts_.push_back({ requestId, call, false, arrivedMs, isDeadly });
         exchange.send(503, { { "Content-Type", "application/json" }, { "X-Not-Run", "1" } }, R"({"error":{"type":"refused"}})");
         return std::nullopt;
     }
     // The charge is booked when it is read, whatever becomes of the answer.
     size_t receipt = receipts_.size();
-    receipts_.push_back({ requestId, call, true, arrivedMs });
+    receipts_.push_back({ requestId, call, true, arrivedMs, isDeadly });
     if (!chargeId.empty())
         ++charges_[chargeId];
     if (faults_.take(FaultMode::Reset)) {
         exchange.abort();
         return std::nullopt;
     }
+    auto crashesBefore = faults_.crashes();
     ++running_;
     double crowding = std::max(1.0, static_cast<double>(running_) / static_cast<double>(settings_.slots));
     sleepFor(loop_, fromSeconds(toSeconds(settings_.callTime) * crowding * faults_.slowdown()));
+    if (isDeadly && faults_.crashes() == crashesBefore)
+        faults_.crash();
     if (faults_.take(FaultMode::Stall))
         faults_.holdConnection(exchange);
     if (faults_.take(FaultMode::Late))
         sleepFor(loop_, faults_.lateness());
     --running_;
+    if (faults_.crashes() != crashesBefore) {
+        exchange.abort();
+        return std::nullopt;
+    }
     return receipt;
 }
 
@@ -130,7 +138,7 @@
 {
     auto requests = nlohmann::json::array();
     for (const auto& receipt : receipts_)
-        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran }, { "arrived_ms", receipt.arrivedMs }, { "answered_ms", receipt.answeredMs } });
+        requests.push_back({ { "id", receipt.requestId }, { "call", receipt.call }, { "ran", receipt.ran }, { "arrived_ms", receipt.arrivedMs }, { "deadly", receipt.isDeadly }, { "answered_ms", receipt.answeredMs } });
     sendJson(exchange, 200, nlohmann::json { { "charges", charges_ }, { "requests", requests } }.dump());
 }
 
--- a/tools/fake_service/ServiceApi.h
+++ b/tools/fake_service/ServiceApi.h
@@ -36,13 +36,15 @@
         bool ran;
         /** On the clock that counts suspended time; the same for all processes of a machine. */
         int64_t arrivedMs;
+        /** The call crashes the service. */
+        bool isDeadly;
         /** When the answer was sent; zero without one. */
         int64_t answeredMs { 0 };
     };
 
     void handleCharge(const HttpRequest& request, HttpExchange& exchange);
     void handleStatus(const HttpRequest& request, HttpExchange& exchange);
-    /** Notes the call and takes its time; the index of its receipt, none if a fault refused it or cut the connection. */
+    /** Notes the call and takes its time; the index of its receipt, none if a fault refused it, cut the connection or crashed the service. */
     std::optional<size_t> work(const HttpRequest& request, HttpExchange& exchange, const std::string& chargeId);
     /** Names the rate limit, if there is one. */
     void sendAnswer(HttpExchange& exchange, size_t receipt, int status, const std::string& json);
--- a/tools/support/FaultSwitch.cpp
+++ b/tools/support/FaultSwitch.cpp
@@ -13,6 +13,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration holdCheckInterval = 20ms;
+    constexpr Duration crashTime = 1500ms;
     constexpr double smallestSlowdown = 0.01;
     constexpr std::array<std::string_view, 5> modeNames { "none", "stall", "refuse", "reset", "late" };
 
@@ -47,6 +48,19 @@
     return {};
 }
 
+void FaultSwitch::crash()
+{
+    downUntil_ = BootClock::now() + crashTime;
+    ++crashes_;
+    if (onCrash_)
+        onCrash_(crashTime);
+}
+
+bool FaultSwitch::isDown() const
+{
+    return BootClock::now() < downUntil_;
+}
+
 bool FaultSwitch::take(FaultMode mode, int64_t eventsSent)
 {
     if (mode_ != mode || remaining_ == 0 || eventsSent < afterEvents_)
--- a/tools/support/FaultSwitch.h
+++ b/tools/support/FaultSwitch.h
@@ -4,6 +4,7 @@
 #include "briarhitch/http/HttpServer.h"
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string_view>
 
@@ -29,8 +30,8 @@
     explicit FaultSwitch(Loop& loop);
 
     /**
-     * Reads {"mode", "count", "after_events", "late_ms", "slowdown", "rate_limit", "crash_on"}; all are optional. A prompt
-     * with the text `crash_on` crashes the engine when it begins to answer it. `count` is the
+     * Reads {"mode", "count", "after_events", "late_ms", "slowdown", "rate_limit", "crash_on"}; all are optional. A request
+     * with the text `crash_on` crashes the stand-in when it begins to run it. `count` is the
      * number of connections that the mode hits (0: all), `after_events` the events that a stream sends
      * before it does, `rate_limit` the requests per second that responses name as limit. An empty object ends all
      * faults. BadRequest if a field is wrong.
@@ -43,8 +44,15 @@
     [[nodiscard]] Duration lateness() const { return lateness_; }
     /** Requests per second that responses name as limit; none without a limit. */
     [[nodiscard]] std::optional<double> rateLimit() const { return rateLimit_; }
-    /** Whether a prompt crashes the engine that begins to answer it. */
-    [[nodiscard]] bool crashesOn(std::string_view prompt) const { return !crashText_.empty() && prompt.find(crashText_) != std::string_view::npos; }
+    /** Whether a prompt, path or body crashes the stand-in that begins to run it. */
+    [[nodiscard]] bool crashesOn(std::string_view text) const { return !crashText_.empty() && text.find(crashText_) != std::string_view::npos; }
+    /** The stand-in ends: all its connections close, none is accepted for a while, and what it ran is lost. */
+    void crash();
+    [[nodiscard]] bool isDown() const;
+    /** Crashes so far; what began before one is lost. */
+    [[nodiscard]] uint64_t crashes() const { return crashes_; }
+    /** Called when a crash begins, with the time until the stand-in is back. */
+    void setCrashHook(std::function<void(Duration)> hook) { onCrash_ = std::move(hook); }
     void setCrashText(std::string text) { crashText_ = std::move(text); }
     void setRateLimit(double requestsPerSecond) { rateLimit_ = requestsPerSecond; }
     /** Blocks the fiber until the faults change or the caller leaves. */
@@ -62,6 +70,9 @@
     double slowdown_ { 1 };
     std::optional<double> rateLimit_;
     std::string crashText_;
+    std::function<void(Duration)> onCrash_;
+    uint64_t crashes_ { 0 };
+    Instant downUntil_ {};
     uint64_t orders_ { 0 };
 };
 
--- a/tools/support/StandInServer.cpp
+++ b/tools/support/StandInServer.cpp
@@ -29,24 +29,67 @@
         return std::rename(temporary.c_str(), path.c_str()) == 0;
     }
 
+    /** Listens on one address, but for the times in which the stand-in has crashed. */
+    class CrashingServer {
+    public:
+        CrashingServer(Loop& loop, FaultSwitch& faults, HttpServer::Handler handler)
+            : loop_(loop)
+        {
+            settings_.host = absl::GetFlag(FLAGS_host);
+            settings_.port = absl::GetFlag(FLAGS_port);
+            // Idle connections stay open longer than any caller keeps them for reuse.
+            settings_.idleTimeout = 10min;
+            handler_ = [&faults, handler = std::move(handler)](const HttpRequest& request, HttpExchange& exchange) {
+                if (faults.isDown())
+                    exchange.abort();
+                else
+                    handler(request, exchange);
+            };
+            faults.setCrashHook([this](Duration downTime) { goDown(downTime); });
+        }
+
+        Result<uint16_t> listen()
+        {
+            auto listening = HttpServer::listen(loop_, settings_, handler_);
+            if (!listening)
+                return tl::unexpected(listening.error());
+            server_ = std::move(*listening);
+            settings_.port = server_->port();
+            return settings_.port;
+        }
+
+    private:
+        void goDown(Duration downTime)
+        {
+            // Closes the listener and idle connections.
+            server_.reset();
+            loop_.spawn([this, downTime] {
+                sleepFor(loop_, downTime);
+                while (!server_ && !listen())
+                    sleepFor(loop_, 20ms);
+            });
+        }
+
+        Loop& loop_;
+        HttpServerSettings settings_;
+        HttpServer::Handler handler_;
+        std::unique_ptr<HttpServer> server_;
+    };
+
 }
 
-int runStandIn(Loop& loop, HttpServer::Handler handler)
+int runStandIn(Loop& loop, FaultSwitch& faults, HttpServer::Handler handler)
 {
-    HttpServerSettings settings;
-    settings.host = absl::GetFlag(FLAGS_host);
-    settings.port = absl::GetFlag(FLAGS_port);
-    // Idle connections stay open longer than any caller keeps them for reuse.
-    settings.idleTimeout = 10min;
-    auto server = HttpServer::listen(loop, settings, std::move(handler));
-    if (!server) {
-        std::fprintf(stderr, "cannot listen: %s\n", server.error().message.c_str());
+    CrashingServer server(loop, faults, std::move(handler));
+    auto port = server.listen();
+    if (!port) {
+        std::fprintf(stderr, "cannot listen: %s\n", port.error().message.c_str());
         return 1;
     }
-    std::printf("listening on %s:%d\n", settings.host.c_str(), (*server)->port());
+    std::printf("listening on %s:%d\n", absl::GetFlag(FLAGS_host).c_str(), *port);
     std::fflush(stdout);
     auto portFile = absl::GetFlag(FLAGS_port_file);
-    if (!portFile.empty() && !writePortFile(portFile, (*server)->port())) {
+    if (!portFile.empty() && !writePortFile(portFile, *port)) {
         std::fprintf(stderr, "cannot write %s\n", portFile.c_str());
         return 1;
     }
