Log the software versions of targets, and which streams callers resume

The list's version of a server's software was read nowhere, and no line said that a request takes up a stream. granted and moved have the versions now, admitted has what the caller resumes and after which event. No decision uses them.

--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -46,6 +46,8 @@
     std::vector<PromptSegment> prefix;
     /** The caller resumes a stream after this event. */
     std::optional<uint64_t> lastEventId;
+    /** The caller's id of the request that brought the first event of the stream that it resumes; empty if it names none. */
+    std::string resumesCallerId;
 };
 
 /** What an attempt tells the target in headers, in addition to the caller's own. */
--- a/include/briarhitch/model/Target.h
+++ b/include/briarhitch/model/Target.h
@@ -49,13 +49,15 @@
     uint32_t tokensPerEvent { 1 };
     /** Start of the target's current incarnation as reported by the target, in Unix milliseconds; zero if not reported. */
     uint64_t incarnationStartMs { 0 };
+    /** Version of the software that the target runs; empty if unknown. Versions have no order. */
+    std::string softwareVersion {};
 
     bool operator==(const Target&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(id, name, version, kind, state, serves, region, zone, host, port, hardware, slots, checksFencing, pool, isDiscovered, memoryTokens, tokensPerEvent, incarnationStartMs);
+        visit(id, name, version, kind, state, serves, region, zone, host, port, hardware, slots, checksFencing, pool, isDiscovered, memoryTokens, tokensPerEvent, incarnationStartMs, softwareVersion);
     }
 };
 
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -103,7 +103,7 @@
     service_ = routes_->findService(chooseService(*route_, runner_.randomFraction()));
     setDeadlines();
     auto admitted = debitCeiling();
-    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "request_digest", toString(digest_) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
+    recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "request_digest", toString(digest_) }, { "resumes", request_.resumesCallerId }, { "after_event", static_cast<int64_t>(request_.lastEventId.value_or(0)) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
     return admitted;
 }
 
@@ -293,7 +293,7 @@
 
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::dispatch(const Grant& grant, const Target& target)
 {
-    recordEvent("granted", {}, { { "target", target.name }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) }, { "rate_limited", int64_t(runner_.pools.isRateLimited(target.id)) } });
+    recordEvent("granted", {}, { { "target", target.name }, { "software_version", target.softwareVersion }, { "after_event", static_cast<int64_t>(lastEventId_.value_or(0)) }, { "attempt", int64_t(attempt_.number) }, { "epoch", static_cast<int64_t>(grant.epoch.value()) }, { "chosen_by", grant.epoch.isValid() ? "owner" : "entry" }, { "left_ms", toMs(timeLeft()) }, { "rate_limited", int64_t(runner_.pools.isRateLimited(target.id)) } });
     if (runner_.pools.isRateLimited(target.id))
         count("routed_limited_target_requests_total", "chosen_by", grant.epoch.isValid() ? "owner" : "entry");
     excluded_.push_back(target.id);
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -169,7 +169,7 @@
     }
     auto body = response ? (*response)->readAll(runner_.limits.migrationCallTimeout) : Result<std::string>(tl::unexpected(response.error()));
     auto result = body ? runner_.protocol.parseMigrationResult(target_, (*response)->status(), *body) : MigrationResult {};
-    recordEvent(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "events", static_cast<int64_t>(attemptEvents_) } });
+    recordEvent(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "from_version", target_.softwareVersion }, { "to_version", destination.softwareVersion }, { "events", static_cast<int64_t>(attemptEvents_) } });
     count("routed_moves_total", "result", result.isCacheTransferred ? "arrived" : result.hasStopped ? "stopped"
                                                                                                     : "none");
     if (!result.isCacheTransferred) {
