--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -29,6 +29,7 @@
 
     // Paths that select how the fake servers respond.
     constexpr auto slowPlan = "/plan/slow";
+    constexpr auto resumablePlan = "/query/1";
     constexpr auto abortedPlan = "/plan/broken";
     constexpr auto abortedCharge = "/charge/lost";
     constexpr auto endlessPlan = "/plan/endless";
@@ -45,7 +46,7 @@
     /** A target that ends again this long after it ended has crashed twice. */
     constexpr Duration timeBetweenCrashes = 2100ms;
 
-    std::string eventText(int id) { return "id: " + std::to_string(id) + "\ndata: x\n\n"; }
+    std::string eventText(int id, const std::string& text = "x") { return "id: " + std::to_string(id) + "\ndata: " + text + "\n\n"; }
 
     /** The platform's list of servers and one server of each service, in a thread that ends with the process. */
     class FakePlatform {
@@ -69,6 +70,13 @@
             return limitedCharges_;
         }
 
+        /** The engines that the list names, with the versions of their software. */
+        void setEngines(std::map<std::string, std::string> versions)
+        {
+            std::scoped_lock lock(engineVersionsMutex_);
+            engineVersions_ = std::move(versions);
+        }
+
         std::atomic<int> slots { engineSlots };
         /** Requests with the deadly part that reached the engine, which closed their connections before the first event. */
         std::atomic<int> deadlyArrivals { 0 };
@@ -97,8 +105,12 @@
         {
             if (request.path == "/instances") {
                 Json list { { "instances", Json::array() }, { "next", nullptr } };
-                for (const auto* service : { "llm", "shop" })
-                    list["instances"].push_back({ { "id", std::string("i-") + service }, { "service", service }, { "address", host_ + ":" + std::to_string(platformPort) }, { "zone", "a" }, { "slots", slots.load() }, { "state", "ready" } });
+                auto add = [&](const std::string& id, const char* service, const std::string& version) {
+                    list["instances"].push_back({ { "id", id }, { "service", service }, { "address", host_ + ":" + std::to_string(platformPort) }, { "zone", "a" }, { "version", version }, { "slots", slots.load() }, { "state", "ready" } });
+                };
+                add("i-shop", "shop", "v1");
+                for (const auto& [id, version] : engineVersions())
+                    add(id, "llm", version);
                 exchange.send(200, { { "Content-Type", "application/json" } }, list.dump());
                 return;
             }
@@ -134,6 +146,10 @@
                 exchange.abort();
                 return;
             }
+            if (request.path == resumablePlan) {
+                writeResumable(request, exchange);
+                return;
+            }
             for (int id = 1; id <= 3; ++id) {
                 exchange.write(eventText(id));
                 if (request.path == endlessPlan) {
@@ -150,6 +166,25 @@
             exchange.endStream();
         }
 
+        /** Three events with the version of the engine; a run that resumes nothing breaks off after two. */
+        void writeResumable(const HttpRequest& request, HttpExchange& exchange)
+        {
+            auto version = engineVersions()[std::string(request.header("Briarhitch-Expect-Instance"))];
+            bool isResumed = !request.header("Last-Event-Id").empty();
+            for (int id = isResumed ? std::stoi(std::string(request.header("Last-Event-Id"))) + 1 : 1; id <= (isResumed ? 3 : 2); ++id)
+                exchange.write(eventText(id, version));
+            if (isResumed)
+                exchange.endStream();
+            else
+                exchange.abort();
+        }
+
+        std::map<std::string, std::string> engineVersions()
+        {
+            std::scoped_lock lock(engineVersionsMutex_);
+            return engineVersions_;
+        }
+
         /** Writes bytes that complete no event or body until the caller disconnects. */
         static void writeEndlessly(HttpExchange& exchange)
         {
@@ -161,6 +196,8 @@
         std::string host_;
         Loop* loop_ { nullptr };
         std::atomic<bool> isServing_ { false };
+        std::mutex engineVersionsMutex_;
+        std::map<std::string, std::string> engineVersions_ { { "i-llm", "v1" } };
         std::mutex limitedChargesMutex_;
         std::vector<Instant> limitedCharges_;
     };
@@ -247,7 +284,9 @@
             auto route = [](const std::string& prefix, const std::string& kind, const std::string& service) {
                 return Json { { "name", prefix }, { "host", "a.example" }, { "pathPrefix", prefix }, { "kind", kind }, { "timeoutMs", 20000 }, { "targetLatencyMs", 1000 }, { "service", service } };
             };
-            return { { "version", version }, { "routes", { route("/charge/", "unsafe", "shop"), route("/plan/", "streaming", "llm") } },
+            auto resumable = route("/query/", "streaming", "llm");
+            resumable["resumable"] = true;
+            return { { "version", version }, { "routes", { route("/charge/", "unsafe", "shop"), route("/plan/", "streaming", "llm"), resumable } },
                 { "services", { { { "name", "shop" } }, { { "name", "llm" }, { "engine", { { "slots", 4 } } } } } },
                 { "tenants", { { { "name", "harbour" }, { "apiKeys", { "key" } } } } } };
         }
@@ -325,6 +364,13 @@
             waitUntil("the service", [&] { return request("/charge/1", "warm-up").status == 200; });
         }
 
+        /** Whether any of the first three control processes has logged the text. */
+        bool hasControlLogged(const std::string& text)
+        {
+            auto hasLogged = [&](const char* name) { return processes_.at(name)->log().find(text) != std::string::npos; };
+            return hasLogged("control-1") || hasLogged("control-2") || hasLogged("control-3");
+        }
+
         /** The explanation of a request that briarhitch-ctl gives from the logs. */
         std::string explain(const std::string& id)
         {
@@ -626,10 +672,7 @@
         EXPECT_EQ(platform_.deadlyCharges, 2);
         EXPECT_EQ(charge("sound charge").status, 200);
         expectExplained("r3", { "request_digest=", "suspect_request: this request has crashed 2 targets", "request blocked suspect=request-" });
-        waitUntil("the block in the control log", [&] {
-            auto hasRecorded = [&](const char* name) { return processes_.at(name)->log().find("is recorded as blocked") != std::string::npos; };
-            return hasRecorded("control-1") || hasRecorded("control-2") || hasRecorded("control-3");
-        });
+        waitUntil("the block in the control log", [&] { return hasControlLogged("is recorded as blocked"); });
 
         for (const auto* name : { "front-20", "pools-4", "control-1", "control-2", "control-3" })
             processes_.at(name)->kill();
@@ -644,6 +687,41 @@
         EXPECT_LE(platform_.deadlyCharges, 3);
     }
 
+    // Guards against answers that are joined from two software versions: callers take up streams after all entries were killed,
+    // while engines of another version serve beside those that began them, or in their place.
+    TEST_F(PlatformFleetTest, StreamsAreTakenUpAtTheirVersionAfterAllEntriesWereKilled)
+    {
+        constexpr int streams = 8;
+        startServingFleet();
+        for (int i = 0; i < streams; ++i)
+            EXPECT_EQ(request(resumablePlan, "begun-" + std::to_string(i)).status, 0) << "the response must not look complete";
+        platform_.setEngines({ { "i-llm", "v1" }, { "i-llm2", "v2" }, { "i-llm3", "v2" } });
+        waitUntil("the list with the new engines", [&] { return hasControlLogged("discovery lists 4 targets"); });
+        processes_.at("front-20")->kill();
+        startFront(20);
+        waitUntil("the front to serve again", [&] { return request("/plan/1", "again").status == 200; });
+        int tries = 0;
+        auto takeUp = [&](int stream) {
+            auto headers = requestHeaders("resumed-" + std::to_string(++tries), "key", 20000);
+            headers.emplace_back("Last-Event-Id", "2");
+            headers.emplace_back("Resumes", "begun-" + std::to_string(stream));
+            return call(host(20), callerPort, "POST", resumablePlan, "body", headers);
+        };
+        for (int i = 0; i < streams / 2; ++i) {
+            HttpResponse response;
+            waitUntil("stream " + std::to_string(i) + " to go on", [&] { return (response = takeUp(i)).status == 200; });
+            EXPECT_EQ(response.body, eventText(3, "v1")) << i;
+        }
+        platform_.setEngines({ { "i-llm2", "v2" }, { "i-llm3", "v2" } });
+        waitUntil("the list without the earlier engine", [&] { return hasControlLogged("discovery lists 3 targets"); });
+        waitUntil("an engine of the later version to serve", [&] { return request("/plan/1", "later").status == 200; });
+        constexpr int triesEach = 5;
+        for (int i = streams / 2; i < streams; ++i) {
+            for (int number = 0; number < triesEach; ++number)
+                EXPECT_EQ(takeUp(i).body.find("v2"), std::string::npos) << "no engine of the version that began it is left";
+        }
+    }
+
     // Guards against a voter that acknowledges entries it could not write, or does not recover from a full disk.
     TEST_F(PlatformFleetTest, ControlExitsIfItsLogCannotGrowAndRecoversAllDocuments)
     {
