review: scripts report 2 when they cannot run

A failure of a stand-in must not look like a broken rule; a signal to end also stops the processes that a script started.

--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -8,9 +8,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import tempfile
 import threading
 import time
+import traceback
 
 REPOSITORY = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 
@@ -381,6 +383,22 @@
         return True
 
 
-def prefix_events(text):
+def event_ids(text):
     """Ids of the events of a stream's body."""
     return [int(number) for number in re.findall(r"^id: (\d+)$", text, flags=re.M)]
+
+
+def run(main):
+    """Ends with the result of main(), and with 2 if the case could not run. A signal to end also stops the fleet."""
+    def end(*_):
+        raise KeyboardInterrupt
+
+    signal.signal(signal.SIGTERM, end)
+    try:
+        code = main()
+    except BaseException:
+        traceback.print_exc()
+        code = 2
+    sys.stdout.flush()
+    # Threads of stand-ins may still wait.
+    os._exit(code)
