--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -20,8 +20,8 @@
 class Record:
     """Writes what was sent, answered and run, with seconds since the start."""
 
-    def __init__(self, path):
-        self.file = open(path, "w")
+    def __init__(self, path, mode="w"):
+        self.file = open(path, mode)
         self.lock = threading.Lock()
         self.start = time.monotonic()
 
