--- a/review/3/run.py
+++ b/review/3/run.py
@@ -90,7 +90,7 @@
 def request(fleet, number, path, answers):
     headers = {"Host": "a.example", "Briarhitch-Request-Id": number, "Briarhitch-Deadline-Ms": "15000", "X-Api-Key": "key-1", "Briarhitch-Model": "m",
                "Briarhitch-Token-Count": "600,%d" % (6 * PATHS[path]), "Briarhitch-Length-Hint": str(6 * PATHS[path]), "Briarhitch-Prefix-Hash": "5c1e07a2:60,%s:540" % number}
-    answer = stand_ins.call(fleet.fronts[0], fleet.front_port, "POST", path, headers, b"prompt", 20)
+    answer = stand_ins.call(fleet.fronts[0], fleet.front_port, "POST", path, headers, b"prompt of " + number.encode(), 20)
     ids = stand_ins.event_ids(answer.body.decode())
     record("client: request %s got %d, %d events, %s" % (number, answer.status, len(ids), "ended as complete" if answer.isComplete else "broken off"))
     answers[number] = (answer, ids, PATHS[path])
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -76,7 +76,7 @@
         ids = stand_ins.event_ids(self.text)
         headers = {"Host": "a.example", "Briarhitch-Request-Id": "%015x%x" % (self.number, self.tries), "Briarhitch-Deadline-Ms": "15000", "X-Api-Key": "key-1",
                    "Briarhitch-Model": "m", "Briarhitch-Token-Count": "600,%d" % (6 * PATHS[self.path]), "Briarhitch-Length-Hint": str(6 * PATHS[self.path]),
-                   "Briarhitch-Prefix-Hash": "5c1e07a2:60,%x:540" % self.number, "Content-Length": "6"}
+                   "Briarhitch-Prefix-Hash": "5c1e07a2:60,%x:540" % self.number, "Content-Length": "16"}
         if ids:
             headers["Last-Event-Id"] = str(ids[-1])
             headers["Resumes"] = "%015x0" % self.number
@@ -85,7 +85,7 @@
         try:
             with socket.create_connection((front, self.fleet.front_port), timeout=1) as connection:
                 connection.settimeout(answer_limit_s)
-                connection.sendall(("POST %s HTTP/1.1\r\n" % self.path + "".join("%s: %s\r\n" % item for item in headers.items()) + "\r\n").encode() + b"prompt")
+                connection.sendall(("POST %s HTTP/1.1\r\n" % self.path + "".join("%s: %s\r\n" % item for item in headers.items()) + "\r\n").encode() + b"prompt %09x" % self.number)
                 stream = connection.makefile("rb")
                 status, answered = stand_ins.read_head(stream)
                 if not status or status.split()[1] != "200":
@@ -93,7 +93,10 @@
                     return
                 reset_at = time.monotonic() + reset_after_s if reset_after_s else None
                 while not reset_at or time.monotonic() < reset_at:
-                    size = int(stream.readline() or b"0", 16)
+                    line = stream.readline()
+                    if not line:
+                        break
+                    size = int(line, 16)
                     if size == 0:
                         self.isComplete = True
                         break
@@ -104,7 +107,7 @@
         except (OSError, ValueError) as error:
             record("client: request %s: %s" % (headers["Briarhitch-Request-Id"], error))
         versions = re.findall(r"^data: (\w+)$", self.text, flags=re.M)
-        record("client: request %s %s; events so far: %s" % (headers["Briarhitch-Request-Id"], "is complete" if self.isComplete else "was reset", ", ".join("%d of %s" % (versions.count(version), version) for version in sorted(set(versions)))))
+        record("client: request %s %s; events so far: %s" % (headers["Briarhitch-Request-Id"], "is complete" if self.isComplete else "was broken off", ", ".join("%d of %s" % (versions.count(version), version) for version in sorted(set(versions)))))
 
     def versions(self):
         return set(re.findall(r"^data: (\w+)$", self.text, flags=re.M))
