--- a/review/3/run.py
+++ b/review/3/run.py
@@ -1,11 +1,9 @@
 """A stream without a length is moved to a faster server, and the answer of `POST /v1/kv-move` waits behind other moves."""
 import json
 import os
-import sys
 import threading
 import time
 
-sys.path.insert(0, os.path.join(os.path.dirname(os.path.dirname(os.path.abspath(__file__))), "common"))
 import fleet as stand_ins
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
