--- a/include/briarhitch/consensus/RaftNode.h
+++ b/include/briarhitch/consensus/RaftNode.h
@@ -52,6 +52,8 @@
     uint64_t lastTerm { 0 };
     /** Syncs of log segments since the start. */
     uint64_t syncCount { 0 };
+    /** Size of the log on disk, without snapshots. */
+    uint64_t logBytes { 0 };
     Incarnation incarnation;
     /** Empty until the group has been bootstrapped. */
     std::vector<NodeId> voters;
--- a/src/consensus/LogStore.cpp
+++ b/src/consensus/LogStore.cpp
@@ -5,6 +5,7 @@
 
 #include <cassert>
 #include <charconv>
+#include <numeric>
 
 namespace briarhitch {
 
@@ -125,8 +126,15 @@
     Segment segment;
     segment.firstIndex = *indexFromFileName(name, segmentPrefix);
     segment.path = pathOf(name);
-    if (!segments_.empty() && segments_.back().endIndex() != segment.firstIndex)
-        return corrupted(segment.path, 0, "the segment does not follow the one before it");
+    if (!segments_.empty() && segments_.back().endIndex() != segment.firstIndex) {
+        // dropUpTo() removed this segment's predecessors, and not all removals survived a crash.
+        bool isCoveredBySnapshot = found.snapshot && segment.firstIndex <= found.snapshot->index + 1;
+        if (!isCoveredBySnapshot)
+            return corrupted(segment.path, 0, "the segment does not follow the one before it");
+        found.entries.clear();
+        if (auto dropped = dropAllSegments(); !dropped)
+            return dropped;
+    }
     auto bytes = files_.read(segment.path);
     if (!bytes)
         return tl::unexpected(bytes.error());
@@ -318,11 +326,17 @@
     return failStoreOnError(files_.syncFolder(settings_.folder));
 }
 
+uint64_t LogStore::logBytes() const
+{
+    return std::accumulate(segments_.begin(), segments_.end(), uint64_t(0), [](uint64_t sum, const Segment& segment) { return sum + segment.bytes; });
+}
+
 Result<void> LogStore::dropUpTo(uint64_t index)
 {
-    // From the first to the last, so that a crash in between leaves no gap.
+    // The removals need not be durable: loadSegment() ignores whatever is left of them. A sync for each would block the voter on a
+    // slow disk.
     while (segments_.size() > 1 && segments_[1].firstIndex <= index + 1) {
-        if (auto removed = failStoreOnError(removeDurably(segments_.front().path)); !removed)
+        if (auto removed = failStoreOnError(files_.remove(segments_.front().path)); !removed)
             return removed;
         segments_.erase(segments_.begin());
     }
--- a/src/consensus/LogStore.h
+++ b/src/consensus/LogStore.h
@@ -14,7 +14,7 @@
 struct LogStoreSettings {
     std::string folder;
     /** A segment that has reached this size is closed and a new one is started. */
-    size_t segmentBytes { 8 * 1024 * 1024 };
+    size_t segmentBytes { 4 * 1024 * 1024 };
     /** Called when data cannot be made durable; a daemon exits here, because nothing that follows would be reliable. */
     std::function<void(const Error&)> onFatal;
 };
@@ -46,10 +46,12 @@
     Result<void> append(const LogEntry& entry);
     /** Makes all entries that were appended since the last sync durable with one sync. */
     Result<void> sync();
-    /** Removes segments that only contain entries up to this one. */
+    /** Removes segments that only contain entries up to this one, which a stored snapshot covers. */
     Result<void> dropUpTo(uint64_t index);
 
     [[nodiscard]] size_t segmentCount() const { return segments_.size(); }
+    /** Size of all segments on disk. */
+    [[nodiscard]] uint64_t logBytes() const;
     [[nodiscard]] uint64_t syncCount() const { return syncCount_; }
 
 private:
--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -98,7 +98,7 @@
     result.core.seed = settings.seed != 0 ? settings.seed : systemSeed();
     result.store.folder = settings.dataFolder;
     result.store.onFatal = settings.onFatal ? settings.onFatal : endProcess;
-    result.snapshotEveryEntries = settings.snapshotEveryEntries;
+    result.compaction.snapshotEveryEntries = settings.snapshotEveryEntries;
     // The clock may be behind the one that numbered the previous disk; the core raises the number when it learns of
     // that.
     result.newIncarnation = Incarnation(static_cast<uint64_t>(std::max<int64_t>(wallClockMs(), 1)));
@@ -121,6 +121,10 @@
     };
     result.onApplied = [this](const LogEntry& entry, std::string applied) { onApplied(entry, std::move(applied)); };
     result.onInstalled = [this](uint64_t index) { onInstalled(index); };
+    result.onSnapshotTaken = [this](const Snapshot& snapshot) {
+        raftLog().info("snapshot of " + std::to_string(snapshot.data.size()) + " bytes after entry " + std::to_string(snapshot.index) + "; the log keeps "
+            + std::to_string(replica->store().logBytes()) + " bytes");
+    };
     return result;
 }
 
@@ -312,6 +316,7 @@
     status.lastIndex = core.log().lastIndex();
     status.lastTerm = core.log().lastTerm();
     status.syncCount = impl_->replica->store().syncCount();
+    status.logBytes = impl_->replica->store().logBytes();
     status.incarnation = core.hardState().incarnation;
     for (const auto& member : core.log().membership().members)
         (member.role == MemberRole::Voter ? status.voters : status.learners).push_back(member.node);
--- a/src/consensus/RaftReplica.cpp
+++ b/src/consensus/RaftReplica.cpp
@@ -1,6 +1,5 @@
 #include "consensus/RaftReplica.h"
 
-#include <algorithm>
 #include <cassert>
 
 namespace briarhitch {
@@ -25,6 +24,7 @@
     std::unique_ptr<RaftReplica> replica(new RaftReplica(std::move(*store), std::move(settings), std::move(hooks), std::move(core)));
     if (found.snapshot) {
         replica->hooks_.state.loadSnapshot(found.snapshot->index, found.snapshot->data);
+        replica->compaction_.recordSnapshot(found.snapshot->data.size());
         replica->applied_ = found.snapshot->index;
     }
     return replica;
@@ -35,6 +35,7 @@
     , settings_(std::move(settings))
     , hooks_(std::move(hooks))
     , core_(std::move(core))
+    , compaction_(settings_.compaction)
 {
 }
 
@@ -99,6 +100,7 @@
     hooks_.state.loadSnapshot(snapshot->index, snapshot->data);
     applied_ = snapshot->index;
     core_.setApplied(applied_);
+    compaction_.recordSnapshot(snapshot->data.size());
     if (hooks_.onInstalled)
         hooks_.onInstalled(applied_);
 }
@@ -119,6 +121,7 @@
             result = hooks_.state.apply(entry.index, entry.data);
         applied_ = entry.index;
         core_.setApplied(applied_);
+        compaction_.recordApplied(entry.data.size());
         if (hooks_.onApplied)
             hooks_.onApplied(entry, std::move(result));
         appliedAny = true;
@@ -128,9 +131,7 @@
 
 Result<void> RaftReplica::takeSnapshotIfDue()
 {
-    const auto& last = core_.log().snapshot();
-    uint64_t lastIndex = last ? last->index : 0;
-    if (applied_ < lastIndex + settings_.snapshotEveryEntries)
+    if (!compaction_.isSnapshotDue())
         return {};
     auto snapshot = std::make_shared<Snapshot>();
     snapshot->index = applied_;
@@ -139,9 +140,13 @@
     snapshot->data = hooks_.state.takeSnapshot();
     if (auto saved = store_->saveSnapshot(*snapshot, false); !saved)
         return saved;
-    uint64_t keepAfter = applied_ - std::min(applied_, settings_.keepEntries);
-    core_.compact(snapshot, std::max(keepAfter, core_.log().baseIndex()));
-    return store_->dropUpTo(core_.log().baseIndex());
+    compaction_.recordSnapshot(snapshot->data.size());
+    core_.compact(snapshot, compaction_.keepAfter(core_.log(), applied_));
+    if (auto dropped = store_->dropUpTo(core_.log().baseIndex()); !dropped)
+        return dropped;
+    if (hooks_.onSnapshotTaken)
+        hooks_.onSnapshotTaken(*snapshot);
+    return {};
 }
 
 void RaftReplica::reportRole()
--- a/src/consensus/RaftReplica.h
+++ b/src/consensus/RaftReplica.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/consensus/ReplicatedLog.h"
+#include "consensus/LogCompaction.h"
 #include "consensus/LogStore.h"
 #include "consensus/RaftCore.h"
 
@@ -13,15 +14,14 @@
     std::function<void(const LogEntry&, std::string result)> onApplied;
     /** A snapshot replaced all entries up to this one. */
     std::function<void(uint64_t index)> onInstalled;
+    /** A snapshot of the applied state was stored, and the log was shortened. */
+    std::function<void(const Snapshot&)> onSnapshotTaken {};
 };
 
 struct RaftReplicaSettings {
     RaftCoreSettings core;
     LogStoreSettings store;
-    /** Number of applied entries after which a snapshot is taken; must be greater than zero. */
-    uint64_t snapshotEveryEntries { 50000 };
-    /** Number of applied entries that are kept for peers that are slightly behind. */
-    uint64_t keepEntries { 10000 };
+    LogCompactionSettings compaction;
     /** Incarnation for an empty disk; must be greater than those of the node's earlier disks. */
     Incarnation newIncarnation;
 };
@@ -58,6 +58,7 @@
     RaftReplicaSettings settings_;
     RaftReplicaHooks hooks_;
     RaftCore core_;
+    LogCompaction compaction_;
     uint64_t applied_ { 0 };
     bool reportedLeader_ { false };
     uint64_t reportedTerm_ { 0 };
--- a/tests/LogStoreTest.cpp
+++ b/tests/LogStoreTest.cpp
@@ -257,6 +257,37 @@
         uint64_t term_ { 1 };
     };
 
+    // Guards against a voter that cannot start because only some of the segments that a snapshot replaces were removed before a crash.
+    TEST(LogStoreTest, SegmentsThatASnapshotCoversMayBeMissing)
+    {
+        constexpr uint64_t entries = 20;
+        MemoryFileSystem reference;
+        fill(reference, entries, 100);
+        auto names = *reference.list("data");
+        std::erase_if(names, [](const std::string& name) { return !name.starts_with("log-"); });
+        ASSERT_GT(names.size(), 5U);
+        // Each set of missing segments, except the last one, which has entries after the snapshot.
+        for (uint32_t missing = 0; missing < 1U << (names.size() - 1); ++missing) {
+            MemoryFileSystem files;
+            fill(files, entries, 100);
+            Snapshot snapshot;
+            snapshot.index = entries - 1;
+            snapshot.term = 1;
+            ASSERT_TRUE(openStore(files, 100).store->saveSnapshot(snapshot, false));
+            for (size_t i = 0; i + 1 < names.size(); ++i) {
+                if (missing >> i & 1) {
+                    ASSERT_TRUE(files.remove("data/" + names[i]));
+                }
+            }
+            auto opened = openStore(files, 100);
+            ASSERT_TRUE(opened.store) << missing << ": " << opened.error.message;
+            ASSERT_FALSE(opened.found.entries.empty());
+            EXPECT_EQ(opened.found.entries.back().index, entries);
+            for (size_t i = 1; i < opened.found.entries.size(); ++i)
+                EXPECT_EQ(opened.found.entries[i].index, opened.found.entries[i - 1].index + 1) << missing;
+        }
+    }
+
     // Guards against loss of synced entries, snapshots or order in any sequence of operations and crashes.
     TEST(LogStoreTest, AnySequenceOfOperationsSurvivesCrashes)
     {
--- a/tests/RaftScheduleTest.cpp
+++ b/tests/RaftScheduleTest.cpp
@@ -107,6 +107,16 @@
     }
     INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, MixedFaults, testing::Range<uint64_t>(1, 5));
 
+    // Guards against entries that are lost when the bytes of the log, rather than its entries, call for a snapshot.
+    TEST(RaftScheduleTest, SnapshotsAfterBytesStaySafe)
+    {
+        constexpr uint64_t schedules = 1000;
+        Options options;
+        options.snapshotEveryBytes = 24;
+        auto reached = expectSafe(options, 110000, schedules);
+        EXPECT_GT(reached["installed snapshots"], schedules / 2);
+    }
+
     TEST(RaftScheduleTest, FiveVotersStaySafe)
     {
         Options options;
--- a/tests/support/RaftSimulation.h
+++ b/tests/support/RaftSimulation.h
@@ -37,6 +37,8 @@
     /** Clocks run at rates of 1 plus or minus half of this; with the default, two differ by at most 5%. */
     double clockSpread { 0.048 };
     size_t maxBatchEntries { 4 };
+    /** Bytes of applied entries after which a snapshot is taken, and that are kept then. */
+    uint64_t snapshotEveryBytes { 1 << 20 };
     /** Longest time for which a crashed voter stays down. */
     Duration maxDowntime { std::chrono::milliseconds(1500) };
     /** Chance that a leader crashes in the step in which it is elected, and in which its commit index rises. */
@@ -233,8 +235,7 @@
         settings.core.mayBootstrap = !node.isReplaced;
         settings.store.folder = "data";
         settings.store.segmentBytes = 300;
-        settings.snapshotEveryEntries = 12;
-        settings.keepEntries = 4;
+        settings.compaction = { 12, options_.snapshotEveryBytes, 4, options_.snapshotEveryBytes };
         settings.newIncarnation = Incarnation(++lastIncarnation_);
         return settings;
     }
--- a/tools/measure_log/MeasureLogMain.cpp
+++ b/tools/measure_log/MeasureLogMain.cpp
@@ -7,6 +7,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <limits>
 
 namespace briarhitch {
 namespace {
@@ -131,7 +132,8 @@
         settings.core.self = NodeId(1);
         settings.core.voters = { NodeId(1) };
         settings.store.folder = folder;
-        settings.snapshotEveryEntries = 2 * records;
+        settings.compaction.snapshotEveryEntries = 2 * records;
+        settings.compaction.snapshotEveryBytes = std::numeric_limits<uint64_t>::max();
         RaftReplicaHooks hooks;
         uint64_t applied = 0;
         hooks.state.apply = [&](uint64_t, std::string_view) {
