--- a/include/briarhitch/control/Commands.h
+++ b/include/briarhitch/control/Commands.h
@@ -24,6 +24,7 @@
     PutRouting = 11,
     ReplaceDiscovered = 12,
     RecordSuspects = 13,
+    RetireSoftwareVersions = 14,
 };
 
 /** One entry of the replicated log. */
@@ -225,6 +226,18 @@
     }
 };
 
+/** Versions of which no stream of the pool is continued any more; those that a target of the pool still has are kept. */
+struct RetireSoftwareVersionsCommand {
+    PoolId pool;
+    std::vector<std::string> versions;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, versions);
+    }
+};
+
 /** Blocked suspects whose counts have grown, and cleared ones; what is known already changes nothing. */
 struct RecordSuspectsCommand {
     RecordSuspects changes;
@@ -284,6 +297,7 @@
 std::string encodeCommand(const PutRoutingCommand& command);
 std::string encodeCommand(const ReplaceDiscoveredCommand& command);
 std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs);
+std::string encodeCommand(const RetireSoftwareVersionsCommand& command);
 Result<CommandResult> decodeCommandResult(const std::string& bytes);
 Result<ClaimResult> decodeClaimResult(const std::string& bytes);
 
--- a/include/briarhitch/control/ControlServer.h
+++ b/include/briarhitch/control/ControlServer.h
@@ -17,6 +17,7 @@
 
 class Loop;
 class MetricRegistry;
+class VersionRetirement;
 
 struct ControlServerSettings {
     NodeId self;
@@ -103,6 +104,7 @@
     void markLostNodes();
     void assignPools();
     void retireResponses();
+    void retireSoftwareVersions();
     void publishGauges();
 
     Loop& loop_;
@@ -112,6 +114,7 @@
     ReplicatedLog* log_ { nullptr };
     LeaseTable leases_;
     PoolAssigner assigner_;
+    std::unique_ptr<VersionRetirement> versionRetirement_;
     std::map<NodeId, NodeReport> reports_;
     bool leading_ { false };
     bool isAnnounced_ { false };
--- a/include/briarhitch/core/Error.h
+++ b/include/briarhitch/core/Error.h
@@ -50,8 +50,10 @@
     SuspectRequest,
     /** The target closed the connection before its answer was complete. */
     TargetClosed,
+    /** Nobody knows at which software version the stream began that a caller continues. */
+    UnknownStream,
 };
-inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::TargetClosed) + 1;
+inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::UnknownStream) + 1;
 
 /** Whether a target ran the request. */
 enum class Ran : uint8_t {
--- a/include/briarhitch/core/Ids.h
+++ b/include/briarhitch/core/Ids.h
@@ -53,6 +53,8 @@
 using PromptPartId = NumericId<struct PromptPartIdTag, uint64_t>;
 /** Digest of what a caller asks for; repeats of a request have the same one under new request ids. */
 using RequestDigest = NumericId<struct RequestDigestTag, uint64_t>;
+/** Digest of a customer and of the id that its caller gave to the request that began a stream. */
+using StreamId = NumericId<struct StreamIdTag, uint64_t>;
 /** One connection between own processes, unique within a process. */
 using LinkId = NumericId<struct LinkIdTag, uint64_t>;
 
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -6,6 +6,7 @@
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/StreamVersions.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -35,6 +36,11 @@
     std::optional<Duration> localSelectionAfter {};
     /** Scheduling policy for local selection. */
     PoolSettings localSelectionPolicy {};
+    /**
+     * Blocks the calling fiber until the configuration has all that was committed before the call; false after the timeout.
+     * Not set: it can never be told.
+     */
+    std::function<bool(Duration timeout)> confirmConfiguration {};
 };
 
 /** The entry's side of pool scheduling: requests grants from pool owners and tracks this entry's running attempts. */
@@ -91,6 +97,10 @@
         Instant finishedAt;
     };
 
+    /** acquire() for a request whose software version is known here, if it is known at all. */
+    Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
+    /** The only version at which a stream of the pool can have begun; none if that is not certain by the deadline. */
+    std::optional<std::string> confirmSoleVersion(PoolId pool, Instant deadline);
     template <class T>
     void postToPoolOwner(PoolId pool, MessageType type, const T& message);
     void onGrant(const Grant& grant);
@@ -136,6 +146,8 @@
     std::map<AttemptId, RunningAttempt> running_;
     std::deque<PoolRecentAttempt> recentAttempts_;
     EntrySuspects suspects_;
+    /** The streams that began or went on at this entry. */
+    StreamVersions streams_;
     std::map<PoolId, std::unique_ptr<PoolScheduler>> localSchedulers_;
     /** Attempts that the local schedulers hold, queued or granted. */
     std::set<AttemptId> localAttempts_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -5,6 +5,7 @@
 #include "briarhitch/entry/OwnerSuspects.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "briarhitch/sched/StreamVersions.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -135,9 +136,9 @@
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
     /** `isUnsent`: no target has seen the request under this attempt. */
     void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
-    /** Hands a request to the scheduler, unless it is blocked. */
+    /** Hands a request to the scheduler, unless it is blocked or continues an unknown stream. */
     void submit(Pool& pool, AttemptId attempt);
-    void refuse(Pool& pool, AttemptId attempt, const SuspectBlock& block);
+    void refuse(Pool& pool, AttemptId attempt, const Error& error);
     /** Refuses queued requests if a block has begun. */
     void refuseBlocked();
     /** Whether the target has announced its end. */
@@ -157,6 +158,8 @@
     /** The schedulers refer to its limiter. */
     OwnerRateLimits rateLimits_;
     OwnerSuspects suspects_;
+    /** As the entries reported them, which alone know whether a granted target began the stream. */
+    StreamVersions streams_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/model/ClusterConfig.h
+++ b/include/briarhitch/model/ClusterConfig.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,13 +59,15 @@
     Incarnation ownerIncarnation;
     /** The owner before this one, if its lease may still be valid; not set if that lease has expired. */
     NodeId previousOwner;
+    /** Software versions of the pool's targets, and of those that left it so recently that callers may continue their streams. */
+    std::vector<std::string> softwareVersions {};
 
     bool operator==(const PoolAssignment&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(id, name, kind, scope, epoch, owner, ownerIncarnation, previousOwner);
+        visit(id, name, kind, scope, epoch, owner, ownerIncarnation, previousOwner, softwareVersions);
     }
 };
 
@@ -91,6 +94,15 @@
     }
 };
 
+/** Software versions of the targets in a pool. */
+std::set<std::string> softwareVersionsInUse(const ClusterConfig& config, PoolId pool);
+
+/**
+ * The software version at which every stream of the pool began that callers may still continue, as far as this configuration
+ * shows; none if there is more than one or no target.
+ */
+std::optional<std::string> soleSoftwareVersion(const ClusterConfig& config, PoolId pool);
+
 /** Entries that serve callers and are not lost. */
 std::vector<NodeId> callerServingNodes(const ClusterConfig& config);
 
--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <variant>
@@ -47,6 +48,8 @@
     uint64_t idempotencyKeyHash { 0 };
     /** It may crash its target, so it goes where the fewest requests run. */
     bool mayCrashTarget { false };
+    /** Only targets of this version may be granted; none: any. The entry checks it again, since not all policies look at it. */
+    std::optional<std::string> softwareVersion {};
 };
 
 struct PoolGrant {
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -5,6 +5,7 @@
 #include "briarhitch/core/NodeAddress.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/model/RunRecord.h"
+#include "briarhitch/model/StreamVersion.h"
 #include "briarhitch/model/Suspect.h"
 #include "briarhitch/wire/EncodedConfig.h"
 
@@ -199,12 +200,16 @@
     /** Parts of the prompt that other requests may have too. */
     std::vector<PromptPartId> sharedParts;
     RequestDigest digest;
+    /** The stream that the caller continues; invalid for a request that begins one. */
+    StreamId continuedStream;
+    /** Only targets of this version may be granted, because they continue a stream that one of them began; none: any. */
+    std::optional<std::string> softwareVersion;
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, idempotencyKeyHash, expectedOutputTokens,
-            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest);
+            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest, continuedStream, softwareVersion);
     }
 };
 
@@ -213,11 +218,13 @@
     AttemptId attempt;
     Epoch epoch;
     TargetId target;
+    /** The version that the target was chosen for; none: any. */
+    std::optional<std::string> softwareVersion {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, epoch, target);
+        visit(pool, attempt, epoch, target, softwareVersion);
     }
 };
 
@@ -269,11 +276,12 @@
     uint32_t firstTokenMs { 0 };
     /** Time since the attempt's connection was opened; zero if not known. */
     uint32_t connectionAgeMs { 0 };
+    StreamVersion stream {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, firstTokenMs, connectionAgeMs);
+        visit(pool, attempt, firstTokenMs, connectionAgeMs, stream);
     }
 };
 
@@ -305,11 +313,13 @@
     uint32_t connectionAgeMs { 0 };
     /** The target is up as a machine, but nothing accepts connections at its address. */
     bool hasRefusedConnection { false };
+    /** If the caller got events of it. */
+    StreamVersion stream {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs, hasTargetClosed, connectionAgeMs, hasRefusedConnection);
+        visit(pool, attempt, outcome, promptTokens, outputTokens, durationMs, hasTargetClosed, connectionAgeMs, hasRefusedConnection, stream);
     }
 };
 
@@ -427,11 +437,13 @@
     std::vector<RetiredField> suspectParts;
     /** What the entry knows of requests and prompt parts that may crash targets. */
     std::vector<SuspectNotice> suspects;
+    /** The streams that callers may continue, and began or continued at this entry. */
+    std::vector<StreamVersion> streams {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, epoch, running, recent, rateLimits, suspectParts, suspects);
+        visit(pool, epoch, running, recent, rateLimits, suspectParts, suspects, streams);
     }
 };
 
--- a/src/control/Commands.cpp
+++ b/src/control/Commands.cpp
@@ -27,6 +27,7 @@
 std::string encodeCommand(const PutRoutingCommand& command) { return wrap(CommandKind::PutRouting, command); }
 std::string encodeCommand(const ReplaceDiscoveredCommand& command) { return wrap(CommandKind::ReplaceDiscovered, command); }
 std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs) { return wrap(CommandKind::RecordSuspects, command, timeMs); }
+std::string encodeCommand(const RetireSoftwareVersionsCommand& command) { return wrap(CommandKind::RetireSoftwareVersions, command); }
 
 Result<CommandResult> decodeCommandResult(const std::string& bytes)
 {
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -4,6 +4,7 @@
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
+#include "control/VersionRetirement.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -79,6 +80,7 @@
     , state_(state)
     , metrics_(metrics)
     , leases_(settings_.lease)
+    , versionRetirement_(std::make_unique<VersionRetirement>())
     , lifetime_(std::make_shared<Lifetime>(loop))
 {
 }
@@ -96,6 +98,7 @@
     lifetime_->wake.set();
     reports_.clear();
     assigner_ = PoolAssigner(settings_.takeoverTimeout);
+    *versionRetirement_ = VersionRetirement();
     leases_.becomeLeader(BootClock::now());
     controlLog().info(isLeader ? "leader in term " + std::to_string(term) : "not leader in term " + std::to_string(term));
 }
@@ -363,6 +366,7 @@
     markLostNodes();
     assignPools();
     retireResponses();
+    retireSoftwareVersions();
     leases_.removeExpired(BootClock::now());
 }
 
@@ -419,6 +423,16 @@
         (void)propose(encodeCommand(RetireRunsCommand { before, maxRetiredRunsPerCommand }));
 }
 
+void ControlServer::retireSoftwareVersions()
+{
+    for (const auto& command : versionRetirement_->decide(state_.config(), BootClock::now())) {
+        if (!isLeader() || !propose(encodeCommand(command)))
+            return;
+        controlLog().info("pool " + state_.config().pools.at(command.pool).name + " has " + std::to_string(command.versions.size())
+            + " software versions fewer, of which no stream is continued any more");
+    }
+}
+
 void ControlServer::publishGauges()
 {
     const auto& config = state_.config();
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/control/StateMachine.h"
 
 #include "briarhitch/core/Digest.h"
+#include "control/SoftwareVersions.h"
 #include "control/SuspectChanges.h"
 #include "wire/Codec.h"
 
@@ -250,6 +251,12 @@
         return withDecodedBody<ReplaceDiscoveredCommand>(command, [&](const auto& body) { return replaceDiscovered(body); });
     case CommandKind::RecordSuspects:
         return withDecodedBody<RecordSuspectsCommand>(command, [&](const auto& body) { return recordSuspects(body, command.timeMs); });
+    case CommandKind::RetireSoftwareVersions:
+        return withDecodedBody<RetireSoftwareVersionsCommand>(command, [&](const auto& body) {
+            if (auto delta = retiredVersionsDelta(config_, body); !delta.pools.empty())
+                publish(std::move(delta));
+            return accepted({});
+        });
     case CommandKind::ClaimRun:
         break;
     }
@@ -584,6 +591,7 @@
 
 void StateMachine::publish(ConfigDelta delta)
 {
+    addSoftwareVersions(config_, delta);
     delta.version = next(config_.version);
     size_t added = encodedSize(delta);
     configBytes_ += added;
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -49,6 +49,7 @@
         { ErrorKind::Internal, "internal", 500, Ran::Unknown, std::nullopt },
         { ErrorKind::SuspectRequest, "suspect_request", 503, Ran::No, 30s },
         { ErrorKind::TargetClosed, "target_closed", 502, Ran::Unknown, 2s },
+        { ErrorKind::UnknownStream, "unknown_stream", 503, Ran::No, 1s },
     } };
 
     constexpr bool isTableInOrder()
--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -38,6 +38,7 @@
         , view(viewToUse)
         , metrics(metricsToUse)
         , wake(loopToUse)
+        , confirmed(loopToUse)
     {
     }
 
@@ -155,12 +156,29 @@
         view.apply(reply);
         leaseEnd = std::max(leaseEnd, sentAt + reply.leaseDuration);
         hasConfiguration = true;
+        confirmedAt = std::max(confirmedAt, sentAt);
+        confirmed.set();
         updateVoters(reply.controlProcesses);
         // An immediate second heartbeat confirms to the leader that this node has applied the change.
         if (view.config().version != previousVersion)
             wake.set();
     }
 
+    bool confirmConfiguration(Duration timeout)
+    {
+        auto calledAt = BootClock::now();
+        for (;;) {
+            if (confirmedAt > calledAt)
+                return true;
+            auto timeLeft = calledAt + timeout - BootClock::now();
+            if (closed || timeLeft <= Duration::zero())
+                return false;
+            confirmed.reset();
+            wake.set();
+            confirmed.waitFor(timeLeft);
+        }
+    }
+
     void recordFailure(const std::string& message)
     {
         // A few failures are normal while links open at the start, and after each change of leader.
@@ -229,6 +247,10 @@
     ClusterView& view;
     MetricRegistry& metrics;
     FiberEvent wake;
+    /** A heartbeat was answered. */
+    FiberEvent confirmed;
+    /** When the last heartbeat was sent that has been answered. */
+    Instant confirmedAt {};
     struct Voter {
         HostPort address;
         std::shared_ptr<LinkClient> link;
@@ -255,6 +277,7 @@
 {
     impl_->closed = true;
     impl_->wake.set();
+    impl_->confirmed.set();
     for (auto& voter : impl_->voters)
         voter.link->close();
 }
@@ -276,6 +299,12 @@
     return impl_->hasConfiguration;
 }
 
+bool ControlClient::confirmConfiguration(Duration timeout)
+{
+    auto impl = impl_;
+    return impl->confirmConfiguration(timeout);
+}
+
 void ControlClient::heartbeatNow()
 {
     impl_->wake.set();
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -30,6 +30,8 @@
     constexpr double unresponsiveOwnerRateFraction = 0.4;
     /** Interval at which one grant request is still sent to an unresponsive owner. */
     constexpr Duration ownerProbeInterval = 200ms;
+    /** Longest wait for the control leader to confirm the configuration. */
+    constexpr Duration confirmationTimeout = 500ms;
 
     /** Error of a request that was not granted a target; a zero `retryAfter` is left out. */
     Error makeRefusalError(ErrorKind kind, const std::string& reason, Duration retryAfter)
@@ -109,6 +111,29 @@
 }
 
 Result<Grant> PoolClient::acquire(const GrantRequest& request, Instant deadline)
+{
+    if (!needsStreamVersion(request))
+        return acquireSlot(request, deadline);
+    auto continuation = request;
+    continuation.softwareVersion = streams_.find(request.continuedStream, now_());
+    auto grant = acquireSlot(continuation, deadline);
+    if (grant || grant.error().kind != ErrorKind::UnknownStream)
+        return grant;
+    continuation.softwareVersion = confirmSoleVersion(request.pool, deadline);
+    return continuation.softwareVersion ? acquireSlot(continuation, deadline) : grant;
+}
+
+std::optional<std::string> PoolClient::confirmSoleVersion(PoolId pool, Instant deadline)
+{
+    if (!settings_.confirmConfiguration || !soleSoftwareVersion(view_.config(), pool))
+        return std::nullopt;
+    // Targets of another version may have joined, and begun the stream, without this node having learned of them yet.
+    if (!settings_.confirmConfiguration(std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
+        return std::nullopt;
+    return soleSoftwareVersion(view_.config(), pool);
+}
+
+Result<Grant> PoolClient::acquireSlot(const GrantRequest& request, Instant deadline)
 {
     auto& state = pools_[request.pool];
     if (!settings_.localSelectionAfter && hasOwnerTimedOut(state))
@@ -173,6 +198,7 @@
     if (it == running_.end())
         return;
     it->second.started = true;
+    streams_.record(started.stream, now_());
     suspects_.attemptStarted(it->second.request, started);
     if (localAttempts_.contains(started.attempt)) {
         localScheduler(started.pool).attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
@@ -187,6 +213,7 @@
     if (it == running_.end())
         return;
     recordRecentAttempt(it->second.request, it->second.target);
+    streams_.record(finished.stream, now_());
     suspects_.attemptFinished(it->second.request, finished, it->second.target, isLeaving(it->second.target));
     running_.erase(it);
     if (localAttempts_.erase(finished.attempt) > 0) {
@@ -323,6 +350,7 @@
     auto it = pending_.find(grant.attempt);
     if (it != pending_.end() && !it->second->decided.isSet()) {
         cancelLocally(grant.pool, grant.attempt);
+        it->second->grantRequest.softwareVersion = grant.softwareVersion;
         running_[grant.attempt] = RunningAttempt { it->second->grantRequest, grant.target, false };
         suspects_.attemptGranted(it->second->grantRequest, grant.target);
         it->second->decide(grant);
@@ -392,7 +420,7 @@
 void PoolClient::sendPoolSync(PoolId pool)
 {
     dropExpiredAttempts();
-    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {}, suspects_.noticesForOwner() };
+    PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {}, suspects_.noticesForOwner(), streams_.list() };
     for (const auto& [attempt, running] : running_) {
         if (running.request.pool == pool)
             message.running.push_back(running);
@@ -454,6 +482,7 @@
 {
     restrictions_.tick(now_());
     suspects_.tick();
+    streams_.tick(now_());
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
@@ -546,6 +575,10 @@
         pending.decide(tl::unexpected(blockError(*block)));
         return;
     }
+    if (needsStreamVersion(pending.grantRequest)) {
+        pending.decide(fail(ErrorKind::UnknownStream, "the stream did not begin at this node, and the owner of the pool does not respond"));
+        return;
+    }
     localAttempts_.insert(pending.grantRequest.attempt);
     auto request = toPoolRequest(prepareRequest(pending), pending.deadline, now_());
     request.mayCrashTarget = suspects_.mayCrashTarget(pending.grantRequest);
@@ -567,7 +600,7 @@
             if (const auto* grant = std::get_if<PoolGrant>(&action)) {
                 running_[attempt] = RunningAttempt { it->second->grantRequest, grant->target, false };
                 suspects_.attemptGranted(it->second->grantRequest, grant->target);
-                it->second->decide(Grant { pool, attempt, Epoch(), grant->target });
+                it->second->decide(Grant { pool, attempt, Epoch(), grant->target, it->second->grantRequest.softwareVersion });
                 continue;
             }
             const auto& refused = std::get<PoolRefusal>(action);
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -351,6 +351,8 @@
         return;
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
+    for (const auto& stream : sync.streams)
+        streams_.record(stream, hooks_.now());
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -415,9 +417,18 @@
 
 void PoolHost::submit(Pool& pool, AttemptId attempt)
 {
-    const auto& request = pool.requests.at(attempt);
+    auto& request = pool.requests.at(attempt);
+    if (needsStreamVersion(request.grantRequest)) {
+        request.grantRequest.softwareVersion = streams_.find(request.grantRequest.continuedStream, hooks_.now());
+        bool isKnown = request.grantRequest.softwareVersion.has_value();
+        metrics_.count("pool_continued_streams_total", isKnown ? "known=\"yes\"" : "known=\"no\"");
+        if (!isKnown) {
+            refuse(pool, attempt, makeError(ErrorKind::UnknownStream, "the owner of the pool does not know this stream"));
+            return;
+        }
+    }
     if (auto block = suspects_.admit(request.grantRequest)) {
-        refuse(pool, attempt, *block);
+        refuse(pool, attempt, blockError(*block));
         return;
     }
     auto poolRequest = toPoolRequest(request.grantRequest, request.deadline, hooks_.now());
@@ -425,10 +436,9 @@
     pool.scheduler->submit(std::move(poolRequest), hooks_.now());
 }
 
-void PoolHost::refuse(Pool& pool, AttemptId attempt, const SuspectBlock& block)
+void PoolHost::refuse(Pool& pool, AttemptId attempt, const Error& error)
 {
     auto it = pool.requests.find(attempt);
-    auto error = blockError(block);
     GrantRefusal message { pool.assignment.id, attempt, error.kind, clampMs(*error.retryAfter), error.message };
     auto entry = it->second.entry;
     pool.requests.erase(it);
@@ -449,7 +459,7 @@
         for (const auto& [attempt, block] : blocked) {
             if (pool.scheduler)
                 pool.scheduler->cancel(attempt, hooks_.now());
-            refuse(pool, attempt, block);
+            refuse(pool, attempt, blockError(block));
         }
     }
 }
@@ -473,6 +483,8 @@
 
 void PoolHost::onStarted(const AttemptStarted& started)
 {
+    // Also of an attempt that this owner did not grant.
+    streams_.record(started.stream, hooks_.now());
     auto* pool = find(started.pool);
     if (!pool)
         return;
@@ -488,6 +500,7 @@
 
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
+    streams_.record(finished.stream, hooks_.now());
     auto* pool = find(finished.pool);
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
@@ -649,7 +662,7 @@
 
 void PoolHost::sendGrant(const Pool& pool, const HostedRequest& request)
 {
-    Grant grant { pool.assignment.id, request.grantRequest.attempt, pool.assignment.epoch, request.target };
+    Grant grant { pool.assignment.id, request.grantRequest.attempt, pool.assignment.epoch, request.target, request.grantRequest.softwareVersion };
     transport_.postToEntry(request.entry, MessageType::Grant, encode(grant));
 }
 
@@ -715,6 +728,7 @@
     auto now = hooks_.now();
     rateLimits_.tick(now);
     suspects_.tick();
+    streams_.tick(now);
     refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
@@ -777,6 +791,7 @@
         }
     }
     suspects_.publishGauges();
+    metrics_.setGauge("pool_known_streams", {}, static_cast<double>(streams_.size()));
     metrics_.setGauge("pool_owned", {}, static_cast<double>(pools_.size()));
 }
 
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -4,6 +4,11 @@
 
 namespace briarhitch {
 
+bool needsStreamVersion(const GrantRequest& grantRequest)
+{
+    return grantRequest.continuedStream.isValid() && !grantRequest.softwareVersion;
+}
+
 PoolRequest toPoolRequest(const GrantRequest& grantRequest, Instant deadline, Instant now)
 {
     PoolRequest request;
@@ -24,6 +29,7 @@
     request.zone = grantRequest.zone;
     request.excluded = grantRequest.excluded;
     request.idempotencyKeyHash = grantRequest.idempotencyKeyHash;
+    request.softwareVersion = grantRequest.softwareVersion;
     return request;
 }
 
--- a/src/entry/PoolRequests.h
+++ b/src/entry/PoolRequests.h
@@ -5,6 +5,9 @@
 
 namespace briarhitch {
 
+/** Whether the request continues a stream of which it does not say at which software version it began. */
+bool needsStreamVersion(const GrantRequest& grantRequest);
+
 /** Converts an entry's grant request to a scheduler request; `now` is its time of arrival. */
 PoolRequest toPoolRequest(const GrantRequest& grantRequest, Instant deadline, Instant now);
 
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -47,6 +47,20 @@
         return parts;
     }
 
+    /** Of the stream that the request begins or continues. */
+    StreamId streamIdOf(const RoutedRequest& request, CustomerId customer)
+    {
+        bool continuesNamed = request.lastEventId && !request.resumesCallerId.empty();
+        return StreamId(stableHash(continuesNamed ? request.resumesCallerId : request.callerId, customer.value()));
+    }
+
+    /** 0 to 1, evenly spread over the streams. */
+    double fractionOf(StreamId stream)
+    {
+        constexpr double hashRange = 0x1.0p64;
+        return static_cast<double>(stream.value()) / hashRange;
+    }
+
     std::string joinedText(const std::vector<PromptPartId>& parts)
     {
         return absl::StrJoin(parts, ",", [](std::string* text, PromptPartId part) { text->append(toString(part)); });
@@ -99,8 +113,11 @@
     runner_.history.begin(attempt_.request, request_.callerId, route_->name, tier_);
     if (auto authenticated = authenticate(); !authenticated)
         return authenticated;
+    if (route_->kind == RouteKind::Stream && (route_->isResumable || lastEventId_))
+        streamId_ = streamIdOf(request_, contract_ ? contract_->customer : CustomerId());
     digest_ = makeRequestDigest(contract_ ? contract_->customer : CustomerId(), request_.method, request_.target, request_.body);
-    service_ = routes_->findService(chooseService(*route_, runner_.randomFraction()));
+    // All requests that continue a stream choose the service that began it.
+    service_ = routes_->findService(chooseService(*route_, streamId_.isValid() ? fractionOf(streamId_) : runner_.randomFraction()));
     setDeadlines();
     auto admitted = debitCeiling();
     recordEvent(admitted ? "admitted" : "over ceiling", {}, { { "service", service_->name }, { "customer", contract_ ? contract_->name : "" }, { "routing_version", static_cast<int64_t>(runner_.view.config().routing.version.value()) }, { "quota_tokens", quotaTokens().value() }, { "prompt_parts", joinedText(sharedParts(request_.prefix)) }, { "request_digest", toString(digest_) }, { "resumes", request_.resumesCallerId }, { "after_event", static_cast<int64_t>(request_.lastEventId.value_or(0)) }, { "objective_ms", int64_t(route_->objectiveMs) }, { "prompt_tokens", request_.promptTokens.value_or(Tokens()).value() }, { "expected_tokens", request_.expectedOutputTokens.value_or(Tokens()).value() }, { "deadline_ms", toMs(timeLeft()) } });
@@ -150,6 +167,11 @@
         firstEventDeadline_ = std::min<Instant>(deadline_, startedAt_ + std::chrono::milliseconds(route_->firstEventTimeoutMs));
 }
 
+StreamVersion RoutedRequestRun::streamVersion() const
+{
+    return { streamId_, softwareVersion_.value_or("") };
+}
+
 Duration RoutedRequestRun::timeLeft() const
 {
     return std::max<Duration>(deadline_ - now(), 0ms);
@@ -209,6 +231,9 @@
     grantRequest.prefix = prefixBlocks(request_.prefix);
     grantRequest.sharedParts = sharedParts(request_.prefix);
     grantRequest.digest = digest_;
+    grantRequest.softwareVersion = softwareVersion_;
+    if (lastEventId_ && !softwareVersion_)
+        grantRequest.continuedStream = streamId_;
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
     if (!isStreamStarted_ && route_->objectiveMs > 0)
@@ -262,6 +287,10 @@
     auto target = runner_.view.config().targets.find(grant.target);
     bool isUsable = target != runner_.view.config().targets.end() && target->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
+    for (const auto* required : { &softwareVersion_, &grant.softwareVersion }) {
+        if (isUsable && *required && **required != target->second.softwareVersion)
+            return Failure { makeError(ErrorKind::NoTarget, "the granted target has another software version than the one that began the stream"), true };
+    }
     if (!isUsable || isExcluded || runner_.pools.isRestricted(grant.target) || !runner_.pools.isCurrent(grant))
         return Failure { makeError(ErrorKind::NoTarget, "the granted target accepts no new requests"), true };
     return std::nullopt;
@@ -419,6 +448,8 @@
     finished.hasTargetClosed = hasTargetClosed_;
     finished.connectionAgeMs = clampMs(connectionAge_);
     finished.hasRefusedConnection = hasRefusedConnection_;
+    if (hasFirstEvent_)
+        finished.stream = streamVersion();
     runner_.pools.reportFinished(finished);
 }
 
@@ -458,7 +489,9 @@
 {
     hasFirstEvent_ = true;
     ran_ = Ran::Yes;
-    runner_.pools.reportStarted({ grant_.pool, grant_.attempt, clampMs(now() - sentAt_), clampMs(connectionAge_) });
+    if (!softwareVersion_ && route_->kind == RouteKind::Stream)
+        softwareVersion_ = target_.softwareVersion;
+    runner_.pools.reportStarted({ grant_.pool, grant_.attempt, clampMs(now() - sentAt_), clampMs(connectionAge_), streamVersion() });
     if (!isStreamStarted_) {
         firstEventAt_ = now();
         runner_.metrics.observe("routed_first_event_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - startedAt_));
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -77,6 +77,8 @@
 
     [[nodiscard]] Instant now() const { return runner_.hooks.now(); }
     [[nodiscard]] Duration timeLeft() const;
+    /** The stream, once the caller has events of it; otherwise an invalid one. */
+    [[nodiscard]] StreamVersion streamVersion() const;
     [[nodiscard]] Tokens quotaTokens() const;
     void recordEvent(const std::string& event, const std::string& reason = {}, const LogFields& fields = {});
     /** True for failed, late and retried requests, and for a sample of the others. */
@@ -122,6 +124,10 @@
     Duration connectionAge_ { 0 };
     bool isStreamStarted_ { false };
     std::optional<uint64_t> lastEventId_;
+    /** Of a stream that callers may continue: the same for all requests that continue it. */
+    StreamId streamId_;
+    /** Of the target that began the stream; set with its first event. All others that continue it have the same. */
+    std::optional<std::string> softwareVersion_;
     uint64_t attemptEvents_ { 0 };
     /** Of the current attempt. */
     Target target_;
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -58,6 +58,8 @@
         { "entry_waiting_for_grant", "Requests that wait for a target." },
         { "pool_blocked_suspects", "Requests and parts of prompts that are blocked because they crashed targets." },
         { "pool_broken_attempts_total", "Attempts whose target closed the connection before its answer was complete." },
+        { "pool_continued_streams_total", "Requests of callers that continue a stream, by whether the owner of the pool knew the software version that began it." },
+        { "pool_known_streams", "Streams whose software version this owner of pools knows." },
         { "pool_owned", "Pools that this entry owns." },
         { "pool_queued", "Requests that wait in an owned pool, by pool and tier." },
         { "pool_rate_limit_held", "Requests that wait in an owned pool while a target has a free slot but its rate limit allows no request." },
--- a/src/model/ClusterConfig.cpp
+++ b/src/model/ClusterConfig.cpp
@@ -26,6 +26,25 @@
     return true;
 }
 
+std::set<std::string> softwareVersionsInUse(const ClusterConfig& config, PoolId pool)
+{
+    std::set<std::string> versions;
+    for (const auto& [id, target] : config.targets) {
+        if (target.pool == pool)
+            versions.insert(target.softwareVersion);
+    }
+    return versions;
+}
+
+std::optional<std::string> soleSoftwareVersion(const ClusterConfig& config, PoolId pool)
+{
+    // A log of an earlier version of this program does not have the versions of the pool.
+    auto versions = softwareVersionsInUse(config, pool);
+    if (auto assignment = config.pools.find(pool); assignment != config.pools.end())
+        versions.insert(assignment->second.softwareVersions.begin(), assignment->second.softwareVersions.end());
+    return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
+}
+
 std::vector<NodeId> callerServingNodes(const ClusterConfig& config)
 {
     std::vector<NodeId> nodes;
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -181,16 +181,19 @@
 {
     const auto& request = record.request;
     bool missesObjective = now > latestStartForObjective(record);
-    // Migrations go first, because the work already done is lost if they come too late; there are few of them.
+    // Migrations go first; there are few of them. Streams that continue go first in their tier.
     if (request.migratesFrom.isValid())
         return { false, 0, 0, 0 };
+    if (record.hasEarlierWork())
+        return { false, request.tier.value(), 0, 0 };
     // Granting requests that miss their objective first would make the others miss theirs too, and under load all of them.
     return { missesObjective, request.tier.value(), request.urgency.value(), record.arrivalNumber };
 }
 
 bool SlotScheduler::isEligible(const RequestRecord& record, const SlotTarget& target) const
 {
-    return !contains(record.request.excluded, target.target.id);
+    const auto& version = record.request.softwareVersion;
+    return !contains(record.request.excluded, target.target.id) && (!version || *version == target.target.softwareVersion);
 }
 
 bool SlotScheduler::hasEligibleTarget(const RequestRecord& record) const
@@ -230,30 +233,29 @@
     rateLimitSum_ = sum;
 }
 
-double SlotScheduler::queuedWorkAheadMs(const Rank& rank) const
+QueuedWork SlotScheduler::queuedWorkAhead(const Rank& rank) const
 {
-    double ahead = 0;
+    QueuedWork ahead;
     for (const auto& [other, attempt] : queue_) {
         if (other >= rank)
             break;
-        ahead += records_.at(attempt)->queuedCostMs;
+        const auto& record = *records_.at(attempt);
+        ahead.add(record.request, record.queuedCostMs);
     }
     return ahead;
 }
 
-bool SlotScheduler::cannotMeetDeadline(const RequestRecord& record, double aheadMs, Instant now) const
+bool SlotScheduler::cannotMeetDeadline(const RequestRecord& record, const QueuedWork& ahead, Instant now) const
 {
     double minFirstTokenMs = record.request.migratesFrom.isValid() ? 0 : bestFirstTokenMs(record);
-    double waitMs = queueDrainMs(aheadMs, record.rank) * refusalFactor + toMsExact(rateLimitWait_);
+    double waitMs = queueDrainMs(ahead, record.request, record.rank) * refusalFactor + toMsExact(rateLimitWait_);
     return waitMs + minFirstTokenMs > toMsExact(record.request.deadline - now);
 }
 
-double SlotScheduler::queueDrainMs(double queuedWorkMs, const Rank& rank) const
+double SlotScheduler::queueDrainMs(const QueuedWork& ahead, const PoolRequest& request, const Rank& rank) const
 {
-    if (capacity_ <= 0)
-        return 0;
     double fraction = std::max(minSlotFraction, 1 - workFractions_.fractionAhead(Tier(rank.urgency), rank.missesObjective));
-    return queuedWorkMs / (capacity_ * fraction);
+    return capacity_.drainMs(ahead, request) / fraction;
 }
 
 Duration SlotScheduler::retryAfter(const RequestRecord& record) const
@@ -261,7 +263,7 @@
     // A retry misses its objective, so all requests that meet theirs are granted before it.
     auto rank = record.rank;
     rank.missesObjective = true;
-    double ms = std::clamp(queueDrainMs(queuedWorkAheadMs(rank), rank), minRetryAfterMs, maxRetryAfterMs);
+    double ms = std::clamp(queueDrainMs(queuedWorkAhead(rank), record.request, rank), minRetryAfterMs, maxRetryAfterMs);
     // Jitter, so that callers refused together do not retry together.
     double fraction = static_cast<double>((record.request.attempt.request.value() * 0x9e3779b97f4a7c15ULL) >> 40) / static_cast<double>(1 << 24);
     return fromMs(ms * (1 + retryJitter * fraction));
@@ -330,11 +332,11 @@
         refuse(attempt, ErrorKind::NoTarget, "no target can take the request", now);
         return;
     }
-    if (!record.rank.missesObjective && !record.request.migratesFrom.isValid())
+    if (!record.rank.missesObjective && !record.hasEarlierWork())
         deficits_.recordSubmission(record.request.urgency);
     // A request that reduces its kind's deficit is granted before the work ahead of it, but rate limits hold for it too.
-    bool isForDeficit = rateLimitWait_ == Duration::zero() && !record.rank.missesObjective && static_cast<double>(queuedMeetingObjective_[record.rank.urgency]) + 1 <= deficits_.deficit(record.request.urgency);
-    if ((!isForDeficit && cannotMeetDeadline(record, queuedWorkAheadMs(record.rank), now)) || queue_.size() >= settings_.maxQueued) {
+    bool isForDeficit = rateLimitWait_ == Duration::zero() && !record.rank.missesObjective && !record.hasEarlierWork() && static_cast<double>(queuedMeetingObjective_[record.rank.urgency]) + 1 <= deficits_.deficit(record.request.urgency);
+    if ((!isForDeficit && cannotMeetDeadline(record, queuedWorkAhead(record.rank), now)) || queue_.size() >= settings_.maxQueued) {
         refuse(attempt, ErrorKind::DeadlineUnreachable, "predicted first token is after the deadline", now);
         return;
     }
@@ -536,7 +538,7 @@
 
 void SlotScheduler::updateCapacity(Instant now)
 {
-    capacity_ = 0;
+    capacity_.clear();
     fastestServiceTimeMs_ = 0;
     fastestPrefillTokenMs_ = 0;
     double typicalMs = poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
@@ -547,7 +549,7 @@
         double capacity = target.slots() * typicalMs / std::max(serviceMs, 0.01);
         if (auto rate = settings_.rateLimiter ? settings_.rateLimiter->rate(id, now) : std::nullopt)
             capacity = std::min(capacity, rate->value() * grantedCostMs_.valueOr(typicalMs) / 1000);
-        capacity_ += capacity;
+        capacity_.add(target.target, capacity);
         if (fastestServiceTimeMs_ == 0 || serviceMs < fastestServiceTimeMs_) {
             fastestServiceTimeMs_ = serviceMs;
             fastestPrefillTokenMs_ = prefillTokenMsOf(target);
@@ -624,6 +626,11 @@
     return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return hasFreeSlot(entry.second, now); });
 }
 
+bool SlotScheduler::hasFreeSlotAt(const std::string& softwareVersion, Instant now) const
+{
+    return std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.target.softwareVersion == softwareVersion && hasFreeSlot(entry.second, now); });
+}
+
 void SlotScheduler::countTowardsRateLimits(const RequestRecord& record, Instant now)
 {
     if (!settings_.rateLimiter)
@@ -642,7 +649,7 @@
     countTowardsRateLimits(record, now);
     grantedCostMs_.addSample(record.queuedCostMs);
     workFractions_.recordGrant(record.request.urgency, record.rank.missesObjective, record.queuedCostMs);
-    if (!record.rank.missesObjective && !record.request.migratesFrom.isValid())
+    if (!record.rank.missesObjective && !record.hasEarlierWork())
         deficits_.recordGrant(record.request.urgency, record.queuedCostMs, isForDeficit);
     actions_.emplace_back(PoolGrant { record.request.attempt, target.target.id });
 }
@@ -674,9 +681,17 @@
 {
     dispatchDeficits(now);
     size_t examined = 0;
-    for (auto it = queue_.begin(); it != queue_.end() && examined < maxExaminedRequests && hasAnyFreeSlot(now); ++examined) {
+    // Many streams may wait for one version; they must not keep the requests behind them from the targets of others.
+    std::set<std::string> fullVersions;
+    for (auto it = queue_.begin(); it != queue_.end() && examined < maxExaminedRequests && hasAnyFreeSlot(now);) {
         auto& record = *records_.at(it->second);
         ++it;
+        const auto& version = record.request.softwareVersion;
+        if (version && (fullVersions.contains(*version) || !hasFreeSlotAt(*version, now))) {
+            fullVersions.insert(*version);
+            continue;
+        }
+        ++examined;
         if (auto* target = selectTarget(record, now))
             grant(record, *target, false, now);
     }
@@ -701,18 +716,18 @@
 void SlotScheduler::refusePredictedDeadlineMisses(Instant now)
 {
     updateRateLimitWait(now);
-    double ahead = 0;
+    QueuedWork ahead;
     std::array<double, Tier::count> deficits {};
     for (uint8_t urgency = 0; urgency < Tier::count; ++urgency)
         deficits[urgency] = deficits_.deficit(Tier(urgency));
     std::vector<AttemptId> unmeetable;
     for (const auto& [rank, attempt] : queue_) {
         const auto& record = *records_.at(attempt);
-        bool isForDeficit = rateLimitWait_ == Duration::zero() && !rank.missesObjective && --deficits[rank.urgency] >= 0;
+        bool isForDeficit = rateLimitWait_ == Duration::zero() && !rank.missesObjective && !record.hasEarlierWork() && --deficits[rank.urgency] >= 0;
         if (!isForDeficit && cannotMeetDeadline(record, ahead, now))
             unmeetable.push_back(attempt);
         else
-            ahead += record.queuedCostMs;
+            ahead.add(record.request, record.queuedCostMs);
     }
     for (AttemptId attempt : unmeetable) {
         dequeue(*records_.at(attempt));
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -3,6 +3,8 @@
 #include "briarhitch/sched/PoolScheduler.h"
 #include "sched/GrantedWorkFractions.h"
 #include "sched/LengthEstimator.h"
+#include "sched/PoolCapacity.h"
+#include "sched/QueuedWork.h"
 #include "sched/RefusalHistory.h"
 #include "sched/SlotTarget.h"
 #include "sched/UrgencyDeficits.h"
@@ -13,6 +15,7 @@
 #include <memory>
 #include <optional>
 #include <set>
+#include <string>
 
 namespace briarhitch {
 
@@ -62,6 +65,9 @@
         /** The target had no other prefill in progress when this request was granted. */
         bool isOnlyPrefill { false };
         Duration firstToken { 0 };
+
+        /** Moves or continues a generation, whose work so far is lost if it comes too late. */
+        [[nodiscard]] bool hasEarlierWork() const { return request.migratesFrom.isValid() || request.softwareVersion; }
     };
     /** Predicted effect of granting a request to a target. */
     struct Placement {
@@ -89,10 +95,9 @@
     [[nodiscard]] bool hasFreeSlot(const SlotTarget& target, Instant now) const { return target.hasFreeSlot(now) && allowsRequest(target, now); }
     void updateRateLimitWait(Instant now);
     [[nodiscard]] bool hasEligibleTarget(const RequestRecord& record) const;
-    /** Queued work before this rank, in milliseconds of slot time. */
-    [[nodiscard]] double queuedWorkAheadMs(const Rank& rank) const;
-    /** Time in milliseconds until this much work before a rank is granted, together with arrivals that overtake the rank meanwhile. */
-    [[nodiscard]] double queueDrainMs(double queuedWorkMs, const Rank& rank) const;
+    [[nodiscard]] QueuedWork queuedWorkAhead(const Rank& rank) const;
+    /** Time in milliseconds until this much work before the rank of a request is granted, together with arrivals that overtake it meanwhile. */
+    [[nodiscard]] double queueDrainMs(const QueuedWork& ahead, const PoolRequest& request, const Rank& rank) const;
     [[nodiscard]] Duration retryAfter(const RequestRecord& record) const;
     /** For a caller that the rate limits of all targets left no room for. */
     [[nodiscard]] Duration retryAfterRateLimit(Instant now);
@@ -111,6 +116,7 @@
     /** Grants requests of less urgent kinds that have a deficit, before more urgent ones. */
     void dispatchDeficits(Instant now);
     [[nodiscard]] bool hasAnyFreeSlot(Instant now) const;
+    [[nodiscard]] bool hasFreeSlotAt(const std::string& softwareVersion, Instant now) const;
     /** First queued request of this urgency, by tier, that can meet its objective; nullptr if there is none. */
     [[nodiscard]] RequestRecord* firstMeetingObjective(Tier urgency) const;
     void grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now);
@@ -122,7 +128,7 @@
     SlotTarget* selectFasterTarget(const RequestRecord& record, Instant now);
     void updateRanks(Instant now);
     /** Whether the request is predicted to miss its deadline behind this much queued work. */
-    [[nodiscard]] bool cannotMeetDeadline(const RequestRecord& record, double aheadMs, Instant now) const;
+    [[nodiscard]] bool cannotMeetDeadline(const RequestRecord& record, const QueuedWork& ahead, Instant now) const;
     void refusePredictedDeadlineMisses(Instant now);
     void updateCapacity(Instant now);
 
@@ -145,8 +151,8 @@
     GrantedWorkFractions workFractions_;
     RefusalHistory refusals_;
     double peerErrorRate_ { 0 };
-    /** Slots of all active targets, weighted by speed relative to the pool's mean. */
-    double capacity_ { 0 };
+    /** Of all active targets; speeds are relative to the pool's mean. */
+    PoolCapacity capacity_;
     double fastestServiceTimeMs_ { 0 };
     double fastestPrefillTokenMs_ { 0 };
     /** Time until the rate limits allow a request; zero if any target has no limit. */
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -480,5 +480,68 @@
         EXPECT_GE(toOthers, 388);
     }
 
+    /** A pool whose target 1 has software v1 and one slot, and target 2 has v2 and four. */
+    Pool poolOfTwoVersions()
+    {
+        Pool pool({ 1, 4 });
+        pool.targets[0].softwareVersion = "v1";
+        pool.targets[1].softwareVersion = "v2";
+        pool.scheduler->setTargets(pool.targets, pool.now);
+        return pool;
+    }
+
+    PoolRequest continuationAt(const Pool& pool, uint64_t id, const std::string& version)
+    {
+        auto request = pool.request(id);
+        request.softwareVersion = version;
+        request.deadline = request.responseDeadline = pool.now + 1h;
+        return request;
+    }
+
+    // Guards against a stream that is continued by a target of another software version, and against one that waits for none.
+    TEST(SlotSchedulerTest, ContinuationIsGrantedItsVersionOnly)
+    {
+        auto pool = poolOfTwoVersions();
+        for (uint64_t id = 1; id <= 5; ++id)
+            pool.submit(continuationAt(pool, id, "v2"));
+        pool.submit(continuationAt(pool, 6, "v3"));
+        pool.take();
+        EXPECT_EQ(pool.granted, (std::map<uint64_t, uint32_t> { { 1, 2 }, { 2, 2 }, { 3, 2 }, { 4, 2 } }));
+        ASSERT_TRUE(pool.refused.contains(6));
+        EXPECT_EQ(pool.refused[6].kind, ErrorKind::NoTarget);
+        pool.targets.pop_back();
+        pool.scheduler->setTargets(pool.targets, pool.now);
+        pool.take();
+        EXPECT_TRUE(pool.refused.contains(5));
+    }
+
+    // Guards against streams that wait for the full targets of one version and keep new requests from those of another.
+    TEST(SlotSchedulerTest, WaitingContinuationsDoNotBlockOtherVersions)
+    {
+        auto pool = poolOfTwoVersions();
+        for (uint64_t id = 1; id <= 200; ++id)
+            pool.submit(continuationAt(pool, id, "v1"));
+        pool.submit(1000);
+        pool.take();
+        EXPECT_EQ(pool.granted[1], 1U);
+        EXPECT_EQ(pool.granted[1000], 2U);
+    }
+
+    // Guards against callers that lose the events they have because new requests are served before their streams go on.
+    TEST(SlotSchedulerTest, ContinuationGoesBeforeNewRequests)
+    {
+        Pool pool({ 1 });
+        pool.targets[0].softwareVersion = "v1";
+        pool.scheduler->setTargets(pool.targets, pool.now);
+        pool.submit(1);
+        for (uint64_t id = 2; id <= 4; ++id)
+            pool.submit(pool.request(id, 600, 100, Tier(1), Tier(0)));
+        pool.submit(continuationAt(pool, 5, "v1"));
+        pool.take();
+        pool.finish(1);
+        EXPECT_TRUE(pool.granted.contains(5));
+        EXPECT_FALSE(pool.granted.contains(2));
+    }
+
 }
 }
--- a/tests/StateMachineTest.cpp
+++ b/tests/StateMachineTest.cpp
@@ -359,6 +359,29 @@
         EXPECT_EQ(state.machine.config().targets.size(), 2u);
     }
 
+    // Guards against a pool that forgets the versions of targets that have just left, whose streams callers still continue.
+    TEST(StateMachineTest, PoolKeepsSoftwareVersionsUntilTheyAreRetired)
+    {
+        TestState state;
+        auto listed = [](const std::string& name, const std::string& version) {
+            Target target;
+            target.name = name;
+            target.serves = "llm";
+            target.softwareVersion = version;
+            return target;
+        };
+        ASSERT_TRUE(state.apply(ReplaceDiscoveredCommand { { listed("a", "v1") }, "fleet" }).accepted);
+        auto pool = state.machine.findTarget("a")->pool;
+        EXPECT_EQ(soleSoftwareVersion(state.machine.config(), pool), "v1");
+        ASSERT_TRUE(state.apply(ReplaceDiscoveredCommand { { listed("a", "v2") }, "fleet" }).accepted);
+        EXPECT_EQ(state.machine.config().pools.at(pool).softwareVersions, (std::vector<std::string> { "v1", "v2" }));
+        state.restart();
+        EXPECT_EQ(soleSoftwareVersion(state.machine.config(), pool), std::nullopt);
+        ASSERT_TRUE(state.apply(RetireSoftwareVersionsCommand { pool, { "v1", "v2" } }).accepted);
+        EXPECT_EQ(state.machine.config().pools.at(pool).softwareVersions, std::vector<std::string> { "v2" }) << "a target has v2";
+        EXPECT_EQ(soleSoftwareVersion(state.machine.config(), pool), "v2");
+    }
+
     // Pattern: hundreds of nodes start at once, and each registration is a change. Guards against encoding a snapshot for each of
     // them, and against nodes that miss the changes after the snapshot that they share.
     TEST(StateMachineTest, StartingNodesShareOneSnapshotAndGetLaterDeltas)
--- /dev/null
+++ b/tests/StreamContinuationTest.cpp
@@ -0,0 +1,306 @@
+#include "briarhitch/entry/PoolClient.h"
+#include "briarhitch/entry/PoolHost.h"
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "control/VersionRetirement.h"
+#include "support/EntryFakes.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr StreamId stream { 77 };
+    const PoolId pool { 10 };
+
+    Target makeTarget(uint32_t id, const std::string& version, uint32_t slots = 4)
+    {
+        Target target;
+        target.id = TargetId(id);
+        target.name = "t" + std::to_string(id);
+        target.pool = pool;
+        target.slots = slots;
+        target.softwareVersion = version;
+        return target;
+    }
+
+    GrantRequest continuation(uint64_t id)
+    {
+        GrantRequest request;
+        request.pool = pool;
+        request.attempt = { RequestId(id), 1 };
+        request.deadlineMs = 4000;
+        request.promptTokens = Tokens(100);
+        request.maxOutputTokens = request.expectedOutputTokens = Tokens(50);
+        request.continuedStream = stream;
+        return request;
+    }
+
+    AttemptStarted startOf(uint64_t id, const std::string& version) { return { pool, { RequestId(id), 1 }, 20, 0, { stream, version } }; }
+
+    /** Node 1 owns a pool of target 1 with software v1 and target 2 with v2, and has the syncs of all nodes. */
+    struct Owner {
+        explicit Owner(const PoolSync& syncOfNode2 = {})
+        {
+            PoolHostSettings settings;
+            settings.self = NodeId(1);
+            settings.incarnation = Incarnation(1);
+            settings.region = "lakes";
+            settings.pool.policy = "slots";
+            host = std::make_unique<PoolHost>(settings, transport, metrics, PoolHostHooks { [] { return true; }, [] {}, [](const SuspectVerdict&) {}, clock.hook() });
+            config.targets = { { TargetId(1), makeTarget(1, "v1") }, { TargetId(2), makeTarget(2, "v2") } };
+            config.nodes = { { NodeId(1), nodeRecord(1) }, { NodeId(2), nodeRecord(2) } };
+            config.pools[pool] = modelPool(10, Epoch(2), 1);
+            host->onConfigChange(config);
+            send(1, MessageType::PoolSync, PoolSync { pool, Epoch(2), {}, {}, {}, {}, {}, {} });
+            auto sync = syncOfNode2;
+            sync.pool = pool;
+            sync.epoch = Epoch(2);
+            send(2, MessageType::PoolSync, sync);
+        }
+
+        template <class T>
+        void send(uint32_t from, MessageType type, const T& message) { host->onMessage(NodeId(from), LinkId(1), type, encode(message)); }
+
+        [[nodiscard]] std::vector<TargetId> grants() const
+        {
+            std::vector<TargetId> targets;
+            for (const auto& grant : transport.replied<Grant>(MessageType::Grant, NodeId(2)))
+                targets.push_back(grant.target);
+            return targets;
+        }
+        [[nodiscard]] std::vector<GrantRefusal> refusals() const { return transport.replied<GrantRefusal>(MessageType::GrantRefusal, NodeId(2)); }
+
+        ManualClock clock;
+        FakeTransport transport;
+        MetricRegistry metrics;
+        ClusterConfig config;
+        std::unique_ptr<PoolHost> host;
+    };
+
+    // Guards against a stream that goes on at another software version when its caller continues it through another entry.
+    TEST(StreamContinuationTest, OwnerGrantsTheVersionThatBeganTheStream)
+    {
+        for (const char* version : { "v1", "v2" }) {
+            Owner owner;
+            // The owner did not grant this attempt: the entry chose the target itself.
+            owner.send(2, MessageType::AttemptStarted, startOf(5, version));
+            for (uint64_t id = 100; id < 104; ++id)
+                owner.send(2, MessageType::GrantRequest, continuation(id));
+            auto expected = TargetId(version == std::string("v1") ? 1 : 2);
+            EXPECT_EQ(owner.grants(), std::vector<TargetId>(4, expected)) << version;
+            EXPECT_EQ(owner.transport.replied<Grant>(MessageType::Grant, NodeId(2)).at(0).softwareVersion, version);
+        }
+    }
+
+    // Guards against an owner that takes the target of a grant for the one that began the stream: the entry may have used another.
+    TEST(StreamContinuationTest, GrantThatWasNotUsedDoesNotDecideTheVersion)
+    {
+        Owner owner;
+        auto request = continuation(100);
+        request.continuedStream = {};
+        request.excluded = { TargetId(1) };
+        owner.send(2, MessageType::GrantRequest, request);
+        ASSERT_EQ(owner.grants(), std::vector<TargetId> { TargetId(2) });
+        owner.send(2, MessageType::GrantCancellation, GrantCancellation { pool, request.attempt, true });
+        owner.send(2, MessageType::AttemptStarted, startOf(100, "v1"));
+        owner.send(2, MessageType::GrantRequest, continuation(101));
+        EXPECT_EQ(owner.grants().back(), TargetId(1));
+    }
+
+    // Guards against a stream that goes on anywhere because the owner of its pool is new.
+    TEST(StreamContinuationTest, NewOwnerLearnsTheVersionsFromEntries)
+    {
+        PoolSync sync;
+        sync.streams = { { stream, "v2" } };
+        Owner owner(sync);
+        owner.send(2, MessageType::GrantRequest, continuation(100));
+        EXPECT_EQ(owner.grants(), std::vector<TargetId> { TargetId(2) });
+    }
+
+    // Guards against a stream of unknown version that is joined to whatever serves.
+    TEST(StreamContinuationTest, UnknownStreamIsRefusedAsNotRun)
+    {
+        Owner owner;
+        owner.send(2, MessageType::GrantRequest, continuation(100));
+        EXPECT_TRUE(owner.grants().empty());
+        ASSERT_EQ(owner.refusals().size(), 1U);
+        EXPECT_EQ(owner.refusals()[0].kind, ErrorKind::UnknownStream);
+        EXPECT_EQ(errorInfo(ErrorKind::UnknownStream).defaultRan, Ran::No);
+    }
+
+    /** An entry whose pool is owned by node 2, which knows no streams. */
+    struct Entry {
+        explicit Entry(Loop& loopToUse)
+            : loop(loopToUse)
+        {
+            config.version = Version(1);
+            config.nodes = { { NodeId(1), nodeRecord(1) }, { NodeId(2), nodeRecord(2) } };
+            config.pools[pool] = modelPool(10, Epoch(5), 2);
+            config.pools[pool].softwareVersions = { "v1" };
+            config.targets = { { TargetId(1), makeTarget(1, "v1") } };
+            apply();
+        }
+
+        void apply()
+        {
+            config.version = Version(config.version.value() + 1);
+            HeartbeatReply reply;
+            reply.snapshot = config;
+            view.apply(reply);
+            client.onConfigChange(view.config());
+        }
+
+        /** Continues the stream; the owner, if it is asked, does not know it. */
+        std::shared_ptr<std::optional<Result<Grant>>> continueStream(uint64_t id)
+        {
+            auto result = std::make_shared<std::optional<Result<Grant>>>();
+            loop.spawn([this, id, result] { *result = client.acquire(continuation(id), clock.now + 1h); });
+            sleepFor(loop, 0ms);
+            if (!requests().empty() && !requests().back().softwareVersion) {
+                client.onMessage(MessageType::GrantRefusal, encode(GrantRefusal { pool, { RequestId(id), 1 }, ErrorKind::UnknownStream, 1000, "" }));
+                sleepFor(loop, 0ms);
+            }
+            return result;
+        }
+
+        void grant(uint64_t id)
+        {
+            client.onMessage(MessageType::Grant, encode(Grant { pool, { RequestId(id), 1 }, Epoch(5), TargetId(1), "v1" }));
+            sleepFor(loop, 0ms);
+        }
+
+        [[nodiscard]] std::vector<GrantRequest> requests() const { return transport.posted<GrantRequest>(MessageType::GrantRequest, NodeId(2)); }
+
+        PoolClientSettings settings()
+        {
+            PoolClientSettings settings { NodeId(1), "lakes", "duluth", 6s, [] { return true; } };
+            settings.localSelectionAfter = 150ms;
+            settings.localSelectionPolicy.policy = "slots";
+            settings.confirmConfiguration = [this](Duration) { return confirm(); };
+            return settings;
+        }
+
+        Loop& loop;
+        ManualClock clock;
+        FakeTransport transport;
+        ClusterConfig config;
+        ClusterView view;
+        std::function<bool()> confirm { [] { return true; } };
+        PoolClient client { loop, settings(), view, transport, clock.hook() };
+    };
+
+    // Guards against refusing all streams that callers continue while only one software version serves, as on most days.
+    TEST(StreamContinuationTest, UnknownStreamGoesOnWhileThereIsOneVersion)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto result = entry.continueStream(100);
+            ASSERT_EQ(entry.requests().size(), 2U);
+            EXPECT_EQ(entry.requests().back().softwareVersion, "v1");
+            entry.grant(100);
+            ASSERT_TRUE(result->has_value());
+            EXPECT_TRUE(result->value());
+        });
+    }
+
+    // Guards against an entry that was cut off or suspended while targets of a new version joined, and takes its old
+    // configuration for the current one.
+    TEST(StreamContinuationTest, EntryThatMissedNewTargetsDoesNotGuessTheVersion)
+    {
+        runInFiber([](Loop& loop) {
+            Entry cutOff(loop);
+            cutOff.confirm = [] { return false; };
+            auto refused = cutOff.continueStream(100);
+            ASSERT_TRUE(refused->has_value());
+            EXPECT_EQ(refused->value().error().kind, ErrorKind::UnknownStream);
+
+            Entry resumed(loop);
+            resumed.confirm = [&] {
+                resumed.config.targets[TargetId(2)] = makeTarget(2, "v2");
+                resumed.config.pools[pool].softwareVersions = { "v1", "v2" };
+                resumed.apply();
+                return true;
+            };
+            refused = resumed.continueStream(100);
+            ASSERT_TRUE(refused->has_value());
+            EXPECT_EQ(refused->value().error().kind, ErrorKind::UnknownStream);
+        });
+    }
+
+    // Guards against an entry that, while the owner does not respond, continues streams wherever it has a target.
+    TEST(StreamContinuationTest, LocalSelectionKeepsTheVersion)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            entry.config.targets[TargetId(2)] = makeTarget(2, "v2");
+            entry.config.pools[pool].softwareVersions = { "v1", "v2" };
+            entry.apply();
+            entry.transport.unreachable.insert(NodeId(2));
+            auto unknown = entry.continueStream(100);
+            ASSERT_TRUE(unknown->has_value());
+            EXPECT_EQ(unknown->value().error().kind, ErrorKind::UnknownStream);
+
+            auto begun = std::make_shared<std::optional<Result<Grant>>>();
+            auto request = continuation(101);
+            request.continuedStream = {};
+            request.excluded = { TargetId(1) };
+            loop.spawn([&] { *begun = entry.client.acquire(request, entry.clock.now + 1h); });
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(begun->has_value());
+            ASSERT_TRUE(begun->value()) << begun->value().error().message;
+            ASSERT_EQ(begun->value()->target, TargetId(2));
+            entry.client.reportStarted(startOf(101, "v2"));
+            for (uint64_t id = 102; id < 104; ++id) {
+                auto known = entry.continueStream(id);
+                ASSERT_TRUE(known->has_value() && known->value());
+                EXPECT_EQ(known->value()->target, TargetId(2));
+            }
+        });
+    }
+
+    // Guards against a configuration that forgets a version while its streams may still be continued, and against one that
+    // never does.
+    TEST(StreamContinuationTest, VersionIsRetiredWhenItsStreamsHaveEnded)
+    {
+        ClusterConfig config;
+        config.pools[pool] = modelPool(10, Epoch(5), 2);
+        config.pools[pool].softwareVersions = { "v1", "v2" };
+        config.targets = { { TargetId(1), makeTarget(1, "v1") }, { TargetId(2), makeTarget(2, "v2") } };
+        Route route;
+        route.kind = RouteKind::Stream;
+        route.timeoutMs = 40000;
+        config.routing.routes = { route };
+        VersionRetirement retirement;
+        Instant now { 1h };
+        EXPECT_TRUE(retirement.decide(config, now).empty());
+        now += 10min;
+        config.targets.erase(TargetId(1));
+        EXPECT_EQ(soleSoftwareVersion(config, pool), std::nullopt);
+        EXPECT_TRUE(retirement.decide(config, now).empty());
+        now += 79s;
+        EXPECT_TRUE(retirement.decide(config, now).empty());
+        now += 2s;
+        ASSERT_EQ(retirement.decide(config, now).size(), 1U);
+        EXPECT_EQ(retirement.decide(config, now)[0].versions, std::vector<std::string> { "v1" });
+    }
+
+    // Guards against a table of streams that grows without limit, and against one that a later event overwrites.
+    TEST(StreamContinuationTest, StreamsAreKeptForALimitedTime)
+    {
+        StreamVersions versions;
+        Instant now { 1h };
+        versions.record({ stream, "v1" }, now);
+        versions.record({ stream, "v2" }, now + 1s);
+        EXPECT_EQ(versions.find(stream, now + 1s), "v1");
+        EXPECT_EQ(versions.find(stream, now + 1s + StreamVersions::retention), std::nullopt);
+        for (uint64_t id = 1; id <= 2 * StreamVersions::capacity; ++id)
+            versions.record({ StreamId(1000 + id), "v1" }, now + 2s);
+        EXPECT_EQ(versions.size(), StreamVersions::capacity);
+        versions.tick(now + 2s + StreamVersions::retention);
+        EXPECT_EQ(versions.size(), 0U);
+    }
+
+}
+}
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -1,6 +1,7 @@
 #include "support/RoutedRequestFixture.h"
 
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace briarhitch {
 namespace {
@@ -56,5 +57,50 @@
         EXPECT_EQ(fixture.exchange.body, event(1) + event(2) + event(3));
     }
 
+    // Guards against a stream that is continued by another service of a split route than the one that began it.
+    TEST(StreamVersionTest, ContinuedStreamStaysWithItsService)
+    {
+        for (int number = 0; number < 50; ++number) {
+            Fixture fixture;
+            auto config = fixture.view.config();
+            config.version = Version(3);
+            config.routing.services.push_back({ "engines-2", "", 0, true, 0, 5, true });
+            for (auto& route : config.routing.routes) {
+                if (route.pathPrefix == "/query/")
+                    route.services = { { "engines", 1 }, { "engines-2", 1 } };
+            }
+            fixture.apply(config);
+            std::vector<std::string> services;
+            fixture.pools.onFindPool = [&](const std::string& service) { services.push_back(service); };
+            auto request = RoutedRequestFixture::requestTo("/query/1");
+            request.callerId = "begun-" + std::to_string(number);
+            fixture.targets.script = { streamOf({ event(1) }), streamOf({ event(2) }) };
+            fixture.run(request);
+            request.resumesCallerId = std::exchange(request.callerId, "continued");
+            request.lastEventId = 1;
+            fixture.run(request);
+            ASSERT_EQ(services.size(), 2U);
+            EXPECT_EQ(services[0], services[1]);
+            ASSERT_EQ(fixture.pools.started.size(), 2U);
+            EXPECT_EQ(fixture.pools.started[0].stream.stream, fixture.pools.started[1].stream.stream);
+            EXPECT_EQ(fixture.pools.grantRequests[1].continuedStream, fixture.pools.started[0].stream.stream);
+        }
+    }
+
+    // Guards against an attempt that is sent although the target was chosen for another software version than it has now.
+    TEST(StreamVersionTest, GrantForAnotherVersionIsNotUsed)
+    {
+        Fixture fixture;
+        fixture.pools.grantedVersion = "v1";
+        fixture.pools.grants = { TargetId(2), TargetId(3) };
+        fixture.targets.script = { streamOf({ event(2) }) };
+        auto request = RoutedRequestFixture::requestTo("/query/1");
+        request.lastEventId = 1;
+        request.resumesCallerId = "begun";
+        fixture.run(request);
+        EXPECT_EQ(fixture.instances(), std::vector<std::string> { "t3" });
+        EXPECT_EQ(fixture.pools.released, 1);
+    }
+
 }
 }
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -253,7 +253,12 @@
 /** Grants the targets of a list in order. */
 class FakePools : public PoolGateway {
 public:
-    Result<PoolId> findPool(PoolKind, const std::string&) const override { return PoolId(1); }
+    Result<PoolId> findPool(PoolKind, const std::string& service) const override
+    {
+        if (onFindPool)
+            onFindPool(service);
+        return PoolId(1);
+    }
     Result<Grant> acquire(const GrantRequest& ask, Instant) override
     {
         grantRequests.push_back(ask);
@@ -263,7 +268,7 @@
             return refusal ? Result<Grant>(tl::unexpected(*refusal)) : fail(ErrorKind::NoTarget, "no target is left");
         auto target = grants.front();
         grants.pop_front();
-        return Grant { ask.pool, ask.attempt, Epoch(5), target };
+        return Grant { ask.pool, ask.attempt, Epoch(5), target, grantedVersion };
     }
     void cancelAcquire(AttemptId) override { ++abandoned; }
     bool isCurrent(const Grant&) const override
@@ -273,7 +278,11 @@
         return !isStale;
     }
     void release(const Grant&) override { ++released; }
-    void reportStarted(const AttemptStarted&) override { ++startedAttempts; }
+    void reportStarted(const AttemptStarted& message) override
+    {
+        ++startedAttempts;
+        started.push_back(message);
+    }
     void reportFinished(const AttemptFinished& message) override
     {
         outcomes.push_back(message.outcome);
@@ -291,7 +300,11 @@
     std::deque<TargetId> grants;
     mutable int staleGrants { 0 };
     std::function<void()> onAcquire;
+    std::function<void(const std::string& service)> onFindPool;
+    /** Named by each grant. */
+    std::optional<std::string> grantedVersion;
     std::vector<GrantRequest> grantRequests;
+    std::vector<AttemptStarted> started;
     std::vector<AttemptOutcome> outcomes;
     std::vector<AttemptFinished> finished;
     /** Returned once no grants are left. */
