Wait for the outcome of a move before a stream ends as complete

Cause: a move of a running generation stops it first and is answered last, when its KV cache has been copied behind those of others. The entry gave the call up after 500 ms and took silence for "not stopped"; the target then closes the stream, and without a length or chunks the end of the connection looks like the end of the stream.

Ruled out: framing by the target (there is none), events lost in the entry (the target sent no more).

Change: the call runs in a fiber of its own (GenerationMigration), for up to 5 s, while events are relayed. Its result is running, stopped or unknown. A stream that ends meanwhile waits for the result until the request's deadline and resumes where it says. While the outcome is unknown, the end of the connection is not the end of the stream: a resumable one is resumed elsewhere, any other is broken off. The place at the destination is freed in each case, also when the caller leaves during the move.

--- a/include/briarhitch/entry/RoutedRequest.h
+++ b/include/briarhitch/entry/RoutedRequest.h
@@ -63,14 +63,23 @@
     std::string kvCacheSource;
 };
 
+/** What a migration call did to the generation at its source. */
+enum class GenerationState : uint8_t {
+    /** It goes on as if there had been no call, or had ended before. */
+    Running,
+    /** It has stopped, and its KV cache is at the source or at the destination. */
+    Stopped,
+    /** The call was sent, and no answer says what it did. */
+    Unknown,
+};
+
 /** A target's response to the call that migrates a running generation to another target. */
 struct MigrationResult {
-    /** The generation has stopped, and its KV cache is at the source or at the destination. */
-    bool hasStopped { false };
+    GenerationState state { GenerationState::Unknown };
     /** The destination has the KV cache. */
     bool isCacheTransferred { false };
     /** Identifies the KV cache to the target that resumes the generation. */
-    std::string kvCacheSource;
+    std::string kvCacheSource {};
 };
 
 /** State that a target reports in the headers of its responses. */
--- a/include/briarhitch/entry/RoutedRequestRunner.h
+++ b/include/briarhitch/entry/RoutedRequestRunner.h
@@ -33,8 +33,10 @@
     Duration otherSlotTimeout { std::chrono::milliseconds(40) };
     /** Between two attempts to migrate a stream. */
     Duration migrationRetryDelay { std::chrono::milliseconds(400) };
-    /** For the header of the migration call's response, and again for its body. */
-    Duration migrationCallTimeout { std::chrono::milliseconds(500) };
+    /** For the migration call's response, which comes when the KV cache has been copied behind those of other generations. */
+    Duration migrationCallTimeout { std::chrono::seconds(5) };
+    /** Between two checks whether a migration call that a stream waits for has been answered. */
+    Duration migrationPollInterval { std::chrono::milliseconds(5) };
 };
 
 /** Functions of the rest of the node that a RoutedRequestRunner calls. All must be set. */
@@ -50,6 +52,9 @@
     std::function<void(const std::string& service)> recordRequest;
     /** Takes one retry from the service's retry budget; false if the budget is spent. */
     std::function<bool(const std::string& service)> acquireRetry;
+    /** Runs a task in a fiber of its own. */
+    std::function<void(std::function<void()> task)> spawn;
+    std::function<void(Duration)> sleep;
     ClockHook now;
 };
 
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -242,6 +242,8 @@
         hooks.refundCeiling = [this](const Contract& contract, Tokens tokens, CeilingDecider decider) { ceilingClient->refund(contract, tokens, decider); };
         hooks.recordRequest = [this](const std::string& service) { serviceRetryBudget.recordRequest(service, BootClock::now()); };
         hooks.acquireRetry = [this](const std::string& service) { return serviceRetryBudget.acquireRetry(service, clusterView.entryCount(), BootClock::now()); };
+        hooks.spawn = [this](std::function<void()> task) { loop.spawn(std::move(task)); };
+        hooks.sleep = [this](Duration time) { sleepFor(loop, time); };
         hooks.now = &BootClock::now;
         return hooks;
     }
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -83,6 +83,7 @@
 RoutedRequestRun::~RoutedRequestRun()
 {
     callerState_->onDisconnect = nullptr;
+    releaseMigration();
     // Still held only after an exception; the target's slot must be freed.
     if (isGrantHeld_)
         finishAttempt(AttemptOutcome::Failed);
@@ -334,6 +335,7 @@
     hasFirstEvent_ = false;
     hasTargetClosed_ = false;
     hasRefusedConnection_ = false;
+    mayHaveStopped_ = false;
     connectionAge_ = Duration::zero();
     auto settings = callSettings(target);
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
@@ -425,6 +427,7 @@
 
 RoutedRequestRun::Failure RoutedRequestRun::endForDisconnectedCaller()
 {
+    releaseMigration();
     recordEvent("caller left", {}, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
     // A caller that disconnects close to its deadline was not served in time, so the request counts as failed.
     hasFailed_ = timeLeft() <= nearDeadlineTime;
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -4,12 +4,15 @@
 #include "entry/CallerConnectionState.h"
 #include "entry/EventStreamParser.h"
 
+#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace briarhitch {
 
+class GenerationMigration;
+
 /** Handles one routed request, in the fiber of its connection. */
 class RoutedRequestRun {
 public:
@@ -52,11 +55,14 @@
     [[nodiscard]] Duration stallLimit() const;
     /** Whether the stream has run for so long that it may miss its deadline on its current target. */
     [[nodiscard]] bool shouldMigrate() const;
-    /**
-     * Has the generation stopped and its KV cache sent to a faster target. True if it has stopped; migrationGrant_ then
-     * tells where it resumes.
-     */
-    bool migrateGeneration();
+    /** Has the generation stopped and its KV cache sent to a faster target, if one is free. */
+    void beginMigration();
+    /** If the migration call has been answered: migrationGrant_ then tells where a stopped generation resumes. */
+    void adoptMigrationResult();
+    /** Waits for the answer, because the stream has ended as it does when its generation is stopped. */
+    void awaitMigration();
+    /** Gives up a migration, and frees the place at its destination. */
+    void releaseMigration();
     std::optional<Failure> resumeAfterMigration();
     /** For a stalled stream: a grant for another target, with a retry taken from the budget; none if it must stay where it is. */
     std::optional<Grant> acquireOtherSlot();
@@ -132,6 +138,10 @@
     /** Of the current attempt. */
     Target target_;
     Instant nextMigrationAt_ {};
+    /** The call has been sent, and its answer was not adopted yet. */
+    std::shared_ptr<GenerationMigration> migration_;
+    /** A migration call to the current target was not answered, so the end of the connection need not be that of the stream. */
+    bool mayHaveStopped_ { false };
     /** Set once the generation has stopped for a migration: the grant under which it resumes. */
     std::optional<Grant> migrationGrant_;
     std::string kvCacheSource_;
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -1,6 +1,7 @@
 #include "entry/RoutedRequestRun.h"
 
 #include "briarhitch/http/EndToEndHeaders.h"
+#include "entry/GenerationMigration.h"
 
 #include <absl/strings/str_cat.h>
 #include <algorithm>
@@ -60,6 +61,10 @@
                 continue;
             }
             response.cancel();
+            if (otherGrant)
+                releaseMigration();
+            else
+                awaitMigration();
             if (migrationGrant_)
                 return resumeAfterMigration();
             auto failure = failAttempt(chunk.error(), AttemptOutcome::Failed);
@@ -76,17 +81,22 @@
                 return endForDisconnectedCaller();
             }
         }
-        if (!migrationGrant_ && shouldMigrate())
-            migrateGeneration();
+        if (!migration_ && !migrationGrant_ && shouldMigrate())
+            beginMigration();
+        adoptMigrationResult();
     }
     // A generation that is stopped closes its stream, which ends a response without a length as if it were complete.
-    if (migrationGrant_ && response.endsWithConnection())
-        return resumeAfterMigration();
-    if (migrationGrant_) {
-        // The response was complete before the generation could be stopped.
-        runner_.pools.release(*std::exchange(migrationGrant_, std::nullopt));
-        kvCacheSource_.clear();
+    if (response.endsWithConnection()) {
+        awaitMigration();
+        if (callerState_->isDisconnected)
+            return endForDisconnectedCaller();
+        if (migrationGrant_)
+            return resumeAfterMigration();
+        if (mayHaveStopped_)
+            return failAttempt(makeError(ErrorKind::TargetFailed, "the stream ended, and its generation may have been stopped"), AttemptOutcome::Failed);
     }
+    // The response was complete before the generation could be stopped.
+    releaseMigration();
     return endStream(response, parser.pending());
 }
 
@@ -138,7 +148,7 @@
         && timeLeft() >= fromSeconds((1 - runner_.limits.migrateAfterFraction) / 2 * toSeconds(totalTime));
 }
 
-bool RoutedRequestRun::migrateGeneration()
+void RoutedRequestRun::beginMigration()
 {
     nextMigrationAt_ = now() + runner_.limits.migrationRetryDelay;
     ++attempt_.number;
@@ -148,42 +158,68 @@
     auto grant = runner_.pools.acquire(grantRequest, now() + runner_.limits.otherSlotTimeout);
     if (!grant) {
         recordEvent("not moved", grant.error().message);
-        return false;
+        return;
     }
-    auto targetEntry = runner_.view.config().targets.find(grant->target);
-    bool isUsable = targetEntry != runner_.view.config().targets.end() && !checkBeforeSending(*grant) && runner_.hooks.acquireRetry(service_->name);
+    auto destination = runner_.view.config().targets.find(grant->target);
+    bool isUsable = destination != runner_.view.config().targets.end() && !checkBeforeSending(*grant) && runner_.hooks.acquireRetry(service_->name);
     if (!isUsable) {
         runner_.pools.release(*grant);
-        return false;
+        return;
     }
-    Target destination = targetEntry->second;
-    auto call = runner_.protocol.migrationCall(request_, target_, destination);
+    auto call = runner_.protocol.migrationCall(request_, target_, destination->second);
     call.connectTimeout = runner_.limits.connectTimeout;
     call.headerTimeout = runner_.limits.migrationCallTimeout;
     call.isResendAllowed = false;
-    auto response = runner_.hooks.start(call);
-    if (response) {
-        auto signals = runner_.protocol.targetSignals((*response)->headers(), (*response)->status());
-        reportAvailability(signals);
-        reportRateLimit(signals, false);
-    }
-    auto body = response ? (*response)->readAll(runner_.limits.migrationCallTimeout) : Result<std::string>(tl::unexpected(response.error()));
-    auto result = body ? runner_.protocol.parseMigrationResult(target_, (*response)->status(), *body) : MigrationResult {};
-    recordEvent(result.hasStopped ? "moved" : "not moved", body ? "" : body.error().message, { { "from", target_.name }, { "to", destination.name }, { "from_version", target_.softwareVersion }, { "to_version", destination.softwareVersion }, { "events", static_cast<int64_t>(attemptEvents_) } });
-    count("routed_moves_total", "result", result.isCacheTransferred ? "arrived" : result.hasStopped ? "stopped"
-                                                                                                    : "none");
-    if (!result.isCacheTransferred) {
-        runner_.pools.release(*grant);
-        // The KV cache is still at the source, so the generation resumes there.
-        if (result.hasStopped) {
-            migrationGrant_ = grant_;
-            kvCacheSource_ = result.kvCacheSource;
-        }
-        return result.hasStopped;
+    migration_ = GenerationMigration::start(runner_, std::move(call), target_, destination->second, *grant);
+}
+
+void RoutedRequestRun::adoptMigrationResult()
+{
+    if (!migration_ || !migration_->result())
+        return;
+    auto migration = std::exchange(migration_, nullptr);
+    const auto& result = *migration->result();
+    if (migration->signals()) {
+        reportAvailability(*migration->signals());
+        reportRateLimit(*migration->signals(), false);
     }
-    migrationGrant_ = *grant;
+    bool hasStopped = result.state == GenerationState::Stopped;
+    mayHaveStopped_ = mayHaveStopped_ || result.state == GenerationState::Unknown;
+    const auto& destination = migration->destination();
+    recordEvent(hasStopped ? "moved" : "not moved", migration->failure(), { { "from", target_.name }, { "to", destination.name }, { "from_version", target_.softwareVersion }, { "to_version", destination.softwareVersion }, { "events", static_cast<int64_t>(attemptEvents_) }, { "outcome_known", int64_t(result.state != GenerationState::Unknown) } });
+    count("routed_moves_total", "result", result.isCacheTransferred ? "arrived" : hasStopped ? "stopped"
+            : result.state == GenerationState::Unknown                                       ? "unknown"
+                                                                                             : "none");
+    if (!result.isCacheTransferred)
+        runner_.pools.release(migration->grant());
+    if (!hasStopped)
+        return;
+    // Without a transfer the KV cache is still at the source, so the generation resumes there.
+    migrationGrant_ = result.isCacheTransferred ? migration->grant() : grant_;
     kvCacheSource_ = result.kvCacheSource;
-    return true;
+}
+
+void RoutedRequestRun::awaitMigration()
+{
+    while (migration_ && !migration_->result() && now() < deadline_ && !callerState_->isDisconnected)
+        runner_.hooks.sleep(runner_.limits.migrationPollInterval);
+    adoptMigrationResult();
+    if (!migration_)
+        return;
+    mayHaveStopped_ = true;
+    releaseMigration();
+}
+
+void RoutedRequestRun::releaseMigration()
+{
+    if (migration_)
+        runner_.pools.release(migration_->grant());
+    migration_.reset();
+    // A generation that resumes at its source keeps the grant of its attempt.
+    if (migrationGrant_ && migrationGrant_->attempt != grant_.attempt)
+        runner_.pools.release(*migrationGrant_);
+    migrationGrant_.reset();
+    kvCacheSource_.clear();
 }
 
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::resumeAfterMigration()
--- a/tests/RoutedRequestRunnerTest.cpp
+++ b/tests/RoutedRequestRunnerTest.cpp
@@ -439,5 +439,88 @@
         EXPECT_EQ(early.targets.log.size(), 1u);
     }
 
+    ScriptedResponse unframedStreamOf(std::vector<Result<std::string>> chunks)
+    {
+        auto response = streamOf(std::move(chunks));
+        response.endsWithConnection = true;
+        return response;
+    }
+
+    // Guards against an answer that ends as complete although its generation was stopped for a move whose answer was lost: without a
+    // length, the end of the connection looks like the end of the stream.
+    TEST(RoutedRequestRunnerTest, MoveWithoutAnAnswerDoesNotCompleteTheStream)
+    {
+        for (auto kind : { ErrorKind::TargetClosed, ErrorKind::TargetFailed }) {
+            Fixture fixture;
+            letTimePassAfterFirstEvent(fixture, 600ms);
+            fixture.targets.script = { unframedStreamOf({ event(1), event(2) }), failWith(kind, Ran::Unknown) };
+            fixture.run("/plan/1");
+            EXPECT_EQ(fixture.exchange.body, event(1) + event(2));
+            EXPECT_FALSE(fixture.exchange.isEnded) << errorInfo(kind).name;
+            EXPECT_TRUE(fixture.exchange.isAborted) << errorInfo(kind).name;
+        }
+    }
+
+    // Guards against a stream that is broken off because the copy of its KV cache waits behind others for longer than usual.
+    TEST(RoutedRequestRunnerTest, LateAnswerOfAMoveIsWaitedFor)
+    {
+        for (bool isUnframed : { true, false }) {
+            Fixture fixture;
+            letTimePassAfterFirstEvent(fixture, 600ms);
+            fixture.spawnDelay = 400ms;
+            auto stopped = streamOf({ event(1), event(2), tl::unexpected(makeError(ErrorKind::TargetClosed, "closed")) });
+            fixture.targets.script = { isUnframed ? unframedStreamOf({ event(1), event(2) }) : stopped, respondWith(200, "h7"), streamOf({ event(3) }) };
+            fixture.run("/plan/1");
+            EXPECT_EQ(fixture.exchange.body, event(1) + event(2) + event(3));
+            EXPECT_TRUE(fixture.exchange.isEnded);
+            EXPECT_EQ(fixture.header(2, "From"), "t1/h7");
+            EXPECT_EQ(fixture.pools.released, 0);
+        }
+    }
+
+    // Guards against a request that never ends, or ends as complete, when a move is not answered at all.
+    TEST(RoutedRequestRunnerTest, UnansweredMoveEndsAtTheDeadline)
+    {
+        Fixture fixture;
+        letTimePassAfterFirstEvent(fixture, 600ms);
+        fixture.spawnDelay = 1h;
+        auto startedAt = fixture.clock.now;
+        fixture.targets.script = { unframedStreamOf({ event(1), event(2) }) };
+        fixture.run("/plan/1");
+        EXPECT_FALSE(fixture.exchange.isEnded);
+        EXPECT_TRUE(fixture.exchange.isAborted);
+        EXPECT_EQ(fixture.pools.released, 1);
+        EXPECT_LE(fixture.clock.now - startedAt, 1300ms);
+    }
+
+    // Guards against a whole answer that is broken off because of a move that came too late for it.
+    TEST(RoutedRequestRunnerTest, CompleteStreamDoesNotWaitForItsMove)
+    {
+        Fixture fixture;
+        letTimePassAfterFirstEvent(fixture, 600ms);
+        fixture.spawnDelay = 1h;
+        fixture.targets.script = { streamOf({ event(1), event(2) }) };
+        fixture.run("/plan/1");
+        EXPECT_TRUE(fixture.exchange.isEnded);
+        EXPECT_EQ(fixture.pools.released, 1);
+    }
+
+    // Guards against a place at the destination of a move that stays occupied because the caller left meanwhile.
+    TEST(RoutedRequestRunnerTest, CallerThatLeavesDuringAMoveFreesThePlaceAtItsDestination)
+    {
+        for (Duration answerAfter : { Duration(0), Duration(1h) }) {
+            Fixture fixture;
+            fixture.spawnDelay = answerAfter;
+            letTimePassAfterFirstEvent(fixture, 600ms);
+            fixture.exchange.disconnectAfterWrites = 2;
+            fixture.targets.script = { streamOf({ event(1), event(2), event(3) }) };
+            if (answerAfter == Duration(0))
+                fixture.targets.script.push_back(respondWith(200, "h7"));
+            fixture.run("/plan/1");
+            EXPECT_EQ(fixture.pools.released, 1);
+            EXPECT_EQ(fixture.pools.outcomes, std::vector { AttemptOutcome::Cancelled });
+        }
+    }
+
 }
 }
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -80,7 +80,7 @@
         EXPECT_FALSE(decodeRouting(configText(R"("version":7)", R"("version":)" + deep)));
         EXPECT_TRUE(decodeRouting(configText(R"("version":7)", R"("version":7,"unknown":)" + deep)));
         auto stopped = serverProtocol().parseMigrationResult(Target(), 200, R"({"handle":)" + deep + "}");
-        EXPECT_FALSE(stopped.hasStopped);
+        EXPECT_EQ(stopped.state, GenerationState::Unknown);
     }
 
     // Guards against an entry of another program that is taken for a usable server, or makes the other entries unreadable.
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -54,6 +54,8 @@
     std::vector<Result<std::string>> bodyChunks;
     /** Before each chunk except the first. */
     Duration delayBeforeChunk { 0 };
+    /** The body has neither a length nor chunks. */
+    bool endsWithConnection { false };
 };
 
 inline ScriptedResponse respondWith(int status, const std::string& body, HttpHeaders headers = {})
@@ -78,6 +80,7 @@
 
     [[nodiscard]] int status() const override { return response_.status; }
     [[nodiscard]] const HttpHeaders& headers() const override { return response_.headers; }
+    [[nodiscard]] bool endsWithConnection() const override { return response_.endsWithConnection; }
 
     Result<std::optional<std::string>> read(Duration timeout) override
     {
--- a/tests/support/RoutedRequestFixture.h
+++ b/tests/support/RoutedRequestFixture.h
@@ -4,7 +4,9 @@
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "support/EntryFakes.h"
 
+#include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace briarhitch {
@@ -51,7 +53,8 @@
         return call;
     };
     protocol.parseMigrationResult = [](const Target& from, int status, const std::string& body) {
-        return MigrationResult { status == 200 || status == 503, status == 200, from.name + "/" + body };
+        auto state = status == 200 || status == 503 ? GenerationState::Stopped : GenerationState::Running;
+        return MigrationResult { state, status == 200, from.name + "/" + body };
     };
     protocol.refusalHeaders = [](const Error&) { return HttpHeaders(); };
     return protocol;
@@ -130,6 +133,22 @@
         hooks.refundCeiling = [this](const Contract&, Tokens tokens, CeilingDecider) { debited -= tokens.value(); };
         hooks.recordRequest = [](const std::string&) {};
         hooks.acquireRetry = [this](const std::string&) { return retriesLeft-- > 0; };
+        hooks.spawn = [this](std::function<void()> task) {
+            if (spawnDelay == Duration::zero())
+                task();
+            else
+                spawned.emplace_back(clock.now + spawnDelay, std::move(task));
+        };
+        hooks.sleep = [this](Duration time) {
+            clock.now += time;
+            auto due = std::exchange(spawned, {});
+            for (auto& [at, task] : due) {
+                if (at <= clock.now)
+                    task();
+                else
+                    spawned.emplace_back(at, std::move(task));
+            }
+        };
         hooks.now = clock.hook();
         return hooks;
     }
@@ -166,6 +185,9 @@
     bool hasConfiguration { true };
     int retriesLeft { 10 };
     int64_t debited { 0 };
+    /** Time until a spawned task runs, at once, in a later sleep; zero: when it is spawned. */
+    Duration spawnDelay { 0 };
+    std::vector<std::pair<Instant, std::function<void()>>> spawned;
     RoutedRequestLimits limits;
     RoutedRequestRunner runner { limits, testProtocol(), view, pools, history, metrics, hooks(), 1 };
 };
