Select targets for known streams only with a recent configuration

Report of another operator: an entry that was cut off or suspended while targets of a new software version joined continued streams at another version than the one that began them (ORDER).

Cause here: an entry that selects targets itself compares the version of a stream that it knows with its record of the target. Cut off from the control leader, it keeps that record for as long as its lease, while the target may have restarted at another version. Streams that it does not know were covered before.

Change: a local selection for a stream needs a heartbeat that was sent within the last second and answered; otherwise the entry asks for one, and refuses the request as not run (unknown_stream) if none is answered in time, so that its caller goes to another entry.

Ruled out: grants of an owner; they name the version, which the entry compares with its own record, so both would have to be out of date.

StreamContinuationTest.EntryWithAnOldConfigurationContinuesNothingAlone needs the new hook and cannot run on the code before; in a trial without the check it fails: the entry continued the stream whatever the age of its configuration.

--- a/include/briarhitch/entry/ControlClient.h
+++ b/include/briarhitch/entry/ControlClient.h
@@ -37,10 +37,10 @@
     /** True from the first heartbeat reply on that granted a lease. */
     [[nodiscard]] bool hasConfiguration() const;
     /**
-     * Blocks the calling fiber until a heartbeat that was sent after this call has been answered, so that the view has all that
-     * was committed before; false after the timeout.
+     * Blocks the calling fiber until a heartbeat has been answered that was sent no earlier than `maxAge` before this call, so
+     * that the view has all that was committed until then; false after the timeout.
      */
-    bool confirmConfiguration(Duration timeout);
+    bool confirmConfiguration(Duration maxAge, Duration timeout);
     /** Sends the next heartbeat without waiting for the interval to elapse. */
     void heartbeatNow();
     /** Marks this node as draining, so that the leader reassigns its pools; sends a heartbeat immediately. */
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -37,10 +37,10 @@
     /** Scheduling policy for local selection. */
     PoolSettings localSelectionPolicy {};
     /**
-     * Blocks the calling fiber until the configuration has all that was committed before the call; false after the timeout.
-     * Not set: it can never be told.
+     * Blocks the calling fiber until the configuration has all that was committed `maxAge` before the call; false after the
+     * timeout. Not set: it can never be told.
      */
-    std::function<bool(Duration timeout)> confirmConfiguration {};
+    std::function<bool(Duration maxAge, Duration timeout)> confirmConfiguration {};
 };
 
 /** The entry's side of pool scheduling: requests grants from pool owners and tracks this entry's running attempts. */
@@ -99,6 +99,8 @@
 
     /** acquire() for a request whose software version is known here, if it is known at all. */
     Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
+    /** Returns a local selection for a stream if the configuration that it relies on is not recent. */
+    Result<Grant> confirmLocalVersion(Result<Grant> grant, Instant deadline);
     /** The only version at which a stream of the pool can have begun; none if that is not certain by the deadline. */
     std::optional<std::string> confirmSoleVersion(PoolId pool, Instant deadline);
     template <class T>
--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -164,11 +164,11 @@
             wake.set();
     }
 
-    bool confirmConfiguration(Duration timeout)
+    bool confirmConfiguration(Duration maxAge, Duration timeout)
     {
         auto calledAt = BootClock::now();
         for (;;) {
-            if (confirmedAt > calledAt)
+            if (confirmedAt > calledAt - maxAge)
                 return true;
             auto timeLeft = calledAt + timeout - BootClock::now();
             if (closed || timeLeft <= Duration::zero())
@@ -299,10 +299,10 @@
     return impl_->hasConfiguration;
 }
 
-bool ControlClient::confirmConfiguration(Duration timeout)
+bool ControlClient::confirmConfiguration(Duration maxAge, Duration timeout)
 {
     auto impl = impl_;
-    return impl->confirmConfiguration(timeout);
+    return impl->confirmConfiguration(maxAge, timeout);
 }
 
 void ControlClient::heartbeatNow()
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -307,7 +307,7 @@
         if (settings.limits.localSelectionAfter > Duration::zero())
             clientSettings.localSelectionAfter = settings.limits.localSelectionAfter;
         clientSettings.localSelectionPolicy = settings.pool;
-        clientSettings.confirmConfiguration = [this](Duration timeout) { return controlClient.confirmConfiguration(timeout); };
+        clientSettings.confirmConfiguration = [this](Duration maxAge, Duration timeout) { return controlClient.confirmConfiguration(maxAge, timeout); };
         poolClient = std::make_unique<PoolClient>(loop, clientSettings, clusterView, *nodeLinks, &BootClock::now);
         ceilingClient = std::make_unique<CeilingClient>(loop, CeilingClientSettings { self.id, settings.ceilingTolerance }, clusterView, *nodeLinks, metrics, &BootClock::now);
         requestRunner = std::make_unique<RequestRunner>(loop, self, settings.limits, clusterView, *poolClient, targetClient, history, metrics, runnerHooks());
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -32,6 +32,8 @@
     constexpr Duration ownerProbeInterval = 200ms;
     /** Longest wait for the control leader to confirm the configuration. */
     constexpr Duration confirmationTimeout = 500ms;
+    /** A configuration of this age is trusted with the versions of targets; the list that it comes from lags by about as much. */
+    constexpr Duration recentConfigurationAge = 1s;
 
     /** Error of a request that was not granted a target; a zero `retryAfter` is left out. */
     Error makeRefusalError(ErrorKind kind, const std::string& reason, Duration retryAfter)
@@ -113,10 +115,10 @@
 Result<Grant> PoolClient::acquire(const GrantRequest& request, Instant deadline)
 {
     if (!needsStreamVersion(request))
-        return acquireSlot(request, deadline);
+        return confirmLocalVersion(acquireSlot(request, deadline), deadline);
     auto continuation = request;
     continuation.softwareVersion = streams_.find(request.continuedStream, now_());
-    auto grant = acquireSlot(continuation, deadline);
+    auto grant = confirmLocalVersion(acquireSlot(continuation, deadline), deadline);
     if (grant || grant.error().kind != ErrorKind::UnknownStream)
         return grant;
     continuation.softwareVersion = confirmSoleVersion(request.pool, deadline);
@@ -128,11 +130,23 @@
     if (!settings_.confirmConfiguration || !soleSoftwareVersion(view_.config(), pool))
         return std::nullopt;
     // Targets of another version may have joined, and begun the stream, without this node having learned of them yet.
-    if (!settings_.confirmConfiguration(std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
+    if (!settings_.confirmConfiguration(Duration::zero(), std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
         return std::nullopt;
     return soleSoftwareVersion(view_.config(), pool);
 }
 
+Result<Grant> PoolClient::confirmLocalVersion(Result<Grant> grant, Instant deadline)
+{
+    // An owner and this node would both have to lack a change of the target's version.
+    bool isLocal = grant && !grant->epoch.isValid();
+    if (!isLocal || !grant->softwareVersion || !settings_.confirmConfiguration)
+        return grant;
+    if (settings_.confirmConfiguration(recentConfigurationAge, std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
+        return grant;
+    release(*grant);
+    return fail(ErrorKind::UnknownStream, "this node may not know the present software versions of the targets");
+}
+
 Result<Grant> PoolClient::acquireSlot(const GrantRequest& request, Instant deadline)
 {
     auto& state = pools_[request.pool];
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -178,7 +178,7 @@
             PoolClientSettings settings { NodeId(1), "lakes", "duluth", 6s, [] { return true; } };
             settings.localSelectionAfter = 150ms;
             settings.localSelectionPolicy.policy = "slots";
-            settings.confirmConfiguration = [this](Duration) { return confirm(); };
+            settings.confirmConfiguration = [this](Duration, Duration) { return confirm(); };
             return settings;
         }
 
@@ -260,6 +260,30 @@
         });
     }
 
+    // Guards against an entry that is cut off and continues its own streams by an old record of a target, which has restarted
+    // with another version meanwhile.
+    TEST(StreamContinuationTest, EntryWithAnOldConfigurationContinuesNothingAlone)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            entry.transport.unreachable.insert(NodeId(2));
+            auto request = continuation(100);
+            request.softwareVersion = "v1";
+            for (bool isRecent : { false, true }) {
+                entry.confirm = [isRecent] { return isRecent; };
+                auto result = std::make_shared<std::optional<Result<Grant>>>();
+                loop.spawn([&entry, request, result] { *result = entry.client.acquire(request, entry.clock.now + 1h); });
+                sleepFor(loop, 0ms);
+                ASSERT_TRUE(result->has_value());
+                ASSERT_EQ(result->value().has_value(), isRecent);
+                if (!isRecent) {
+                    EXPECT_EQ(result->value().error().kind, ErrorKind::UnknownStream);
+                }
+            }
+            EXPECT_EQ(entry.client.runningCount(), 1U);
+        });
+    }
+
     // Guards against a configuration that forgets a version while its streams may still be continued, and against one that
     // never does.
     TEST(StreamContinuationTest, VersionIsRetiredWhenItsStreamsHaveEnded)
