Do not take two targets that name no software version for equal ones

Cause: versions were compared as text, and an unnamed version is an empty one.

Change: an empty version equals another only if no target of the pool names a version, in the scheduler and in the check before an attempt is sent.

StreamVersionTest.UnnamedVersionsAreNotEqual and SlotSchedulerTest.UnnamedVersionsAreEqualOnlyIfNoTargetNamesOne failed before.

--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -54,6 +54,12 @@
         return StreamId(stableHash(continuesNamed ? request.resumesCallerId : request.callerId, customer.value()));
     }
 
+    /** Whether the target certainly has the version; one that names none has the same as others only if its pool has no versions. */
+    bool hasVersion(const ClusterConfig& config, const Target& target, const std::string& version)
+    {
+        return target.softwareVersion == version && (!version.empty() || soleSoftwareVersion(config, target.pool) == version);
+    }
+
     /** 0 to 1, evenly spread over the streams. */
     double fractionOf(StreamId stream)
     {
@@ -289,8 +295,8 @@
     bool isUsable = target != runner_.view.config().targets.end() && target->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
     for (const auto* required : { &softwareVersion_, &grant.softwareVersion }) {
-        if (isUsable && *required && **required != target->second.softwareVersion)
-            return Failure { makeError(ErrorKind::NoTarget, "the granted target has another software version than the one that began the stream"), true };
+        if (isUsable && *required && !hasVersion(runner_.view.config(), target->second, **required))
+            return Failure { makeError(ErrorKind::NoTarget, "the granted target may have another software version than the one that began the stream"), true };
     }
     if (!isUsable || isExcluded || runner_.pools.isRestricted(grant.target) || !runner_.pools.isCurrent(grant))
         return Failure { makeError(ErrorKind::NoTarget, "the granted target accepts no new requests"), true };
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -192,8 +192,13 @@
 
 bool SlotScheduler::isEligible(const RequestRecord& record, const SlotTarget& target) const
 {
+    if (contains(record.request.excluded, target.target.id))
+        return false;
     const auto& version = record.request.softwareVersion;
-    return !contains(record.request.excluded, target.target.id) && (!version || *version == target.target.softwareVersion);
+    if (!version || *version != target.target.softwareVersion)
+        return !version;
+    // Two targets that name no version may have different ones, unless none of the pool names any.
+    return !version->empty() || std::all_of(targets_.begin(), targets_.end(), [](const auto& entry) { return entry.second.target.softwareVersion.empty(); });
 }
 
 bool SlotScheduler::hasEligibleTarget(const RequestRecord& record) const
