Return grants of owners that do not look at software versions

While nodes are upgraded one after the other, an owner of the earlier release ignores the fields that name a stream and its version, and grants any target to a request that continues a stream (ORDER; found by reading).

Change: an entry returns a grant that does not name the version it was chosen for, if the request needs one, and treats the stream as unknown to the owner.

StreamContinuationTest.GrantOfAnOwnerThatIgnoresVersionsIsReturned failed before.

--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -364,7 +364,15 @@
     auto it = pending_.find(grant.attempt);
     if (it != pending_.end() && !it->second->decided.isSet()) {
         cancelLocally(grant.pool, grant.attempt);
-        it->second->grantRequest.softwareVersion = grant.softwareVersion;
+        auto& request = it->second->grantRequest;
+        bool continuesStream = request.continuedStream.isValid() || request.softwareVersion;
+        if (continuesStream && !grant.softwareVersion) {
+            // The owner runs an earlier release, which does not look at versions.
+            release(grant);
+            it->second->decide(fail(ErrorKind::UnknownStream, "the owner of the pool grants targets of any software version"));
+            return;
+        }
+        request.softwareVersion = grant.softwareVersion;
         running_[grant.attempt] = RunningAttempt { it->second->grantRequest, grant.target, false };
         suspects_.attemptGranted(it->second->grantRequest, grant.target);
         it->second->decide(grant);
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -284,6 +284,25 @@
         });
     }
 
+    // Guards against a stream that goes on at any version while nodes are upgraded: an owner of the earlier release ignores the version.
+    TEST(StreamContinuationTest, GrantOfAnOwnerThatIgnoresVersionsIsReturned)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            auto result = std::make_shared<std::optional<Result<Grant>>>();
+            entry.confirm = [] { return false; };
+            loop.spawn([&] { *result = entry.client.acquire(continuation(100), entry.clock.now + 1h); });
+            sleepFor(loop, 0ms);
+            entry.client.onMessage(MessageType::Grant, encode(Grant { pool, { RequestId(100), 1 }, Epoch(5), TargetId(1), std::nullopt }));
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(result->has_value());
+            ASSERT_FALSE(result->value());
+            EXPECT_EQ(result->value().error().kind, ErrorKind::UnknownStream);
+            EXPECT_EQ(entry.transport.posted<GrantCancellation>(MessageType::GrantCancellation, NodeId(2)).size(), 1U);
+            EXPECT_EQ(entry.client.runningCount(), 0U);
+        });
+    }
+
     // Guards against a configuration that forgets a version while its streams may still be continued, and against one that
     // never does.
     TEST(StreamContinuationTest, VersionIsRetiredWhenItsStreamsHaveEnded)
