Give streams classes of their own, and decide on unnamed versions in one place

What an owner and an entry know of the software versions of streams was spread over PoolHost and PoolClient; it is now in OwnerStreams and EntryStreams. That a target may name no version was decided twice, in the scheduler and before an attempt is sent. Now a stream of an unnamed version is not recorded, and so is one that nobody knows: it goes on only if no target of the pool names a version, or callers are refused as for any unknown stream.

SlotSchedulerTest.UnnamedVersionsAreEqualOnlyIfNoTargetNamesOne tested the scheduler, which gets no empty version any more; StreamContinuationTest has a test of that name for owner and entry, and StreamVersionTest.StreamOfAnUnnamedVersionIsUnknownToThePool replaces UnnamedVersionsAreNotEqual for the request. Both are as strict: the pools of the test with one named version refuse, those without any go on.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -2,11 +2,11 @@
 
 #include "briarhitch/entry/ClusterView.h"
 #include "briarhitch/entry/EntryRateLimits.h"
+#include "briarhitch/entry/EntryStreams.h"
 #include "briarhitch/entry/EntrySuspects.h"
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/PoolGateway.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "briarhitch/sched/StreamVersions.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -36,11 +36,8 @@
     std::optional<Duration> localSelectionAfter {};
     /** Scheduling policy for local selection. */
     PoolSettings localSelectionPolicy {};
-    /**
-     * Blocks the calling fiber until the configuration has all that was committed `maxAge` before the call; false after the
-     * timeout. Not set: it can never be told.
-     */
-    std::function<bool(Duration maxAge, Duration timeout)> confirmConfiguration {};
+    /** For streams of several software versions; see EntryStreams. */
+    ConfirmConfigurationHook confirmConfiguration {};
 };
 
 /** The entry's side of pool scheduling: requests grants from pool owners and tracks this entry's running attempts. */
@@ -99,10 +96,8 @@
 
     /** acquire() for a request whose software version is known here, if it is known at all. */
     Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
-    /** Returns a local selection for a stream if the configuration that it relies on is not recent. */
-    Result<Grant> confirmLocalVersion(Result<Grant> grant, Instant deadline);
-    /** The only version at which a stream of the pool can have begun; none if that is not certain by the deadline. */
-    std::optional<std::string> confirmSoleVersion(PoolId pool, Instant deadline);
+    /** Releases a local selection for a stream if the target may have another software version by now. */
+    Result<Grant> checkLocalVersion(Result<Grant> grant, Instant deadline);
     template <class T>
     void postToPoolOwner(PoolId pool, MessageType type, const T& message);
     void onGrant(const Grant& grant);
@@ -148,8 +143,7 @@
     std::map<AttemptId, RunningAttempt> running_;
     std::deque<PoolRecentAttempt> recentAttempts_;
     EntrySuspects suspects_;
-    /** The streams that began or went on at this entry. */
-    StreamVersions streams_;
+    EntryStreams streams_;
     std::map<PoolId, std::unique_ptr<PoolScheduler>> localSchedulers_;
     /** Attempts that the local schedulers hold, queued or granted. */
     std::set<AttemptId> localAttempts_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -2,10 +2,10 @@
 
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/OwnerRateLimits.h"
+#include "briarhitch/entry/OwnerStreams.h"
 #include "briarhitch/entry/OwnerSuspects.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "briarhitch/sched/StreamVersions.h"
 #include "briarhitch/sched/TargetRestrictions.h"
 
 #include <deque>
@@ -158,8 +158,7 @@
     /** The schedulers refer to its limiter. */
     OwnerRateLimits rateLimits_;
     OwnerSuspects suspects_;
-    /** As the entries reported them, which alone know whether a granted target began the stream. */
-    StreamVersions streams_;
+    OwnerStreams streams_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -202,7 +202,7 @@
     RequestDigest digest;
     /** The stream that the caller continues; invalid for a request that begins one. */
     StreamId continuedStream;
-    /** Only targets of this version may be granted, because they continue a stream that one of them began; none: any. */
+    /** Only targets of this version may be granted, because one of them began the stream; never empty; none: any. */
     std::optional<std::string> softwareVersion;
 
     template <class V>
--- a/src/consensus/LogCompaction.cpp
+++ b/src/consensus/LogCompaction.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /** A snapshot is taken when the log has at least this fraction of its size, so that writing snapshots does not dominate the disk's work. */
-    constexpr uint64_t snapshotToLogRatio = 2;
+    /** Most bytes of snapshots that are written for one byte of the log. */
+    constexpr uint64_t maxSnapshotBytesPerLogByte = 2;
 
 }
 
@@ -33,7 +33,7 @@
 
 bool LogCompaction::isSnapshotDue() const
 {
-    return appliedEntries_ >= settings_.snapshotEveryEntries || appliedBytes_ >= std::max(settings_.snapshotEveryBytes, snapshotBytes_ / snapshotToLogRatio);
+    return appliedEntries_ >= settings_.snapshotEveryEntries || appliedBytes_ >= std::max(settings_.snapshotEveryBytes, snapshotBytes_ / maxSnapshotBytesPerLogByte);
 }
 
 uint64_t LogCompaction::keepAfter(const RaftLog& log, uint64_t applied) const
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -428,8 +428,8 @@
     for (const auto& command : versionRetirement_->decide(state_.config(), BootClock::now())) {
         if (!isLeader() || !propose(encodeCommand(command)))
             return;
-        controlLog().info("pool " + state_.config().pools.at(command.pool).name + " has " + std::to_string(command.versions.size())
-            + " software versions fewer, of which no stream is continued any more");
+        controlLog().info("pool " + state_.config().pools.at(command.pool).name + ": " + std::to_string(command.versions.size())
+            + " former software versions are forgotten, as none of their streams can be continued any more");
     }
 }
 
--- a/src/entry/GenerationMigration.h
+++ b/src/entry/GenerationMigration.h
@@ -13,7 +13,7 @@
  */
 class GenerationMigration {
 public:
-    /** `grant` is for `destination`; whoever holds the migration releases it or resumes the generation under it. */
+    /** `grant` is for `destination`; the caller releases it, or resumes the generation under it. */
     static std::shared_ptr<GenerationMigration> start(RoutedRequestRunner& runner, HttpCallSettings call, const Target& source, const Target& destination, const Grant& grant);
 
     /** None while the call is not answered. */
--- /dev/null
+++ b/src/entry/OwnerStreams.cpp
@@ -0,0 +1,38 @@
+#include "briarhitch/entry/OwnerStreams.h"
+
+#include "briarhitch/metrics/MetricRegistry.h"
+#include "entry/PoolRequests.h"
+
+#include <utility>
+
+namespace briarhitch {
+
+OwnerStreams::OwnerStreams(MetricRegistry& metrics, ClockHook now)
+    : metrics_(metrics)
+    , now_(std::move(now))
+{
+}
+
+Result<void> OwnerStreams::resolve(GrantRequest& request)
+{
+    if (!needsStreamVersion(request))
+        return {};
+    request.softwareVersion = streams_.find(request.continuedStream, now_());
+    metrics_.count("pool_continued_streams_total", request.softwareVersion ? "known=\"yes\"" : "known=\"no\"");
+    if (!request.softwareVersion)
+        return fail(ErrorKind::UnknownStream, "the owner of the pool does not know this stream");
+    return {};
+}
+
+void OwnerStreams::merge(const PoolSync& sync)
+{
+    for (const auto& stream : sync.streams)
+        streams_.record(stream, now_());
+}
+
+void OwnerStreams::publishGauges() const
+{
+    metrics_.setGauge("pool_known_streams", {}, static_cast<double>(streams_.size()));
+}
+
+}
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -30,10 +30,6 @@
     constexpr double unresponsiveOwnerRateFraction = 0.4;
     /** Interval at which one grant request is still sent to an unresponsive owner. */
     constexpr Duration ownerProbeInterval = 200ms;
-    /** Longest wait for the control leader to confirm the configuration. */
-    constexpr Duration confirmationTimeout = 500ms;
-    /** A configuration of this age is trusted with the versions of targets; the list that it comes from lags by about as much. */
-    constexpr Duration recentConfigurationAge = 1s;
 
     /** Error of a request that was not granted a target; a zero `retryAfter` is left out. */
     Error makeRefusalError(ErrorKind kind, const std::string& reason, Duration retryAfter)
@@ -90,6 +86,7 @@
     , now_(std::move(now))
     , rateLimits_(settings_.self)
     , suspects_(now_)
+    , streams_(view_, settings_.confirmConfiguration, now_)
 {
 }
 
@@ -114,34 +111,18 @@
 
 Result<Grant> PoolClient::acquire(const GrantRequest& request, Instant deadline)
 {
-    if (!needsStreamVersion(request))
-        return confirmLocalVersion(acquireSlot(request, deadline), deadline);
-    auto continuation = request;
-    continuation.softwareVersion = streams_.find(request.continuedStream, now_());
-    auto grant = confirmLocalVersion(acquireSlot(continuation, deadline), deadline);
-    if (grant || grant.error().kind != ErrorKind::UnknownStream)
-        return grant;
-    continuation.softwareVersion = confirmSoleVersion(request.pool, deadline);
-    return continuation.softwareVersion ? acquireSlot(continuation, deadline) : grant;
+    auto resolved = request;
+    streams_.resolve(resolved);
+    auto grant = checkLocalVersion(acquireSlot(resolved, deadline), deadline);
+    bool isUnknown = !grant && grant.error().kind == ErrorKind::UnknownStream && needsStreamVersion(resolved);
+    return isUnknown && streams_.resolveBySoleVersion(resolved, deadline) ? acquireSlot(resolved, deadline) : grant;
 }
 
-std::optional<std::string> PoolClient::confirmSoleVersion(PoolId pool, Instant deadline)
+Result<Grant> PoolClient::checkLocalVersion(Result<Grant> grant, Instant deadline)
 {
-    if (!settings_.confirmConfiguration || !soleSoftwareVersion(view_.config(), pool))
-        return std::nullopt;
-    // Targets of another version may have joined, and begun the stream, without this node having learned of them yet.
-    if (!settings_.confirmConfiguration(Duration::zero(), std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
-        return std::nullopt;
-    return soleSoftwareVersion(view_.config(), pool);
-}
-
-Result<Grant> PoolClient::confirmLocalVersion(Result<Grant> grant, Instant deadline)
-{
-    // An owner and this node would both have to lack a change of the target's version.
-    bool isLocal = grant && !grant->epoch.isValid();
-    if (!isLocal || !grant->softwareVersion || !settings_.confirmConfiguration)
-        return grant;
-    if (settings_.confirmConfiguration(recentConfigurationAge, std::clamp<Duration>(deadline - now_(), 0ms, confirmationTimeout)))
+    // An owner would have to lack a change of the target's version as well as this node.
+    bool reliesOnThisNode = grant && !grant->epoch.isValid() && grant->softwareVersion;
+    if (!reliesOnThisNode || streams_.isLocalVersionCertain(deadline))
         return grant;
     release(*grant);
     return fail(ErrorKind::UnknownStream, "this node may not know the present software versions of the targets");
@@ -212,7 +193,7 @@
     if (it == running_.end())
         return;
     it->second.started = true;
-    streams_.record(started.stream, now_());
+    streams_.attemptStarted(started);
     suspects_.attemptStarted(it->second.request, started);
     if (localAttempts_.contains(started.attempt)) {
         localScheduler(started.pool).attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), now_());
@@ -227,7 +208,7 @@
     if (it == running_.end())
         return;
     recordRecentAttempt(it->second.request, it->second.target);
-    streams_.record(finished.stream, now_());
+    streams_.attemptFinished(finished);
     suspects_.attemptFinished(it->second.request, finished, it->second.target, isLeaving(it->second.target));
     running_.erase(it);
     if (localAttempts_.erase(finished.attempt) > 0) {
@@ -504,7 +485,7 @@
 {
     restrictions_.tick(now_());
     suspects_.tick();
-    streams_.tick(now_());
+    streams_.tick();
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -46,6 +46,7 @@
     , hooks_(std::move(hooks))
     , rateLimits_(settings_.self)
     , suspects_(metrics, suspectHooks())
+    , streams_(metrics, hooks_.now)
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -351,8 +352,7 @@
         return;
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
-    for (const auto& stream : sync.streams)
-        streams_.record(stream, hooks_.now());
+    streams_.merge(sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -418,14 +418,9 @@
 void PoolHost::submit(Pool& pool, AttemptId attempt)
 {
     auto& request = pool.requests.at(attempt);
-    if (needsStreamVersion(request.grantRequest)) {
-        request.grantRequest.softwareVersion = streams_.find(request.grantRequest.continuedStream, hooks_.now());
-        bool isKnown = request.grantRequest.softwareVersion.has_value();
-        metrics_.count("pool_continued_streams_total", isKnown ? "known=\"yes\"" : "known=\"no\"");
-        if (!isKnown) {
-            refuse(pool, attempt, makeError(ErrorKind::UnknownStream, "the owner of the pool does not know this stream"));
-            return;
-        }
+    if (auto resolved = streams_.resolve(request.grantRequest); !resolved) {
+        refuse(pool, attempt, resolved.error());
+        return;
     }
     if (auto block = suspects_.admit(request.grantRequest)) {
         refuse(pool, attempt, blockError(*block));
@@ -483,8 +478,7 @@
 
 void PoolHost::onStarted(const AttemptStarted& started)
 {
-    // Also of an attempt that this owner did not grant.
-    streams_.record(started.stream, hooks_.now());
+    streams_.attemptStarted(started);
     auto* pool = find(started.pool);
     if (!pool)
         return;
@@ -500,7 +494,7 @@
 
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
-    streams_.record(finished.stream, hooks_.now());
+    streams_.attemptFinished(finished);
     auto* pool = find(finished.pool);
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
@@ -728,7 +722,7 @@
     auto now = hooks_.now();
     rateLimits_.tick(now);
     suspects_.tick();
-    streams_.tick(now);
+    streams_.tick();
     refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
@@ -791,7 +785,7 @@
         }
     }
     suspects_.publishGauges();
-    metrics_.setGauge("pool_known_streams", {}, static_cast<double>(streams_.size()));
+    streams_.publishGauges();
     metrics_.setGauge("pool_owned", {}, static_cast<double>(pools_.size()));
 }
 
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -54,12 +54,6 @@
         return StreamId(stableHash(continuesNamed ? request.resumesCallerId : request.callerId, customer.value()));
     }
 
-    /** Whether the target certainly has the version; one that names none has the same as others only if its pool has no versions. */
-    bool hasVersion(const ClusterConfig& config, const Target& target, const std::string& version)
-    {
-        return target.softwareVersion == version && (!version.empty() || soleSoftwareVersion(config, target.pool) == version);
-    }
-
     /** 0 to 1, evenly spread over the streams. */
     double fractionOf(StreamId stream)
     {
@@ -120,7 +114,7 @@
     runner_.history.begin(attempt_.request, request_.callerId, route_->name, tier_);
     if (auto authenticated = authenticate(); !authenticated)
         return authenticated;
-    if (route_->kind == RouteKind::Stream && (route_->isResumable || lastEventId_))
+    if (route_->kind == RouteKind::Stream)
         streamId_ = streamIdOf(request_, contract_ ? contract_->customer : CustomerId());
     digest_ = makeRequestDigest(contract_ ? contract_->customer : CustomerId(), request_.method, request_.target, request_.body);
     // All requests that continue a stream choose the service that began it.
@@ -176,7 +170,7 @@
 
 StreamVersion RoutedRequestRun::streamVersion() const
 {
-    return { streamId_, softwareVersion_.value_or("") };
+    return { route_->isResumable ? streamId_ : StreamId(), softwareVersion_.value_or("") };
 }
 
 Duration RoutedRequestRun::timeLeft() const
@@ -238,8 +232,11 @@
     grantRequest.prefix = prefixBlocks(request_.prefix);
     grantRequest.sharedParts = sharedParts(request_.prefix);
     grantRequest.digest = digest_;
-    grantRequest.softwareVersion = softwareVersion_;
-    if (lastEventId_ && !softwareVersion_)
+    // Of a stream that began at a target without a named version, as little is known as of one that nobody saw begin.
+    bool isVersionNamed = softwareVersion_ && !softwareVersion_->empty();
+    if (isVersionNamed)
+        grantRequest.softwareVersion = softwareVersion_;
+    else if (softwareVersion_ || lastEventId_)
         grantRequest.continuedStream = streamId_;
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
@@ -295,8 +292,8 @@
     bool isUsable = target != runner_.view.config().targets.end() && target->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
     for (const auto* required : { &softwareVersion_, &grant.softwareVersion }) {
-        if (isUsable && *required && !hasVersion(runner_.view.config(), target->second, **required))
-            return Failure { makeError(ErrorKind::NoTarget, "the granted target may have another software version than the one that began the stream"), true };
+        if (isUsable && *required && **required != target->second.softwareVersion)
+            return Failure { makeError(ErrorKind::NoTarget, "the granted target has another software version than the one that began the stream"), true };
     }
     if (!isUsable || isExcluded || runner_.pools.isRestricted(grant.target) || !runner_.pools.isCurrent(grant))
         return Failure { makeError(ErrorKind::NoTarget, "the granted target accepts no new requests"), true };
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -59,7 +59,7 @@
     void beginMigration();
     /** If the migration call has been answered: migrationGrant_ then tells where a stopped generation resumes. */
     void adoptMigrationResult();
-    /** Waits for the answer, because the stream has ended as it does when its generation is stopped. */
+    /** After the end of a stream: waits until the migration call is answered, since a generation that is stopped ends its stream too. */
     void awaitMigration();
     /** Gives up a migration, and frees the place at its destination. */
     void releaseMigration();
@@ -83,7 +83,7 @@
 
     [[nodiscard]] Instant now() const { return runner_.hooks.now(); }
     [[nodiscard]] Duration timeLeft() const;
-    /** The stream, once the caller has events of it; otherwise an invalid one. */
+    /** For the pool, once the caller has events; the id is invalid if callers cannot continue the stream. */
     [[nodiscard]] StreamVersion streamVersion() const;
     [[nodiscard]] Tokens quotaTokens() const;
     void recordEvent(const std::string& event, const std::string& reason = {}, const LogFields& fields = {});
@@ -130,9 +130,9 @@
     Duration connectionAge_ { 0 };
     bool isStreamStarted_ { false };
     std::optional<uint64_t> lastEventId_;
-    /** Of a stream that callers may continue: the same for all requests that continue it. */
+    /** The same for all requests that continue a stream; invalid for a request that is none. */
     StreamId streamId_;
-    /** Of the target that began the stream; set with its first event. All others that continue it have the same. */
+    /** Of the target that began the stream; set with its first event. Empty if the target names none. */
     std::optional<std::string> softwareVersion_;
     uint64_t attemptEvents_ { 0 };
     /** Of the current attempt. */
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -181,7 +181,8 @@
 {
     const auto& request = record.request;
     bool missesObjective = now > latestStartForObjective(record);
-    // Migrations go first; there are few of them. Streams that continue go first in their tier.
+    // Migrations go first, because the work already done is lost if they come too late; there are few of them. For the same reason
+    // streams that continue go first in their tier.
     if (request.migratesFrom.isValid())
         return { false, 0, 0, 0 };
     if (record.hasEarlierWork())
@@ -192,13 +193,8 @@
 
 bool SlotScheduler::isEligible(const RequestRecord& record, const SlotTarget& target) const
 {
-    if (contains(record.request.excluded, target.target.id))
-        return false;
     const auto& version = record.request.softwareVersion;
-    if (!version || *version != target.target.softwareVersion)
-        return !version;
-    // Two targets that name no version may have different ones, unless none of the pool names any.
-    return !version->empty() || std::all_of(targets_.begin(), targets_.end(), [](const auto& entry) { return entry.second.target.softwareVersion.empty(); });
+    return !contains(record.request.excluded, target.target.id) && (!version || *version == target.target.softwareVersion);
 }
 
 bool SlotScheduler::hasEligibleTarget(const RequestRecord& record) const
--- a/src/sched/StreamVersions.cpp
+++ b/src/sched/StreamVersions.cpp
@@ -4,7 +4,8 @@
 
 void StreamVersions::record(const StreamVersion& stream, Instant now)
 {
-    if (!stream.stream.isValid())
+    // A target that names no version may have any.
+    if (!stream.stream.isValid() || stream.softwareVersion.empty())
         return;
     tick(now);
     auto [it, isNew] = streams_.try_emplace(stream.stream, Record { stream.softwareVersion, now });
--- a/tests/SlotSchedulerTest.cpp
+++ b/tests/SlotSchedulerTest.cpp
@@ -543,18 +543,5 @@
         EXPECT_FALSE(pool.granted.contains(2));
     }
 
-    // Guards against a stream that is continued at a target that names no version, while others show that there are several.
-    TEST(SlotSchedulerTest, UnnamedVersionsAreEqualOnlyIfNoTargetNamesOne)
-    {
-        Pool pool({ 4, 4 });
-        pool.submit(continuationAt(pool, 1, ""));
-        pool.targets[1].softwareVersion = "v2";
-        pool.scheduler->setTargets(pool.targets, pool.now);
-        pool.submit(continuationAt(pool, 2, ""));
-        pool.take();
-        EXPECT_TRUE(pool.granted.contains(1));
-        EXPECT_TRUE(pool.refused.contains(2));
-    }
-
 }
 }
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -2,6 +2,7 @@
 #include "briarhitch/entry/PoolHost.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 #include "control/VersionRetirement.h"
+#include "entry/PoolRequests.h"
 #include "support/EntryFakes.h"
 
 #include <gtest/gtest.h>
@@ -205,6 +206,41 @@
         });
     }
 
+    // Guards against two targets that name no version and are taken for targets of the same one, and against services without any
+    // versions whose streams nobody can continue.
+    TEST(StreamContinuationTest, UnnamedVersionsAreEqualOnlyIfNoTargetNamesOne)
+    {
+        Owner owner;
+        owner.send(2, MessageType::AttemptStarted, startOf(5, ""));
+        owner.send(2, MessageType::GrantRequest, continuation(100));
+        ASSERT_EQ(owner.refusals().size(), 1U);
+        EXPECT_EQ(owner.refusals()[0].kind, ErrorKind::UnknownStream);
+
+        runInFiber([](Loop& loop) {
+            for (bool doesAnyNameOne : { true, false }) {
+                Entry entry(loop);
+                entry.config.targets[TargetId(1)].softwareVersion.clear();
+                entry.config.targets[TargetId(2)] = makeTarget(2, doesAnyNameOne ? "v1" : "");
+                entry.config.pools[pool].softwareVersions = { "" };
+                entry.apply();
+                entry.client.reportStarted(startOf(5, ""));
+                auto result = entry.continueStream(100);
+                if (doesAnyNameOne) {
+                    ASSERT_TRUE(result->has_value());
+                    EXPECT_EQ(result->value().error().kind, ErrorKind::UnknownStream);
+                    continue;
+                }
+                ASSERT_EQ(entry.requests().size(), 2U);
+                EXPECT_FALSE(needsStreamVersion(entry.requests().back()));
+                EXPECT_FALSE(entry.requests().back().softwareVersion.has_value());
+                entry.client.onMessage(MessageType::Grant, encode(Grant { pool, { RequestId(100), 1 }, Epoch(5), TargetId(2), std::nullopt }));
+                sleepFor(loop, 0ms);
+                ASSERT_TRUE(result->has_value());
+                EXPECT_TRUE(result->value());
+            }
+        });
+    }
+
     // Guards against an entry that was cut off or suspended while targets of a new version joined, and takes its old
     // configuration for the current one.
     TEST(StreamContinuationTest, EntryThatMissedNewTargetsDoesNotGuessTheVersion)
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -102,21 +102,22 @@
         EXPECT_EQ(fixture.pools.released, 1);
     }
 
-    // Guards against two targets that name no version and are taken for targets of the same one.
-    TEST(StreamVersionTest, UnnamedVersionsAreNotEqual)
+    // Guards against two targets that name no version and are taken for targets of the same one: the pool must decide as for a
+    // stream that nobody saw begin.
+    TEST(StreamVersionTest, StreamOfAnUnnamedVersionIsUnknownToThePool)
     {
-        for (bool doesAnyNameOne : { true, false }) {
-            Fixture fixture;
-            auto config = fixture.view.config();
-            config.version = Version(3);
-            for (auto& [id, target] : config.targets)
-                target.softwareVersion = doesAnyNameOne && id == TargetId(3) ? "v1" : "";
-            fixture.apply(config);
-            fixture.targets.script = { streamOf({ event(1), broken() }), streamOf({ event(2) }) };
-            fixture.run("/query/1");
-            EXPECT_EQ(fixture.instances().size(), doesAnyNameOne ? 1U : 2U);
-            EXPECT_EQ(fixture.exchange.isEnded, !doesAnyNameOne);
-        }
+        Fixture fixture;
+        auto config = fixture.view.config();
+        config.version = Version(3);
+        for (auto& [id, target] : config.targets)
+            target.softwareVersion.clear();
+        fixture.apply(config);
+        fixture.targets.script = { streamOf({ event(1), broken() }), streamOf({ event(2) }) };
+        fixture.run("/query/1");
+        ASSERT_EQ(fixture.pools.grantRequests.size(), 2U);
+        EXPECT_FALSE(fixture.pools.grantRequests[0].continuedStream.isValid());
+        EXPECT_EQ(fixture.pools.grantRequests[1].continuedStream, fixture.pools.started.at(0).stream.stream);
+        EXPECT_FALSE(fixture.pools.grantRequests[1].softwareVersion.has_value());
     }
 
 }
