Stop the earlier attempt of a stream that its caller continues

Reproduced with real processes: a caller's connection goes silent without a close; it continues the stream through a new connection, and two targets run the stream until its deadline.

Cause: that a caller has left was concluded from its connection alone. The request that continues the stream was not related to the attempt that still ran.

Change: the owner of the pool knows which attempt runs a stream. When it grants a request that continues the stream, it tells the entry of the earlier attempt to stop it (AttemptSuperseded); the attempt ends as if its caller had left, and its connection is closed. New owners learn the running attempts from PoolSync. An entry that selects targets itself stops its own earlier attempt.

Ruled out by reading: a second send of a request that may run once; it follows only where no byte can have arrived or the target has said that it did not run the request.

PlatformFleetTest.ContinuedStreamDoesNotRunTwice failed before, through the same entry and through another one: the first run was still going when the second had sent 100 events. It passes, and so do the unit tests, which need the new message.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -52,6 +52,7 @@
     bool isCurrent(const Grant& grant) const override;
     void release(const Grant& grant) override;
     void reportStarted(const AttemptStarted& started) override;
+    void onSuperseded(AttemptId attempt, std::function<void()> hook) override;
     void reportFinished(const AttemptFinished& finished) override;
     void reportAvailability(const TargetAvailabilityNotice& notice) override;
     void reportRateLimit(PoolId pool, const RateLimitObservation& observation) override;
@@ -96,6 +97,9 @@
 
     /** acquire() for a request whose software version is known here, if it is known at all. */
     Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
+    void supersede(AttemptId attempt);
+    /** Stops the attempt of another request that runs the stream at this entry. */
+    void supersedeRunOf(const GrantRequest& continuation);
     /** Releases a local selection for a stream if the target may have another software version by now. */
     Result<Grant> checkLocalVersion(Result<Grant> grant, Instant deadline);
     template <class T>
@@ -144,6 +148,7 @@
     std::deque<PoolRecentAttempt> recentAttempts_;
     EntrySuspects suspects_;
     EntryStreams streams_;
+    std::map<AttemptId, std::function<void()>> supersededHooks_;
     std::map<PoolId, std::unique_ptr<PoolScheduler>> localSchedulers_;
     /** Attempts that the local schedulers hold, queued or granted. */
     std::set<AttemptId> localAttempts_;
--- a/include/briarhitch/entry/PoolGateway.h
+++ b/include/briarhitch/entry/PoolGateway.h
@@ -5,6 +5,7 @@
 #include "briarhitch/sched/TargetRateLimits.h"
 #include "briarhitch/wire/Messages.h"
 
+#include <functional>
 #include <string>
 
 namespace briarhitch {
@@ -29,6 +30,11 @@
     /** Returns an unused grant; nothing may have been sent to its target. */
     virtual void release(const Grant& grant) = 0;
     virtual void reportStarted(const AttemptStarted& started) = 0;
+    /**
+     * The hook is called when the caller of this granted attempt continues its stream with another request, and the attempt must be
+     * stopped; at most once, and not after the attempt has been released or reported as finished.
+     */
+    virtual void onSuperseded(AttemptId attempt, std::function<void()> hook) = 0;
     virtual void reportFinished(const AttemptFinished& finished) = 0;
     /** Reports a leaving target (granted to no node from now on) or a pause (not granted to this node meanwhile). */
     virtual void reportAvailability(const TargetAvailabilityNotice& notice) = 0;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -119,7 +119,7 @@
     void dropUnlistedRequests(Pool& pool, NodeId from, LinkId link, const PoolSync& sync);
     void restoreAttempt(Pool& pool, NodeId from, LinkId link, const RunningAttempt& running);
     void onCancel(const GrantCancellation& cancel);
-    void onStarted(const AttemptStarted& started);
+    void onStarted(NodeId from, const AttemptStarted& started);
     void onFinished(const AttemptFinished& finished);
     void onLoadReport(const LoadReport& report);
     void onAvailabilityNotice(NodeId from, const TargetAvailabilityNotice& notice);
@@ -134,6 +134,7 @@
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
+    [[nodiscard]] OwnerStreams::SupersedeHook supersedeHook();
     /** `isUnsent`: no target has seen the request under this attempt. */
     void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
     /** Hands a request to the scheduler, unless it is blocked or continues an unknown stream. */
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -44,6 +44,7 @@
     TargetRateLimitNotice = 25,
     CeilingSync = 26,
     SuspectNotice = 28,
+    AttemptSuperseded = 29,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -285,6 +286,18 @@
     }
 };
 
+/** Owner to entry: the caller continues the stream of this attempt with another request, so the attempt must be stopped. */
+struct AttemptSuperseded {
+    PoolId pool;
+    AttemptId attempt;
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(pool, attempt);
+    }
+};
+
 enum class AttemptOutcome : uint8_t {
     Completed,
     /** Cancelled because the caller disconnected, or in favour of another attempt. */
@@ -360,11 +373,13 @@
     GrantRequest request;
     TargetId target;
     bool started { false };
+    /** Once the caller has events of it, if it may continue the stream. */
+    StreamId stream {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(request, target, started);
+        visit(request, target, started, stream);
     }
 };
 
--- a/src/entry/CallerConnectionState.h
+++ b/src/entry/CallerConnectionState.h
@@ -10,16 +10,21 @@
 /** State that the hook for a disconnected caller may access; it can outlive the request. */
 struct CallerConnectionState {
     bool isDisconnected { false };
+    /** The caller continues with another request; its connection may be open still. */
+    bool isSuperseded { false };
     std::function<void()> onDisconnect;
 
+    void disconnect()
+    {
+        isDisconnected = true;
+        if (onDisconnect)
+            onDisconnect();
+    }
+
     static std::shared_ptr<CallerConnectionState> of(HttpExchange& exchange)
     {
         auto watch = std::make_shared<CallerConnectionState>();
-        exchange.onCallerDisconnected([watch] {
-            watch->isDisconnected = true;
-            if (watch->onDisconnect)
-                watch->onDisconnect();
-        });
+        exchange.onCallerDisconnected([watch] { watch->disconnect(); });
         return watch;
     }
 };
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -177,9 +177,33 @@
     return it != pools_.end() && grant.epoch >= it->second.epoch;
 }
 
+void PoolClient::onSuperseded(AttemptId attempt, std::function<void()> hook)
+{
+    supersededHooks_[attempt] = std::move(hook);
+}
+
+void PoolClient::supersede(AttemptId attempt)
+{
+    // The hook ends the attempt, which removes the entry of the table.
+    if (auto node = supersededHooks_.extract(attempt))
+        node.mapped()();
+}
+
+void PoolClient::supersedeRunOf(const GrantRequest& continuation)
+{
+    if (!continuation.continuedStream.isValid())
+        return;
+    auto it = std::find_if(running_.begin(), running_.end(), [&](const auto& entry) {
+        return entry.second.stream == continuation.continuedStream && entry.first.request != continuation.attempt.request;
+    });
+    if (it != running_.end())
+        supersede(it->first);
+}
+
 void PoolClient::release(const Grant& grant)
 {
     running_.erase(grant.attempt);
+    supersededHooks_.erase(grant.attempt);
     suspects_.attemptReleased(grant.attempt);
     if (localAttempts_.contains(grant.attempt))
         rateLimits_.limiter().refundRequest(grant.target, now_());
@@ -193,6 +217,7 @@
     if (it == running_.end())
         return;
     it->second.started = true;
+    it->second.stream = started.stream.stream;
     streams_.attemptStarted(started);
     suspects_.attemptStarted(it->second.request, started);
     if (localAttempts_.contains(started.attempt)) {
@@ -211,6 +236,7 @@
     streams_.attemptFinished(finished);
     suspects_.attemptFinished(it->second.request, finished, it->second.target, isLeaving(it->second.target));
     running_.erase(it);
+    supersededHooks_.erase(finished.attempt);
     if (localAttempts_.erase(finished.attempt) > 0) {
         localScheduler(finished.pool).attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens, std::chrono::milliseconds(finished.durationMs), now_());
         applyLocalActions(finished.pool);
@@ -310,6 +336,9 @@
         auto notice = decode<TargetAvailabilityNotice>(body);
         if (notice && notice->isLeaving)
             recordRestriction({ notice->pool, notice->target, true, 0 });
+    } else if (type == MessageType::AttemptSuperseded) {
+        if (auto superseded = decode<AttemptSuperseded>(body))
+            supersede(superseded->attempt);
     } else if (type == MessageType::SuspectNotice) {
         if (auto notice = decode<SuspectNotice>(body))
             suspects_.onNotice(*notice);
@@ -603,6 +632,7 @@
             if (const auto* grant = std::get_if<PoolGrant>(&action)) {
                 running_[attempt] = RunningAttempt { it->second->grantRequest, grant->target, false };
                 suspects_.attemptGranted(it->second->grantRequest, grant->target);
+                supersedeRunOf(it->second->grantRequest);
                 it->second->decide(Grant { pool, attempt, Epoch(), grant->target, it->second->grantRequest.softwareVersion });
                 continue;
             }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -46,7 +46,7 @@
     , hooks_(std::move(hooks))
     , rateLimits_(settings_.self)
     , suspects_(metrics, suspectHooks())
-    , streams_(metrics, hooks_.now)
+    , streams_(metrics, supersedeHook(), hooks_.now)
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -69,6 +69,11 @@
     return hooks;
 }
 
+OwnerStreams::SupersedeHook PoolHost::supersedeHook()
+{
+    return [this](NodeId entry, const AttemptSuperseded& attempt) { transport_.postToEntry(entry, MessageType::AttemptSuperseded, encode(attempt)); };
+}
+
 PoolHost::Pool* PoolHost::find(PoolId pool)
 {
     auto it = pools_.find(pool);
@@ -142,8 +147,10 @@
         }
         poolLog().info("Pool " + it->second.assignment.name + " is no longer assigned to this node.");
         rateLimits_.forgetPool(it->first, hooks_.now());
-        for (const auto& [attempt, request] : it->second.requests)
+        for (const auto& [attempt, request] : it->second.requests) {
             suspects_.forget(attempt);
+            streams_.forget(attempt);
+        }
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
@@ -277,7 +284,7 @@
         decodeAndHandle<GrantCancellation>(body, [&](const GrantCancellation& cancel) { onCancel(cancel); });
         break;
     case MessageType::AttemptStarted:
-        decodeAndHandle<AttemptStarted>(body, [&](const AttemptStarted& started) { onStarted(started); });
+        decodeAndHandle<AttemptStarted>(body, [&](const AttemptStarted& started) { onStarted(from, started); });
         break;
     case MessageType::AttemptFinished:
         decodeAndHandle<AttemptFinished>(body, [&](const AttemptFinished& finished) { onFinished(finished); });
@@ -352,7 +359,7 @@
         return;
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
-    streams_.merge(sync);
+    streams_.merge(from, sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -471,14 +478,15 @@
     if (it == pool.requests.end())
         return;
     suspects_.attemptCancelled(it->second.grantRequest, isUnsent);
+    streams_.forget(attempt);
     pool.requests.erase(it);
     if (pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
 }
 
-void PoolHost::onStarted(const AttemptStarted& started)
+void PoolHost::onStarted(NodeId from, const AttemptStarted& started)
 {
-    streams_.attemptStarted(started);
+    streams_.attemptStarted(from, started);
     auto* pool = find(started.pool);
     if (!pool)
         return;
@@ -638,6 +646,7 @@
             return;
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
+        streams_.attemptGranted(it->second.grantRequest);
         sendGrant(pool, it->second);
         return;
     }
@@ -701,6 +710,7 @@
             for (auto attempt : lost)
                 removeRequest(pool, attempt, false);
         }
+        streams_.forgetEntry(it->first);
         it = disconnectedSince_.erase(it);
     }
 }
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -350,6 +350,12 @@
                 call->cancel();
         };
     }
+    if (route_->kind == RouteKind::Stream && route_->isResumable) {
+        runner_.pools.onSuperseded(grant.attempt, [state = callerState_] {
+            state->isSuperseded = true;
+            state->disconnect();
+        });
+    }
     auto response = runner_.hooks.start(settings);
     std::optional<Failure> failure;
     if (response) {
@@ -431,7 +437,7 @@
 RoutedRequestRun::Failure RoutedRequestRun::endForDisconnectedCaller()
 {
     releaseMigration();
-    recordEvent("caller left", {}, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
+    recordEvent(callerState_->isSuperseded ? "continued by another request" : "caller left", {}, { { "after_sending_ms", toMs(now() - sentAt_) }, { "events", static_cast<int64_t>(attemptEvents_) } });
     // A caller that disconnects close to its deadline was not served in time, so the request counts as failed.
     hasFailed_ = timeLeft() <= nearDeadlineTime;
     ran_ = std::max(ran_, Ran::Unknown);
@@ -462,7 +468,9 @@
 void RoutedRequestRun::refuse(Error error)
 {
     if (callerState_->isDisconnected) {
-        count("routed_ends_total", "end", "caller_left");
+        count("routed_ends_total", "end", callerState_->isSuperseded ? "superseded" : "caller_left");
+        if (callerState_->isSuperseded)
+            exchange_.abort();
         return;
     }
     ran_ = std::max(ran_, error.ran);
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -339,6 +339,56 @@
         });
     }
 
+    // Guards against a stream that two targets run at once, because its first entry does not learn that its caller has left.
+    TEST(StreamContinuationTest, OwnerStopsTheAttemptWhoseStreamGoesOnElsewhere)
+    {
+        auto superseded = [](const Owner& owner) { return owner.transport.replied<AttemptSuperseded>(MessageType::AttemptSuperseded, NodeId(1)); };
+        for (bool isOwnerNew : { false, true }) {
+            PoolSync sync;
+            sync.streams = { { stream, "v1" } };
+            Owner owner(sync);
+            if (isOwnerNew) {
+                PoolSync ofEntry { pool, Epoch(2), { { continuation(5), TargetId(1), true, stream } }, {}, {}, {}, {}, {} };
+                owner.send(1, MessageType::PoolSync, ofEntry);
+            } else {
+                owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
+            }
+            owner.send(2, MessageType::GrantRequest, continuation(100));
+            ASSERT_EQ(superseded(owner).size(), 1U) << isOwnerNew;
+            EXPECT_EQ(superseded(owner)[0].attempt, (AttemptId { RequestId(5), 1 }));
+            owner.send(2, MessageType::GrantRequest, continuation(101));
+            EXPECT_EQ(superseded(owner).size(), 1U) << "it was stopped already";
+        }
+        Owner owner;
+        owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
+        AttemptFinished finished;
+        finished.pool = pool;
+        finished.attempt = { RequestId(5), 1 };
+        finished.stream = { stream, "v1" };
+        owner.send(1, MessageType::AttemptFinished, finished);
+        owner.send(2, MessageType::GrantRequest, continuation(100));
+        EXPECT_EQ(owner.grants().size(), 1U);
+        EXPECT_TRUE(superseded(owner).empty());
+    }
+
+    // Guards against an entry that is told to stop an attempt and does not, or stops another one.
+    TEST(StreamContinuationTest, EntryStopsASupersededAttemptOnce)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop);
+            int stopped = 0;
+            auto tellToStop = [&](uint64_t id) { entry.client.onMessage(MessageType::AttemptSuperseded, encode(AttemptSuperseded { pool, { RequestId(id), 1 } })); };
+            for (uint64_t id : { 5, 6 })
+                entry.client.onSuperseded({ RequestId(id), 1 }, [&stopped, id] { stopped += static_cast<int>(id); });
+            tellToStop(5);
+            tellToStop(5);
+            EXPECT_EQ(stopped, 5);
+            entry.client.release({ pool, { RequestId(6), 1 }, Epoch(5), TargetId(1) });
+            tellToStop(6);
+            EXPECT_EQ(stopped, 5);
+        });
+    }
+
     // Guards against a configuration that forgets a version while its streams may still be continued, and against one that
     // never does.
     TEST(StreamContinuationTest, VersionIsRetiredWhenItsStreamsHaveEnded)
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -120,5 +120,19 @@
         EXPECT_FALSE(fixture.pools.grantRequests[1].softwareVersion.has_value());
     }
 
+    // Guards against an attempt that goes on, and a connection that stays open, after the caller has continued its stream elsewhere.
+    TEST(StreamVersionTest, SupersededAttemptEnds)
+    {
+        Fixture fixture;
+        fixture.exchange.onWrite = [&] { fixture.pools.supersededHooks.begin()->second(); };
+        fixture.targets.script = { streamOf({ event(1), event(2), event(3) }), streamOf({ event(2) }) };
+        fixture.run("/query/1");
+        EXPECT_EQ(fixture.targets.log.size(), 1U);
+        EXPECT_EQ(fixture.pools.outcomes, std::vector { AttemptOutcome::Cancelled });
+        EXPECT_TRUE(fixture.exchange.isAborted);
+        EXPECT_FALSE(fixture.exchange.isEnded);
+        EXPECT_EQ(fixture.exchange.body, event(1));
+    }
+
 }
 }
--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -38,6 +38,10 @@
     /** Memory of the smallest entry VM of the deployments. */
     constexpr size_t smallestEntryVmKb = 88 * 1024;
     constexpr Duration slowEventDelay = 700ms;
+    constexpr auto endlessQuery = "/query/endless";
+    constexpr Duration endlessQueryDelay = 30ms;
+    /** Time for an earlier run of the stream to end. */
+    constexpr int eventsUntilCheck = 100;
     constexpr int engineSlots = 4;
     /** Hexadecimal id of the prompt part that crashes the engine. */
     constexpr auto deadlyPart = "29a";
@@ -77,6 +81,10 @@
             engineVersions_ = std::move(versions);
         }
 
+        /** Runs of the endless query that had begun before a continued one, and were still running when that one had sent `eventsUntilCheck` events. */
+        std::atomic<int> overlappingRuns { 0 };
+        std::atomic<int> checkedRuns { 0 };
+
         std::atomic<int> slots { engineSlots };
         /** Requests with the deadly part that reached the engine, which closed their connections before the first event. */
         std::atomic<int> deadlyArrivals { 0 };
@@ -146,6 +154,10 @@
                 exchange.abort();
                 return;
             }
+            if (request.path == endlessQuery) {
+                writeEndlessQuery(request, exchange);
+                return;
+            }
             if (request.path == resumablePlan) {
                 writeResumable(request, exchange);
                 return;
@@ -166,6 +178,23 @@
             exchange.endStream();
         }
 
+        /** Events until the caller disconnects. */
+        void writeEndlessQuery(const HttpRequest& request, HttpExchange& exchange)
+        {
+            bool isContinued = !request.header("Last-Event-Id").empty();
+            int id = isContinued ? std::stoi(std::string(request.header("Last-Event-Id"))) : 0;
+            int before = runningEndlessQueries_++;
+            for (int sent = 0; exchange.write(eventText(++id)) && !exchange.isCallerDisconnected(); ++sent) {
+                if (isContinued && sent == eventsUntilCheck) {
+                    overlappingRuns += std::min(before, runningEndlessQueries_ - 1);
+                    ++checkedRuns;
+                }
+                sleepFor(*loop_, endlessQueryDelay);
+            }
+            --runningEndlessQueries_;
+            exchange.abort();
+        }
+
         /** Three events with the version of the engine; a run that resumes nothing breaks off after two. */
         void writeResumable(const HttpRequest& request, HttpExchange& exchange)
         {
@@ -195,6 +224,7 @@
 
         std::string host_;
         Loop* loop_ { nullptr };
+        int runningEndlessQueries_ { 0 };
         std::atomic<bool> isServing_ { false };
         std::mutex engineVersionsMutex_;
         std::map<std::string, std::string> engineVersions_ { { "i-llm", "v1" } };
@@ -722,6 +752,44 @@
         }
     }
 
+    // Guards against a stream that two engines run at once: its caller's connection went silent, so its entry does not learn that the
+    // caller continues it, through the same entry and through another one.
+    TEST_F(PlatformFleetTest, ContinuedStreamDoesNotRunTwice)
+    {
+        startServingFleet();
+        startFront(21);
+        waitUntil("the second front to be ready", [&] { return call(host(21), readyPort, "GET", "/v1/ready").status == 200; });
+        platform_.setEngines({ { "i-llm", "v1" }, { "i-llm2", "v1" } });
+        waitUntil("the list with the new engine", [&] { return hasControlLogged("discovery lists 3 targets"); });
+        for (int lastFront : { 20, 21 }) {
+            auto first = "silent-" + std::to_string(lastFront);
+            // The calls are neither read to the end nor closed.
+            std::vector<std::shared_ptr<HttpCall>> connections;
+            auto begin = [&](int front, const HttpHeaders& headers) {
+                loop_.spawn([&, headers] {
+                    if (auto started = client_.start(callSettings(host(front), callerPort, "POST", endlessQuery, "body", headers))) {
+                        connections.push_back(*started);
+                        (void)connections.back()->read(30s);
+                    }
+                    loop_.stop();
+                });
+                loop_.run();
+            };
+            auto checkedBefore = platform_.checkedRuns.load();
+            begin(20, requestHeaders(first, "key", 20000));
+            auto headers = requestHeaders(first + "-continued", "key", 20000);
+            headers.emplace_back("Last-Event-Id", "1");
+            headers.emplace_back("Resumes", first);
+            begin(lastFront, headers);
+            ASSERT_EQ(connections.size(), 2U);
+            EXPECT_EQ(connections[1]->status(), 200);
+            waitUntil("the continued run", [&] { return platform_.checkedRuns > checkedBefore; });
+            EXPECT_EQ(platform_.overlappingRuns, 0) << lastFront;
+            for (auto& connection : connections)
+                connection->cancel();
+        }
+    }
+
     // Guards against a voter that acknowledges entries it could not write, or does not recover from a full disk.
     TEST_F(PlatformFleetTest, ControlExitsIfItsLogCannotGrowAndRecoversAllDocuments)
     {
--- a/tests/support/EntryFakes.h
+++ b/tests/support/EntryFakes.h
@@ -286,6 +286,7 @@
         ++startedAttempts;
         started.push_back(message);
     }
+    void onSuperseded(AttemptId attempt, std::function<void()> newHook) override { supersededHooks[attempt] = std::move(newHook); }
     void reportFinished(const AttemptFinished& message) override
     {
         outcomes.push_back(message.outcome);
@@ -308,6 +309,7 @@
     std::optional<std::string> grantedVersion;
     std::vector<GrantRequest> grantRequests;
     std::vector<AttemptStarted> started;
+    std::map<AttemptId, std::function<void()>> supersededHooks;
     std::vector<AttemptOutcome> outcomes;
     std::vector<AttemptFinished> finished;
     /** Returned once no grants are left. */
