--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -371,6 +371,19 @@
         EXPECT_TRUE(superseded(owner).empty());
     }
 
+    // Guards against two targets that run a stream because its caller continued it twice, before the first continuation had an event.
+    TEST(StreamContinuationTest, ContinuationWithoutAnEventIsStoppedByTheNextOne)
+    {
+        Owner owner;
+        owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
+        for (uint64_t id : { 100, 101 })
+            owner.send(2, MessageType::GrantRequest, continuation(id));
+        EXPECT_EQ(owner.grants().size(), 2U);
+        auto superseded = owner.transport.replied<AttemptSuperseded>(MessageType::AttemptSuperseded, NodeId(2));
+        ASSERT_EQ(superseded.size(), 1U);
+        EXPECT_EQ(superseded[0].attempt, (AttemptId { RequestId(100), 1 }));
+    }
+
     // Guards against an entry that is told to stop an attempt and does not, or stops another one.
     TEST(StreamContinuationTest, EntryStopsASupersededAttemptOnce)
     {
