Stop every earlier attempt of a stream, from its grant on

A caller whose connection falls silent continues its stream elsewhere, and two targets run it.

Cause: related attempts of a stream by what the caller had received: an attempt was known from its first event on, and only in pools whose targets name a version, as the version and the claim to run the stream shared one field of the grant request. Requests that began a further attempt did not name their stream at all, and of two attempts that a new owner learned of, one was kept and none stopped.

Change: a grant request says which stream it runs, whether its caller continues the stream with it, and how old it is (StreamRunClaim). StreamRuns, at owners and entries, knows the attempts from their grants on. A granted continuation overtakes all other requests of its stream: attempts are stopped, also before they are sent, and the order is repeated until they have ended; requests that wait or begin a further attempt are refused. Entries report streams for which they selected the target themselves. The end of a stopped attempt does not wait for a caller that does not read. Streams of requests without an id are not related to each other any more, and callers without a customer cannot continue, or stop, a stream of another request.

--- a/include/briarhitch/core/Error.h
+++ b/include/briarhitch/core/Error.h
@@ -52,8 +52,10 @@
     TargetClosed,
     /** Nobody knows at which software version the stream began that a caller continues. */
     UnknownStream,
+    /** The caller continues the stream with a later request. */
+    Superseded,
 };
-inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::UnknownStream) + 1;
+inline constexpr size_t errorKindCount = static_cast<size_t>(ErrorKind::Superseded) + 1;
 
 /** Whether a target ran the request. */
 enum class Ran : uint8_t {
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/entry/ClusterView.h"
 #include "briarhitch/entry/EntryRateLimits.h"
+#include "briarhitch/entry/EntryStreamRuns.h"
 #include "briarhitch/entry/EntryStreams.h"
 #include "briarhitch/entry/EntrySuspects.h"
 #include "briarhitch/entry/NodeTransport.h"
@@ -97,9 +98,11 @@
 
     /** acquire() for a request whose software version is known here, if it is known at all. */
     Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
-    void supersede(AttemptId attempt);
-    /** Stops the attempt of another request that runs the stream at this entry. */
-    void supersedeRunOf(const GrantRequest& continuation);
+    void onSupersededMessage(const AttemptSuperseded& superseded);
+    /** Refuses requests that wait here for a target, if a later one continues their stream. */
+    void refuseOvertaken();
+    /** Records an attempt before it is sent, and stops those of earlier requests of its stream. */
+    void addRunning(const PendingRequest& pending, TargetId target);
     /** Releases a local selection for a stream if the target may have another software version by now. */
     Result<Grant> checkLocalVersion(Result<Grant> grant, Instant deadline);
     template <class T>
@@ -148,7 +151,7 @@
     std::deque<PoolRecentAttempt> recentAttempts_;
     EntrySuspects suspects_;
     EntryStreams streams_;
-    std::map<AttemptId, std::function<void()>> supersededHooks_;
+    EntryStreamRuns streamRuns_;
     std::map<PoolId, std::unique_ptr<PoolScheduler>> localSchedulers_;
     /** Attempts that the local schedulers hold, queued or granted. */
     std::set<AttemptId> localAttempts_;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -4,6 +4,7 @@
 #include "briarhitch/entry/OwnerRateLimits.h"
 #include "briarhitch/entry/OwnerStreams.h"
 #include "briarhitch/entry/OwnerSuspects.h"
+#include "briarhitch/entry/StreamRuns.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/TargetRestrictions.h"
@@ -69,6 +70,8 @@
     struct HostedRequest {
         GrantRequest grantRequest;
         Instant deadline;
+        /** When the request arrived at its entry. */
+        Instant arrivedAt;
         NodeId entry;
         /** The link of the entry's latest message about this request. */
         LinkId link;
@@ -134,7 +137,12 @@
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
-    [[nodiscard]] OwnerStreams::SupersedeHook supersedeHook();
+    void stopSuperseded(const StreamRuns::Run& run, RequestId overtakenBy);
+    /** To be called when an attempt has ended, whether or not it is hosted here. */
+    void forgetStreamRun(AttemptId attempt);
+    void addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt);
+    /** Refuses requests that wait in the pool, if a later one continues their stream. */
+    void refuseOvertaken(Pool& pool);
     /** `isUnsent`: no target has seen the request under this attempt. */
     void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
     /** Hands a request to the scheduler, unless it is blocked or continues an unknown stream. */
@@ -160,6 +168,7 @@
     OwnerRateLimits rateLimits_;
     OwnerSuspects suspects_;
     OwnerStreams streams_;
+    StreamRuns streamRuns_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/http/HttpServer.h
+++ b/include/briarhitch/http/HttpServer.h
@@ -46,7 +46,10 @@
      */
     virtual bool write(std::string_view part) = 0;
     virtual bool endStream() = 0;
-    /** Closes the connection without ending the response, so that the caller sees that it is incomplete. */
+    /**
+     * Closes the connection without ending the response, so that the caller sees that it is incomplete. May be called from any fiber
+     * or hook; a blocked write() returns false.
+     */
     virtual void abort() = 0;
     [[nodiscard]] virtual bool isCallerDisconnected() const = 0;
     /**
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -45,6 +45,8 @@
     CeilingSync = 26,
     SuspectNotice = 28,
     AttemptSuperseded = 29,
+    /** A GrantRequest of a stream for which the entry selected the target itself. */
+    StreamSelection = 30,
 };
 
 /** Node to control leader, once a second. Reply: HeartbeatReply. */
@@ -166,6 +168,22 @@
     }
 };
 
+/** The stream that a request runs. */
+struct StreamRunClaim {
+    /** Invalid if callers cannot continue the stream. */
+    StreamId stream;
+    /** The caller continues the stream with this request, so earlier ones that run it must end. */
+    bool isContinuation { false };
+    /** Time since the request arrived at its entry. */
+    uint32_t ageMs { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(stream, isContinuation, ageMs);
+    }
+};
+
 /** Entry to pool owner: requests a grant for a target. The owner posts a Grant or a GrantRefusal. */
 struct GrantRequest {
     PoolId pool;
@@ -205,12 +223,13 @@
     StreamId continuedStream;
     /** Only targets of this version may be granted, because one of them began the stream; never empty; none: any. */
     std::optional<std::string> softwareVersion;
+    StreamRunClaim run {};
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, idempotencyKeyHash, expectedOutputTokens,
-            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest, continuedStream, softwareVersion);
+            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest, continuedStream, softwareVersion, run);
     }
 };
 
@@ -286,7 +305,7 @@
     }
 };
 
-/** Owner to entry: the caller continues the stream of this attempt with another request, so the attempt must be stopped. */
+/** Owner to entry: the caller continues the stream of this attempt with another request, so the attempt must be stopped. May be repeated. */
 struct AttemptSuperseded {
     PoolId pool;
     AttemptId attempt;
@@ -373,13 +392,11 @@
     GrantRequest request;
     TargetId target;
     bool started { false };
-    /** Once the caller has events of it, if it may continue the stream. */
-    StreamId stream {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(request, target, started, stream);
+        visit(request, target, started);
     }
 };
 
--- a/src/entry/CallerConnectionState.h
+++ b/src/entry/CallerConnectionState.h
@@ -21,6 +21,13 @@
             onDisconnect();
     }
 
+    /** To be called when another request continues what this one runs. */
+    void supersede()
+    {
+        isSuperseded = true;
+        disconnect();
+    }
+
     static std::shared_ptr<CallerConnectionState> of(HttpExchange& exchange)
     {
         auto watch = std::make_shared<CallerConnectionState>();
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -18,6 +18,12 @@
 
     using namespace std::chrono_literals;
 
+    const Log& entryLog()
+    {
+        static const Log log("entry:");
+        return log;
+    }
+
     /** Equals the time for which owners remember the target of a retryable request. */
     constexpr Duration recentAttemptRetention = 10min;
     constexpr size_t maxRecentAttempts = 20000;
@@ -54,9 +60,10 @@
 }
 
 struct PoolClient::PendingRequest {
-    PendingRequest(Loop& loop, GrantRequest requestToSend, Instant deadlineToMeet)
+    PendingRequest(Loop& loop, GrantRequest requestToSend, Instant deadlineToMeet, Instant now)
         : grantRequest(std::move(requestToSend))
         , deadline(deadlineToMeet)
+        , arrivedAt(arrivalOf(grantRequest, now))
         , decided(loop)
     {
     }
@@ -71,6 +78,7 @@
 
     GrantRequest grantRequest;
     Instant deadline;
+    Instant arrivedAt;
     Instant requestedAt {};
     /** The owner has confirmed that the request is in its queue. */
     bool isQueued { false };
@@ -87,6 +95,7 @@
     , rateLimits_(settings_.self)
     , suspects_(now_)
     , streams_(view_, settings_.confirmConfiguration, now_)
+    , streamRuns_(settings_.self, now_)
 {
 }
 
@@ -133,7 +142,9 @@
     auto& state = pools_[request.pool];
     if (!settings_.localSelectionAfter && hasOwnerTimedOut(state))
         return tl::unexpected(missingOwnerError());
-    auto pending = std::make_shared<PendingRequest>(loop_, request, deadline);
+    if (streamRuns_.isOvertaken(request, arrivalOf(request, now_())))
+        return tl::unexpected(supersededError());
+    auto pending = std::make_shared<PendingRequest>(loop_, request, deadline, now_());
     pending->requestedAt = now_();
     bool isLocal = mustSelectLocally(state);
     if (auto block = suspects_.findBlock(request, isLocal))
@@ -179,31 +190,44 @@
 
 void PoolClient::onSuperseded(AttemptId attempt, std::function<void()> hook)
 {
-    supersededHooks_[attempt] = std::move(hook);
+    streamRuns_.onStopped(attempt, std::move(hook));
 }
 
-void PoolClient::supersede(AttemptId attempt)
+void PoolClient::onSupersededMessage(const AttemptSuperseded& superseded)
 {
-    // The hook ends the attempt, which removes the entry of the table.
-    if (auto node = supersededHooks_.extract(attempt))
-        node.mapped()();
+    if (running_.contains(superseded.attempt)) {
+        streamRuns_.stop(superseded.attempt);
+        return;
+    }
+    // The grant was lost with its link, or the report of the attempt's end was.
+    entryLog().event("superseded attempt is not running", { { "attempt", toString(superseded.attempt) } });
+    postToPoolOwner(superseded.pool, MessageType::GrantCancellation, GrantCancellation { superseded.pool, superseded.attempt, true });
+    if (auto it = pending_.find(superseded.attempt); it != pending_.end())
+        it->second->decide(tl::unexpected(supersededError()));
 }
 
-void PoolClient::supersedeRunOf(const GrantRequest& continuation)
+void PoolClient::refuseOvertaken()
 {
-    if (!continuation.continuedStream.isValid())
-        return;
-    auto it = std::find_if(running_.begin(), running_.end(), [&](const auto& entry) {
-        return entry.second.stream == continuation.continuedStream && entry.first.request != continuation.attempt.request;
-    });
-    if (it != running_.end())
-        supersede(it->first);
+    for (const auto& [attempt, pending] : pending_) {
+        if (!pending->decided.isSet() && streamRuns_.isOvertaken(pending->grantRequest, pending->arrivedAt))
+            pending->decide(tl::unexpected(supersededError()));
+    }
+}
+
+void PoolClient::addRunning(const PendingRequest& pending, TargetId target)
+{
+    const auto& request = pending.grantRequest;
+    running_[request.attempt] = RunningAttempt { request, target, false };
+    suspects_.attemptGranted(request, target);
+    streamRuns_.attemptGranted(request, pending.arrivedAt);
+    if (request.run.isContinuation)
+        refuseOvertaken();
 }
 
 void PoolClient::release(const Grant& grant)
 {
     running_.erase(grant.attempt);
-    supersededHooks_.erase(grant.attempt);
+    streamRuns_.attemptEnded(grant.attempt);
     suspects_.attemptReleased(grant.attempt);
     if (localAttempts_.contains(grant.attempt))
         rateLimits_.limiter().refundRequest(grant.target, now_());
@@ -217,7 +241,6 @@
     if (it == running_.end())
         return;
     it->second.started = true;
-    it->second.stream = started.stream.stream;
     streams_.attemptStarted(started);
     suspects_.attemptStarted(it->second.request, started);
     if (localAttempts_.contains(started.attempt)) {
@@ -236,7 +259,7 @@
     streams_.attemptFinished(finished);
     suspects_.attemptFinished(it->second.request, finished, it->second.target, isLeaving(it->second.target));
     running_.erase(it);
-    supersededHooks_.erase(finished.attempt);
+    streamRuns_.attemptEnded(finished.attempt);
     if (localAttempts_.erase(finished.attempt) > 0) {
         localScheduler(finished.pool).attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens, std::chrono::milliseconds(finished.durationMs), now_());
         applyLocalActions(finished.pool);
@@ -285,6 +308,7 @@
     auto request = pending.grantRequest;
     request.zone = settings_.zone;
     request.deadlineMs = remainingMs(pending.deadline, now_());
+    request.run.ageMs = clampMs(now_() - pending.arrivedAt);
     for (TargetId target : restrictions_.restrictedTargets(settings_.self, now_())) {
         if (std::find(request.excluded.begin(), request.excluded.end(), target) == request.excluded.end())
             request.excluded.push_back(target);
@@ -338,7 +362,7 @@
             recordRestriction({ notice->pool, notice->target, true, 0 });
     } else if (type == MessageType::AttemptSuperseded) {
         if (auto superseded = decode<AttemptSuperseded>(body))
-            supersede(superseded->attempt);
+            onSupersededMessage(*superseded);
     } else if (type == MessageType::SuspectNotice) {
         if (auto notice = decode<SuspectNotice>(body))
             suspects_.onNotice(*notice);
@@ -383,9 +407,8 @@
             return;
         }
         request.softwareVersion = grant.softwareVersion;
-        running_[grant.attempt] = RunningAttempt { it->second->grantRequest, grant.target, false };
-        suspects_.attemptGranted(it->second->grantRequest, grant.target);
         it->second->decide(grant);
+        addRunning(*it->second, grant.target);
         return;
     }
     if (!running_.contains(grant.attempt))
@@ -454,8 +477,10 @@
     dropExpiredAttempts();
     PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {}, suspects_.noticesForOwner(), streams_.list() };
     for (const auto& [attempt, running] : running_) {
-        if (running.request.pool == pool)
-            message.running.push_back(running);
+        if (running.request.pool != pool)
+            continue;
+        message.running.push_back(running);
+        streamRuns_.updateAge(message.running.back().request);
     }
     for (const auto& recent : recentAttempts_) {
         if (recent.pool == pool)
@@ -515,6 +540,7 @@
     restrictions_.tick(now_());
     suspects_.tick();
     streams_.tick();
+    streamRuns_.tick();
     updateLocalRates();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
@@ -630,10 +656,12 @@
                 continue;
             }
             if (const auto* grant = std::get_if<PoolGrant>(&action)) {
-                running_[attempt] = RunningAttempt { it->second->grantRequest, grant->target, false };
-                suspects_.attemptGranted(it->second->grantRequest, grant->target);
-                supersedeRunOf(it->second->grantRequest);
-                it->second->decide(Grant { pool, attempt, Epoch(), grant->target, it->second->grantRequest.softwareVersion });
+                auto pending = it->second;
+                pending->decide(Grant { pool, attempt, Epoch(), grant->target, pending->grantRequest.softwareVersion });
+                addRunning(*pending, grant->target);
+                // An owner that does not respond has it when it does; one that is unreachable gets a PoolSync.
+                if (pending->grantRequest.run.stream.isValid())
+                    postToPoolOwner(pool, MessageType::StreamSelection, prepareRequest(*pending));
                 continue;
             }
             const auto& refused = std::get<PoolRefusal>(action);
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -46,7 +46,8 @@
     , hooks_(std::move(hooks))
     , rateLimits_(settings_.self)
     , suspects_(metrics, suspectHooks())
-    , streams_(metrics, supersedeHook(), hooks_.now)
+    , streams_(metrics, hooks_.now)
+    , streamRuns_([this](const StreamRuns::Run& run, RequestId overtakenBy) { stopSuperseded(run, overtakenBy); }, hooks_.now)
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -69,9 +70,42 @@
     return hooks;
 }
 
-OwnerStreams::SupersedeHook PoolHost::supersedeHook()
+void PoolHost::stopSuperseded(const StreamRuns::Run& run, RequestId overtakenBy)
 {
-    return [this](NodeId entry, const AttemptSuperseded& attempt) { transport_.postToEntry(entry, MessageType::AttemptSuperseded, encode(attempt)); };
+    metrics_.count("pool_superseded_attempts_total");
+    poolLog().event("attempt superseded", { { "attempt", toString(run.attempt) }, { "entry", int64_t(run.entry.value()) }, { "continued_by", toString(overtakenBy) } });
+    transport_.postToEntry(run.entry, MessageType::AttemptSuperseded, encode(AttemptSuperseded { run.pool, run.attempt }));
+}
+
+void PoolHost::forgetStreamRun(AttemptId attempt)
+{
+    if (auto sinceStop = streamRuns_.attemptEnded(attempt))
+        metrics_.observe("pool_superseded_stop_seconds", {}, toSeconds(*sinceStop));
+}
+
+void PoolHost::addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt)
+{
+    // An entry on this node may react to messages synchronously.
+    auto* pool = request.run.isContinuation ? find(request.pool) : nullptr;
+    streamRuns_.attemptGranted(entry, request, arrivedAt);
+    if (pool)
+        refuseOvertaken(*pool);
+}
+
+void PoolHost::refuseOvertaken(Pool& pool)
+{
+    std::vector<AttemptId> overtaken;
+    for (const auto& [attempt, request] : pool.requests) {
+        if (!request.target.isValid() && streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt))
+            overtaken.push_back(attempt);
+    }
+    for (auto attempt : overtaken) {
+        if (!pool.requests.contains(attempt))
+            continue;
+        if (pool.scheduler)
+            pool.scheduler->cancel(attempt, hooks_.now());
+        refuse(pool, attempt, supersededError());
+    }
 }
 
 PoolHost::Pool* PoolHost::find(PoolId pool)
@@ -149,7 +183,7 @@
         rateLimits_.forgetPool(it->first, hooks_.now());
         for (const auto& [attempt, request] : it->second.requests) {
             suspects_.forget(attempt);
-            streams_.forget(attempt);
+            streamRuns_.attemptEnded(attempt);
         }
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
@@ -268,6 +302,12 @@
                 onGrantRequest(from, link, grantRequest);
         });
         break;
+    case MessageType::StreamSelection:
+        decodeAndHandle<GrantRequest>(body, [&](const GrantRequest& grantRequest) {
+            if (isKnown(grantRequest.pool, Epoch()))
+                addStreamRun(from, grantRequest, arrivalOf(grantRequest, hooks_.now()));
+        });
+        break;
     case MessageType::PoolSync:
         decodeAndHandle<PoolSync>(body, [&](const PoolSync& sync) {
             if (isKnown(sync.pool, sync.epoch))
@@ -343,6 +383,7 @@
     request.grantRequest = grantRequest;
     request.entry = from;
     request.deadline = hooks_.now() + std::chrono::milliseconds(grantRequest.deadlineMs);
+    request.arrivedAt = arrivalOf(grantRequest, hooks_.now());
     if (!pool.scheduler)
         return;
     submit(pool, grantRequest.attempt);
@@ -359,7 +400,7 @@
         return;
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
-    streams_.merge(from, sync);
+    streams_.merge(sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -388,6 +429,7 @@
     }
     for (auto attempt : unlisted)
         removeRequest(pool, attempt, false);
+    streamRuns_.retain(from, sync.pool, [&](AttemptId attempt) { return listed.contains(attempt) || pool.requests.contains(attempt); });
 }
 
 void PoolHost::restoreAttempt(Pool& pool, NodeId from, LinkId link, const RunningAttempt& running)
@@ -395,6 +437,8 @@
     auto [it, isNew] = pool.requests.try_emplace(running.request.attempt);
     auto& request = it->second;
     request.link = link;
+    request.arrivedAt = arrivalOf(running.request, hooks_.now());
+    streamRuns_.attemptGranted(from, running.request, request.arrivedAt);
     if (!isNew && request.target == running.target)
         return;
     if (!isNew && pool.scheduler)
@@ -425,6 +469,10 @@
 void PoolHost::submit(Pool& pool, AttemptId attempt)
 {
     auto& request = pool.requests.at(attempt);
+    if (streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt)) {
+        refuse(pool, attempt, supersededError());
+        return;
+    }
     if (auto resolved = streams_.resolve(request.grantRequest); !resolved) {
         refuse(pool, attempt, resolved.error());
         return;
@@ -475,10 +523,12 @@
 void PoolHost::removeRequest(Pool& pool, AttemptId attempt, bool isUnsent)
 {
     auto it = pool.requests.find(attempt);
-    if (it == pool.requests.end())
+    if (it == pool.requests.end()) {
+        forgetStreamRun(attempt);
         return;
+    }
     suspects_.attemptCancelled(it->second.grantRequest, isUnsent);
-    streams_.forget(attempt);
+    forgetStreamRun(attempt);
     pool.requests.erase(it);
     if (pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
@@ -486,7 +536,8 @@
 
 void PoolHost::onStarted(NodeId from, const AttemptStarted& started)
 {
-    streams_.attemptStarted(from, started);
+    streams_.attemptStarted(started);
+    streamRuns_.attemptStarted(from, started);
     auto* pool = find(started.pool);
     if (!pool)
         return;
@@ -503,6 +554,7 @@
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
     streams_.attemptFinished(finished);
+    forgetStreamRun(finished.attempt);
     auto* pool = find(finished.pool);
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
@@ -646,7 +698,7 @@
             return;
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
-        streams_.attemptGranted(it->second.grantRequest);
+        addStreamRun(it->second.entry, it->second.grantRequest, it->second.arrivedAt);
         sendGrant(pool, it->second);
         return;
     }
@@ -710,7 +762,7 @@
             for (auto attempt : lost)
                 removeRequest(pool, attempt, false);
         }
-        streams_.forgetEntry(it->first);
+        streamRuns_.forgetEntry(it->first);
         it = disconnectedSince_.erase(it);
     }
 }
@@ -733,6 +785,7 @@
     rateLimits_.tick(now);
     suspects_.tick();
     streams_.tick();
+    streamRuns_.tick();
     refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -9,6 +9,18 @@
     return grantRequest.continuedStream.isValid() && !grantRequest.softwareVersion;
 }
 
+Instant arrivalOf(const GrantRequest& grantRequest, Instant sentAt)
+{
+    return sentAt - std::chrono::milliseconds(grantRequest.run.ageMs);
+}
+
+Error supersededError()
+{
+    auto error = makeError(ErrorKind::Superseded, "the caller continues the stream with a later request");
+    error.retryAfter = Duration::zero();
+    return error;
+}
+
 PoolRequest toPoolRequest(const GrantRequest& grantRequest, Instant deadline, Instant now)
 {
     PoolRequest request;
--- a/src/entry/PoolRequests.h
+++ b/src/entry/PoolRequests.h
@@ -8,6 +8,12 @@
 /** Whether the request continues a stream of which it does not say at which software version it began. */
 bool needsStreamVersion(const GrantRequest& grantRequest);
 
+/** When the request arrived at its entry, given when its grant request was sent. */
+Instant arrivalOf(const GrantRequest& grantRequest, Instant sentAt);
+
+/** Refuses a request whose stream its caller continues with a later one. */
+Error supersededError();
+
 /** Converts an entry's grant request to a scheduler request; `now` is its time of arrival. */
 PoolRequest toPoolRequest(const GrantRequest& grantRequest, Instant deadline, Instant now);
 
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -47,11 +47,21 @@
         return parts;
     }
 
-    /** Of the stream that the request begins or continues. */
-    StreamId streamIdOf(const RoutedRequest& request, CustomerId customer)
+    /** Whether the request names the one that began its stream. */
+    bool continuesNamedStream(const RoutedRequest& request)
     {
-        bool continuesNamed = request.lastEventId && !request.resumesCallerId.empty();
-        return StreamId(stableHash(continuesNamed ? request.resumesCallerId : request.callerId, customer.value()));
+        return request.lastEventId && !request.resumesCallerId.empty();
+    }
+
+    /** Of the stream that the request begins or continues; invalid if callers have no name for it. */
+    StreamId streamIdOf(const RoutedRequest& request, CustomerId customer, RequestDigest digest)
+    {
+        const auto& name = continuesNamedStream(request) ? request.resumesCallerId : request.callerId;
+        if (name.empty())
+            return {};
+        // A caller without a customer could name the request of another one, but hardly repeats its body.
+        auto scope = customer.isValid() ? uint64_t { customer.value() } : digest.value();
+        return StreamId(stableHash(name, scope));
     }
 
     /** 0 to 1, evenly spread over the streams. */
@@ -114,9 +124,10 @@
     runner_.history.begin(attempt_.request, request_.callerId, route_->name, tier_);
     if (auto authenticated = authenticate(); !authenticated)
         return authenticated;
+    auto customer = contract_ ? contract_->customer : CustomerId();
+    digest_ = makeRequestDigest(customer, request_.method, request_.target, request_.body);
     if (route_->kind == RouteKind::Stream)
-        streamId_ = streamIdOf(request_, contract_ ? contract_->customer : CustomerId());
-    digest_ = makeRequestDigest(contract_ ? contract_->customer : CustomerId(), request_.method, request_.target, request_.body);
+        streamId_ = streamIdOf(request_, customer, digest_);
     // All requests that continue a stream choose the service that began it.
     service_ = routes_->findService(chooseService(*route_, streamId_.isValid() ? fractionOf(streamId_) : runner_.randomFraction()));
     setDeadlines();
@@ -173,6 +184,13 @@
     return { route_->isResumable ? streamId_ : StreamId(), softwareVersion_.value_or("") };
 }
 
+StreamRunClaim RoutedRequestRun::streamRunClaim() const
+{
+    if (route_->kind != RouteKind::Stream || !route_->isResumable)
+        return {};
+    return { streamId_, continuesNamedStream(request_), clampMs(now() - startedAt_) };
+}
+
 Duration RoutedRequestRun::timeLeft() const
 {
     return std::max<Duration>(deadline_ - now(), 0ms);
@@ -238,6 +256,7 @@
         grantRequest.softwareVersion = softwareVersion_;
     else if (softwareVersion_ || lastEventId_)
         grantRequest.continuedStream = streamId_;
+    grantRequest.run = streamRunClaim();
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
     if (!isStreamStarted_ && route_->objectiveMs > 0)
@@ -262,6 +281,8 @@
     callerState_->onDisconnect = nullptr;
     runner_.metrics.observe("routed_queue_seconds", absl::StrCat("route_tier=\"", tier_.value(), "\""), toSeconds(now() - requestedAt));
     if (!grant) {
+        if (grant.error().kind == ErrorKind::Superseded)
+            callerState_->supersede();
         grant.error().ran = Ran::No;
         return Failure { grant.error(), false, false };
     }
@@ -351,9 +372,10 @@
         };
     }
     if (route_->kind == RouteKind::Stream && route_->isResumable) {
-        runner_.pools.onSuperseded(grant.attempt, [state = callerState_] {
-            state->isSuperseded = true;
-            state->disconnect();
+        runner_.pools.onSuperseded(grant.attempt, [state = callerState_, &exchange = exchange_] {
+            state->supersede();
+            // A caller that accepts no data would delay the end of the attempt.
+            exchange.abort();
         });
     }
     auto response = runner_.hooks.start(settings);
--- /dev/null
+++ b/src/entry/StreamRuns.cpp
@@ -0,0 +1,168 @@
+#include "briarhitch/entry/StreamRuns.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace briarhitch {
+
+namespace {
+
+    using namespace std::chrono_literals;
+
+    constexpr Duration stopRepeatInterval = 250ms;
+    constexpr size_t maxOvertakenPerStream = 16;
+
+}
+
+StreamRuns::StreamRuns(StopHook stop, ClockHook now)
+    : stop_(std::move(stop))
+    , now_(std::move(now))
+{
+}
+
+bool StreamRuns::isOvertaken(const Stream& stream, const Order& order)
+{
+    if (!stream.latestContinuation || stream.latestContinuation->request == order.request)
+        return false;
+    bool wasOvertaken = std::find(stream.overtaken.begin(), stream.overtaken.end(), order.request) != stream.overtaken.end();
+    return wasOvertaken || order < *stream.latestContinuation;
+}
+
+bool StreamRuns::isOvertaken(const GrantRequest& request, Instant arrivedAt) const
+{
+    auto it = streams_.find(request.run.stream);
+    return it != streams_.end() && isOvertaken(it->second, { request.run.isContinuation, arrivedAt, request.attempt.request });
+}
+
+void StreamRuns::attemptGranted(NodeId entry, const GrantRequest& request, Instant arrivedAt)
+{
+    add(request.run.stream, { { entry, request.pool, request.attempt }, { request.run.isContinuation, arrivedAt, request.attempt.request } });
+}
+
+void StreamRuns::attemptStarted(NodeId entry, const AttemptStarted& started)
+{
+    if (streamsOfAttempts_.contains(started.attempt))
+        return;
+    Order order { false, now_() - std::chrono::milliseconds(started.firstTokenMs), started.attempt.request };
+    add(started.stream.stream, { { entry, started.pool, started.attempt }, order });
+}
+
+void StreamRuns::add(StreamId id, const Attempt& attempt)
+{
+    if (!id.isValid())
+        return;
+    auto& stream = streams_[id];
+    std::erase_if(stream.attempts, [&](const Attempt& known) { return known.run.attempt == attempt.run.attempt; });
+    stream.attempts.push_back(attempt);
+    streamsOfAttempts_[attempt.run.attempt] = id;
+    if (attempt.order.isContinuation && !isOvertaken(stream, attempt.order)) {
+        bool isNew = !stream.latestContinuation || stream.latestContinuation->request != attempt.order.request;
+        if (isNew && stream.latestContinuation)
+            stream.overtaken.push_back(stream.latestContinuation->request);
+        if (isNew)
+            stream.latestContinuation = attempt.order;
+    }
+    stopOvertaken(stream);
+}
+
+void StreamRuns::stopOvertaken(Stream& stream)
+{
+    std::vector<Run> overtaken;
+    for (const auto& attempt : stream.attempts) {
+        if (!isOvertaken(stream, attempt.order) || !stops_.try_emplace(attempt.run.attempt, Stop { now_(), now_() }).second)
+            continue;
+        overtaken.push_back(attempt.run);
+        stream.overtaken.push_back(attempt.order.request);
+    }
+    if (stream.overtaken.size() > maxOvertakenPerStream)
+        stream.overtaken.erase(stream.overtaken.begin(), stream.overtaken.end() - maxOvertakenPerStream);
+    if (overtaken.empty())
+        return;
+    // The hook may end attempts.
+    auto overtakenBy = stream.latestContinuation->request;
+    for (const auto& run : overtaken)
+        stop_(run, overtakenBy);
+}
+
+std::optional<Duration> StreamRuns::attemptEnded(AttemptId attempt)
+{
+    auto known = streamsOfAttempts_.find(attempt);
+    if (known == streamsOfAttempts_.end())
+        return std::nullopt;
+    auto id = known->second;
+    streamsOfAttempts_.erase(known);
+    auto& stream = streams_.at(id);
+    std::erase_if(stream.attempts, [&](const Attempt& ended) { return ended.run.attempt == attempt; });
+    if (stream.attempts.empty() && !stream.latestContinuation) {
+        streams_.erase(id);
+    } else if (stream.attempts.empty()) {
+        stream.idleSince = now_();
+        idleStreams_.emplace_back(stream.idleSince, id);
+    }
+    auto stopped = stops_.extract(attempt);
+    return stopped ? std::optional<Duration>(now_() - stopped.mapped().since) : std::nullopt;
+}
+
+void StreamRuns::dropIf(const std::function<bool(const Run&)>& isDropped)
+{
+    std::vector<AttemptId> dropped;
+    for (const auto& [id, stream] : streams_) {
+        for (const auto& attempt : stream.attempts) {
+            if (isDropped(attempt.run))
+                dropped.push_back(attempt.run.attempt);
+        }
+    }
+    for (auto attempt : dropped)
+        attemptEnded(attempt);
+}
+
+void StreamRuns::forgetEntry(NodeId entry)
+{
+    dropIf([entry](const Run& run) { return run.entry == entry; });
+}
+
+void StreamRuns::retain(NodeId entry, PoolId pool, const std::function<bool(AttemptId)>& isRunning)
+{
+    dropIf([&](const Run& run) { return run.entry == entry && run.pool == pool && !isRunning(run.attempt); });
+}
+
+std::optional<Instant> StreamRuns::arrivedAt(AttemptId attempt) const
+{
+    auto known = streamsOfAttempts_.find(attempt);
+    if (known == streamsOfAttempts_.end())
+        return std::nullopt;
+    const auto& attempts = streams_.at(known->second).attempts;
+    auto it = std::find_if(attempts.begin(), attempts.end(), [&](const Attempt& candidate) { return candidate.run.attempt == attempt; });
+    return it->order.arrivedAt;
+}
+
+void StreamRuns::tick()
+{
+    forgetIdleStreams();
+    std::vector<std::pair<Run, RequestId>> repeated;
+    for (auto& [attempt, stop] : stops_) {
+        if (now_() - stop.repeatedAt < stopRepeatInterval)
+            continue;
+        stop.repeatedAt = now_();
+        const auto& stream = streams_.at(streamsOfAttempts_.at(attempt));
+        for (const auto& candidate : stream.attempts) {
+            if (candidate.run.attempt == attempt)
+                repeated.emplace_back(candidate.run, stream.latestContinuation->request);
+        }
+    }
+    for (const auto& [run, overtakenBy] : repeated)
+        stop_(run, overtakenBy);
+}
+
+void StreamRuns::forgetIdleStreams()
+{
+    while (!idleStreams_.empty() && (idleStreams_.size() > capacity || now_() - idleStreams_.front().first >= retention)) {
+        auto [idleSince, id] = idleStreams_.front();
+        idleStreams_.pop_front();
+        auto it = streams_.find(id);
+        if (it != streams_.end() && it->second.attempts.empty() && it->second.idleSince == idleSince)
+            streams_.erase(it);
+    }
+}
+
+}
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -68,6 +68,7 @@
         { "pool_rate_limited_targets", "Targets of an owned pool that name a rate limit." },
         { "pool_running", "Requests that run in an owned pool, by pool and tier." },
         { "pool_superseded_attempts_total", "Attempts that were stopped because their callers continued the streams with other requests." },
+        { "pool_superseded_stop_seconds", "From the first order to stop an attempt whose caller continues the stream with another request to its end." },
         { "pool_suspect_refusals_total", "Requests that owners refused because they or a part of their prompt are blocked, by kind." },
         { "pool_suspect_trials_total", "Requests that owners let run although they or a part of their prompt were blocked." },
         { "pool_suspect_verdicts_total", "Changes of what owners believe of requests and parts of prompts, by kind and state." },
