Do not send a request whose caller left while its connection opened

Cause: the hook for a caller that leaves cancels the call, which exists only once the connection is open. A caller that left during the connect was noticed by the first write.

Change: the call is cancelled before its first byte if the caller has left meanwhile. Requests that may run once are completed as before.

Test: RequestRunsOnceTest.CancelledRequestIsNotSentWhenItsConnectionOpens failed before for streams and repeatable calls.

--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -363,9 +363,14 @@
     connectionAge_ = Duration::zero();
     auto settings = callSettings(target);
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
-    settings.onSending = [sending](const std::shared_ptr<HttpCall>& call) { *sending = call; };
     // A non-idempotent call is completed even if its caller disconnects.
-    if (route_->kind != RouteKind::AtMostOnce) {
+    bool isCancellable = route_->kind != RouteKind::AtMostOnce;
+    settings.onSending = [sending, isCancellable, state = callerState_](const std::shared_ptr<HttpCall>& call) {
+        *sending = call;
+        if (isCancellable && state->isDisconnected)
+            call->cancel();
+    };
+    if (isCancellable) {
         callerState_->onDisconnect = [sending] {
             if (auto call = sending->lock())
                 call->cancel();
--- /dev/null
+++ b/tests/RequestRunsOnceTest.cpp
@@ -0,0 +1,75 @@
+#include "support/RoutedRequestFixture.h"
+
+#include <gtest/gtest.h>
+
+namespace briarhitch {
+namespace {
+
+    using namespace std::chrono_literals;
+    using Fixture = RoutedRequestFixture;
+
+    // Guards against a request that is sent although its caller left, or continued it elsewhere, while its connection opened.
+    TEST(RequestRunsOnceTest, CancelledRequestIsNotSentWhenItsConnectionOpens)
+    {
+        for (const char* path : { "/query/1", "/plan/1", "/lookup/1" }) {
+            Fixture fixture;
+            fixture.targets.onConnected = [&] { fixture.exchange.disconnect(); };
+            fixture.targets.script = { streamOf({ event(1) }), streamOf({ event(1) }) };
+            fixture.run(path);
+            EXPECT_TRUE(fixture.targets.log.empty()) << path;
+            EXPECT_EQ(fixture.pools.outcomes, std::vector { AttemptOutcome::Cancelled }) << path;
+        }
+        Fixture superseded;
+        superseded.targets.onConnected = [&] { superseded.pools.supersededHooks.begin()->second(); };
+        superseded.targets.script = { streamOf({ event(1) }) };
+        superseded.run("/query/1");
+        EXPECT_TRUE(superseded.targets.log.empty());
+        EXPECT_TRUE(superseded.exchange.isAborted);
+    }
+
+    // Guards against a stream whose owner has refused it in favour of a later request, and that waits or is tried again.
+    TEST(RequestRunsOnceTest, RefusalInFavourOfALaterRequestEndsTheRequest)
+    {
+        Fixture fixture;
+        fixture.pools.grants.clear();
+        fixture.pools.refusal = makeError(ErrorKind::Superseded, "scripted");
+        fixture.run("/query/1");
+        EXPECT_TRUE(fixture.targets.log.empty());
+        EXPECT_EQ(fixture.pools.grantRequests.size(), 1U);
+        EXPECT_TRUE(fixture.exchange.isAborted);
+        EXPECT_EQ(fixture.exchange.responses, 0);
+    }
+
+    /** The claim of the grant request for a stream that continues "c1" after event 2. */
+    StreamRunClaim claimOf(const std::string& path, const std::string& key, const std::string& body, const std::string& resumes = "c1")
+    {
+        Fixture fixture;
+        auto request = Fixture::requestTo(path, key);
+        request.callerId = resumes.empty() ? "" : "c2";
+        request.resumesCallerId = resumes;
+        request.lastEventId = 2;
+        request.body = body;
+        fixture.run(request);
+        return fixture.pools.grantRequests.at(0).run;
+    }
+
+    // Guards against a caller without a customer that stops the stream of another one by its name, and against nameless requests
+    // that are taken for one stream.
+    TEST(RequestRunsOnceTest, OnlyRequestsOfTheSameCallerClaimAStream)
+    {
+        Fixture fixture;
+        auto begun = Fixture::requestTo("/query/1");
+        begun.body = "secret";
+        fixture.run(begun);
+        auto claim = fixture.pools.grantRequests.at(0).run;
+        EXPECT_TRUE(claim.stream.isValid());
+        EXPECT_FALSE(claim.isContinuation);
+        EXPECT_EQ(claimOf("/query/1", "", "secret").stream, claim.stream);
+        EXPECT_TRUE(claimOf("/query/1", "", "secret").isContinuation);
+        EXPECT_NE(claimOf("/query/1", "", "guess").stream, claim.stream);
+        EXPECT_FALSE(claimOf("/query/1", "", "secret", "").stream.isValid());
+        EXPECT_FALSE(claimOf("/plan/1", "", "secret").stream.isValid()) << "callers cannot continue it";
+    }
+
+}
+}
