Do not resume a moved stream whose caller left during the move

What callers saw: a generation goes on at the destination of a move while the caller continues its stream elsewhere (TWICE).

Cause: after a connection that broke, the request waits for the outcome of its move and then resumed at the destination without looking whether its caller was still there. The hook of the caller's connection had cancelled the earlier call only.

Test: RequestRunsOnceTest.MovedStreamDoesNotGoOnWithoutItsCaller failed before, for a caller that closes its connection and for one that continues elsewhere.

--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -63,6 +63,7 @@
     void awaitMigration();
     /** Gives up a migration, and frees the place at its destination. */
     void releaseMigration();
+    /** Ends the request if its caller has left meanwhile. */
     std::optional<Failure> resumeAfterMigration();
     /** For a stalled stream: a grant for another target, with a retry taken from the budget; none if it must stay where it is. */
     std::optional<Grant> acquireOtherSlot();
--- a/src/entry/RoutedRequestRunRelay.cpp
+++ b/src/entry/RoutedRequestRunRelay.cpp
@@ -224,6 +224,8 @@
 
 std::optional<RoutedRequestRun::Failure> RoutedRequestRun::resumeAfterMigration()
 {
+    if (callerState_->isDisconnected)
+        return endForDisconnectedCaller();
     auto grant = *std::exchange(migrationGrant_, std::nullopt);
     // The slot on the source is free, though the response is not complete.
     if (grant.attempt != grant_.attempt)
--- a/tests/RequestRunsOnceTest.cpp
+++ b/tests/RequestRunsOnceTest.cpp
@@ -27,6 +27,32 @@
         EXPECT_TRUE(superseded.exchange.isAborted);
     }
 
+    // Guards against a generation that goes on at the destination of a move although its caller left while the move was under way.
+    TEST(RequestRunsOnceTest, MovedStreamDoesNotGoOnWithoutItsCaller)
+    {
+        for (bool isSuperseded : { false, true }) {
+            Fixture fixture;
+            fixture.exchange.onWrite = [&] {
+                if (fixture.exchange.writes == 1)
+                    fixture.clock.now += 600ms;
+            };
+            fixture.spawnDelay = 400ms;
+            fixture.targets.onRequest = [&] {
+                bool isMove = fixture.targets.log.size() == 2;
+                if (isMove && isSuperseded)
+                    fixture.pools.supersededHooks.begin()->second();
+                else if (isMove)
+                    fixture.exchange.disconnect();
+            };
+            fixture.targets.script = { streamOf({ event(1), event(2), tl::unexpected(makeError(ErrorKind::TargetClosed, "closed")) }), respondWith(200, "h7"), streamOf({ event(3) }) };
+            fixture.run("/query/1");
+            ASSERT_EQ(fixture.targets.log.size(), 2U);
+            EXPECT_EQ(fixture.targets.log[1].target, "/move/c1/t1/t2");
+            EXPECT_EQ(fixture.pools.released, 1);
+            EXPECT_EQ(fixture.pools.outcomes, std::vector { AttemptOutcome::Cancelled });
+        }
+    }
+
     // Guards against a stream whose owner has refused it in favour of a later request, and that waits or is tried again.
     TEST(RequestRunsOnceTest, RefusalInFavourOfALaterRequestEndsTheRequest)
     {
