Send further attempts to an address over a new connection

Cause: a server may repeat an answer late. A request that was refused by one target and is granted another at the same address (the target was replaced) could be sent over the kept connection, and a late copy of the refusal, which names the same request, be taken for the answer of the second target: the request was then sent a third time while it ran.

Not shown on real processes; found by following each path on which a request that may run once is sent again (TWICE). A new connection cannot hold an earlier answer.

Test: RequestRunsOnceTest.FurtherAttemptAtAnAddressUsesANewConnection failed before.

--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -71,6 +71,11 @@
         return static_cast<double>(stream.value()) / hashRange;
     }
 
+    HostPort addressOf(const Target& target)
+    {
+        return { target.host, target.port };
+    }
+
     std::string joinedText(const std::vector<PromptPartId>& parts)
     {
         return absl::StrJoin(parts, ",", [](std::string* text, PromptPartId part) { text->append(toString(part)); });
@@ -341,6 +346,9 @@
         settings.headerTimeout = std::min(settings.headerTimeout, runner_.limits.stallTimeout);
     settings.maxResponseBytes = runner_.limits.maxResponseBytes;
     settings.isResendAllowed = false;
+    // A late copy of an earlier answer to this request could be taken for the answer to this attempt.
+    settings.isReuseAllowed = std::find(usedAddresses_.begin(), usedAddresses_.end(), addressOf(target)) == usedAddresses_.end();
+    usedAddresses_.push_back(addressOf(target));
     settings.responseOwner = [this](const HttpHeaders& headers) { return runner_.protocol.responseOwner(request_, headers); };
     return settings;
 }
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "briarhitch/core/NodeAddress.h"
 #include "briarhitch/entry/RoutedRequestRunner.h"
 #include "entry/CallerConnectionState.h"
 #include "entry/EventStreamParser.h"
@@ -116,6 +117,8 @@
     bool isDebited_ { false };
     CeilingDecider ceilingDecider_ { CeilingDecider::None };
     std::vector<TargetId> excluded_;
+    /** Of the targets of earlier attempts; a target that has been replaced leaves its address to another one. */
+    std::vector<HostPort> usedAddresses_;
     uint32_t sentAttempts_ { 0 };
     uint32_t unusedGrants_ { 0 };
     Ran ran_ { Ran::No };
--- a/tests/RequestRunsOnceTest.cpp
+++ b/tests/RequestRunsOnceTest.cpp
@@ -97,5 +97,24 @@
         EXPECT_FALSE(claimOf("/plan/1", "", "secret").stream.isValid()) << "callers cannot continue it";
     }
 
+    // Guards against a request that runs twice because a late copy of a refusal, of an earlier attempt at the same address, is taken for
+    // the answer to a later one.
+    TEST(RequestRunsOnceTest, FurtherAttemptAtAnAddressUsesANewConnection)
+    {
+        for (uint16_t secondPort : { uint16_t { 7001 }, uint16_t { 7002 } }) {
+            Fixture fixture;
+            auto config = fixture.view.config();
+            config.version = Version(2);
+            config.targets[TargetId(1)].port = 7001;
+            config.targets[TargetId(2)].port = secondPort;
+            fixture.apply(config);
+            fixture.targets.script = { respondWith(421, ""), respondWith(200, "paid") };
+            fixture.run("/charge/1");
+            ASSERT_EQ(fixture.targets.log.size(), 2U);
+            EXPECT_TRUE(fixture.targets.log[0].isReuseAllowed);
+            EXPECT_EQ(fixture.targets.log[1].isReuseAllowed, secondPort != 7001);
+        }
+    }
+
 }
 }
