Notice the end of a caller's connection behind pipelined bytes

What callers saw: a target works on for a caller that has left, if the caller had sent bytes beyond its request (GONE, and TWICE when it continues its stream elsewhere).

Cause: the watch for the end of a connection stopped at the first readable bytes. They are now read into the buffer of the next request, up to the limit of a header, and the watch goes on.

Test: HttpTest.HandlerIsNotifiedOfDisconnectAfterPipelinedBytes failed before (the handler was never told).

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -2,6 +2,7 @@
 
 #include "runtime/FiberWaiter.h"
 
+#include <algorithm>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
@@ -147,15 +148,30 @@
     isWatching_ = true;
     socket_.async_wait(boost::asio::ip::tcp::socket::wait_read, [self = shared_from_this()](boost::system::error_code error) {
         self->isWatching_ = false;
-        if (error || !self->isHandling_)
-            return;
-        boost::system::error_code failure;
-        // A readable socket without data has been closed by the caller; with data, the caller sent its next request.
-        if (self->socket_.available(failure) == 0 || failure)
-            self->handleDisconnect();
+        if (!error && self->isHandling_)
+            self->onReadable();
     });
 }
 
+void HttpConnection::onReadable()
+{
+    boost::system::error_code failure;
+    size_t available = socket_.available(failure);
+    if (failure || available == 0) {
+        handleDisconnect();
+        return;
+    }
+    // The caller has sent its next request; the end of the connection shows only once these bytes have been read.
+    if (buffer_.size() >= settings_.maxHeaderBytes)
+        return;
+    auto space = buffer_.prepare(std::min(available, settings_.maxHeaderBytes - buffer_.size()));
+    buffer_.commit(socket_.read_some(space, failure));
+    if (failure)
+        handleDisconnect();
+    else
+        watchForDisconnect();
+}
+
 void HttpConnection::handleDisconnect()
 {
     if (isDisconnected_)
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -46,6 +46,8 @@
     void sendReadError(boost::system::error_code error, bool hasBytes);
     void handle(const HttpRequest& request);
     void watchForDisconnect();
+    /** While a request is handled: detects the end of the connection, and reads bytes of the next request that are before it. */
+    void onReadable();
     void handleDisconnect();
     template <class Message>
     void fillHeader(Message& message, int status, const HttpHeaders& headers);
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -131,6 +131,36 @@
         });
     }
 
+    // Guards against a caller whose end is not noticed because it has sent bytes beyond its request.
+    TEST_F(HttpTest, HandlerIsNotifiedOfDisconnectAfterPipelinedBytes)
+    {
+        FiberEvent started(loop_);
+        FiberEvent disconnected(loop_);
+        auto wait = [&](const HttpRequest&, HttpExchange& exchange) {
+            exchange.onCallerDisconnected([&] { disconnected.set(); });
+            exchange.beginStream(200, {});
+            started.set();
+            EXPECT_TRUE(disconnected.waitFor(5s));
+            EXPECT_TRUE(exchange.isCallerDisconnected());
+        };
+        run(wait, [&] {
+            boost::asio::ip::tcp::socket socket(loop_.context());
+            boost::asio::ip::tcp::endpoint server(boost::asio::ip::make_address("127.0.0.1"), server_->port());
+            ASSERT_FALSE(awaitIo([&](auto handler) { socket.async_connect(server, handler); }).error);
+            auto send = [&](const std::string& bytes) {
+                ASSERT_FALSE(awaitIo([&](auto handler) { boost::asio::async_write(socket, boost::asio::buffer(bytes), handler); }).error);
+            };
+            send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+            started.wait();
+            for (const char* part : { "GET / HT", "TP/1.1\r\n" }) {
+                send(part);
+                sleepFor(loop_, 20ms);
+            }
+            socket.close();
+            EXPECT_TRUE(disconnected.waitFor(5s));
+        });
+    }
+
     // Guards against memory use by large input, and against responses that do not state the error.
     TEST_F(HttpTest, LargeBodyIsRejectedWithAJsonError)
     {
