Answer a request that was overtaken before its first event

A request whose caller continues the stream with a later one ended with a closed connection. If nothing of the stream was sent yet, it is answered with 502 (superseded) now, so that a connection that is kept does not close without an answer; the status promises nothing, since a caller that is told that nothing ran would repeat what it has continued. A stream that has begun is broken off as before. The order of requests uses the arrival at the entry, also where a request waits for the confirmation of the configuration. Requests that were overtaken are always logged.

Tests: RequestRunsOnceTest.RefusalInFavourOfALaterRequestEndsTheRequest expects the answer.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -97,7 +97,7 @@
     };
 
     /** acquire() for a request whose software version is known here, if it is known at all. */
-    Result<Grant> acquireSlot(const GrantRequest& request, Instant deadline);
+    Result<Grant> acquireSlot(const GrantRequest& request, Instant arrivedAt, Instant deadline);
     void onSupersededMessage(const AttemptSuperseded& superseded);
     /** Refuses requests that wait here for a target, if a later one continues their stream. */
     void refuseOvertaken();
--- a/src/core/Error.cpp
+++ b/src/core/Error.cpp
@@ -50,7 +50,7 @@
         { ErrorKind::SuspectRequest, "suspect_request", 503, Ran::No, 30s },
         { ErrorKind::TargetClosed, "target_closed", 502, Ran::Unknown, 2s },
         { ErrorKind::UnknownStream, "unknown_stream", 503, Ran::No, 1s },
-        { ErrorKind::Superseded, "superseded", 409, Ran::No, std::nullopt },
+        { ErrorKind::Superseded, "superseded", 502, Ran::Unknown, std::nullopt },
     } };
 
     constexpr bool isTableInOrder()
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -60,10 +60,10 @@
 }
 
 struct PoolClient::PendingRequest {
-    PendingRequest(Loop& loop, GrantRequest requestToSend, Instant deadlineToMeet, Instant now)
+    PendingRequest(Loop& loop, GrantRequest requestToSend, Instant arrival, Instant deadlineToMeet)
         : grantRequest(std::move(requestToSend))
+        , arrivedAt(arrival)
         , deadline(deadlineToMeet)
-        , arrivedAt(arrivalOf(grantRequest, now))
         , decided(loop)
     {
     }
@@ -77,8 +77,9 @@
     }
 
     GrantRequest grantRequest;
-    Instant deadline;
+    /** When the request arrived at this entry. */
     Instant arrivedAt;
+    Instant deadline;
     Instant requestedAt {};
     /** The owner has confirmed that the request is in its queue. */
     bool isQueued { false };
@@ -122,9 +123,10 @@
 {
     auto resolved = request;
     streams_.resolve(resolved);
-    auto grant = checkLocalVersion(acquireSlot(resolved, deadline), deadline);
+    auto arrivedAt = arrivalOf(request, now_());
+    auto grant = checkLocalVersion(acquireSlot(resolved, arrivedAt, deadline), deadline);
     bool isUnknown = !grant && grant.error().kind == ErrorKind::UnknownStream && needsStreamVersion(resolved);
-    return isUnknown && streams_.resolveBySoleVersion(resolved, deadline) ? acquireSlot(resolved, deadline) : grant;
+    return isUnknown && streams_.resolveBySoleVersion(resolved, deadline) ? acquireSlot(resolved, arrivedAt, deadline) : grant;
 }
 
 Result<Grant> PoolClient::checkLocalVersion(Result<Grant> grant, Instant deadline)
@@ -137,14 +139,14 @@
     return fail(ErrorKind::UnknownStream, "this node may not know the present software versions of the targets");
 }
 
-Result<Grant> PoolClient::acquireSlot(const GrantRequest& request, Instant deadline)
+Result<Grant> PoolClient::acquireSlot(const GrantRequest& request, Instant arrivedAt, Instant deadline)
 {
     auto& state = pools_[request.pool];
     if (!settings_.localSelectionAfter && hasOwnerTimedOut(state))
         return tl::unexpected(missingOwnerError());
-    if (streamRuns_.isOvertaken(request, arrivalOf(request, now_())))
+    if (streamRuns_.isOvertaken(request, arrivedAt))
         return tl::unexpected(supersededError());
-    auto pending = std::make_shared<PendingRequest>(loop_, request, deadline, now_());
+    auto pending = std::make_shared<PendingRequest>(loop_, request, arrivedAt, deadline);
     pending->requestedAt = now_();
     bool isLocal = mustSelectLocally(state);
     if (auto block = suspects_.findBlock(request, isLocal))
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -17,6 +17,7 @@
 Error supersededError()
 {
     auto error = makeError(ErrorKind::Superseded, "the caller continues the stream with a later request");
+    error.ran = Ran::No;
     error.retryAfter = Duration::zero();
     return error;
 }
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -385,10 +385,11 @@
         };
     }
     if (route_->kind == RouteKind::Stream && route_->isResumable) {
-        runner_.pools.onSuperseded(grant.attempt, [state = callerState_, &exchange = exchange_] {
-            state->supersede();
+        runner_.pools.onSuperseded(grant.attempt, [this] {
+            callerState_->supersede();
             // A caller that accepts no data would delay the end of the attempt.
-            exchange.abort();
+            if (isStreamStarted_)
+                exchange_.abort();
         });
     }
     auto response = runner_.hooks.start(settings);
@@ -505,7 +506,7 @@
     if (callerState_->isDisconnected) {
         count("routed_ends_total", "end", callerState_->isSuperseded ? "superseded" : "caller_left");
         if (callerState_->isSuperseded)
-            exchange_.abort();
+            endSuperseded();
         return;
     }
     ran_ = std::max(ran_, error.ran);
@@ -534,6 +535,18 @@
     exchange_.send(info.httpStatus, headers, errorToJson(error));
 }
 
+void RoutedRequestRun::endSuperseded()
+{
+    if (isStreamStarted_) {
+        exchange_.abort();
+        return;
+    }
+    // A status that promises that nothing ran would have the caller repeat a request that it has continued with another.
+    auto error = makeError(ErrorKind::Superseded, "the caller continues the stream with a later request");
+    error.ran = ran_;
+    exchange_.send(errorInfo(error.kind).httpStatus, { { "Content-Type", "application/json" } }, errorToJson(error));
+}
+
 void RoutedRequestRun::recordFirstEvent()
 {
     hasFirstEvent_ = true;
@@ -569,7 +582,7 @@
 {
     // One in 100 successful requests is logged as an example.
     constexpr uint64_t logSampleInterval = 100;
-    return hasFailed_ || missedObjective_ || attempt_.number > 1 || attempt_.request.value() % logSampleInterval == 0;
+    return hasFailed_ || missedObjective_ || callerState_->isSuperseded || attempt_.number > 1 || attempt_.request.value() % logSampleInterval == 0;
 }
 
 void RoutedRequestRun::count(std::string_view metric, std::string_view label, std::string_view value)
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -80,6 +80,7 @@
     Failure endForDisconnectedCaller();
     void finishAttempt(AttemptOutcome outcome);
     void refuse(Error error);
+    void endSuperseded();
     void recordFirstEvent();
     void complete();
 
--- a/tests/RequestRunsOnceTest.cpp
+++ b/tests/RequestRunsOnceTest.cpp
@@ -24,7 +24,7 @@
         superseded.targets.script = { streamOf({ event(1) }) };
         superseded.run("/query/1");
         EXPECT_TRUE(superseded.targets.log.empty());
-        EXPECT_TRUE(superseded.exchange.isAborted);
+        EXPECT_EQ(superseded.exchange.status, 502);
     }
 
     // Guards against a generation that goes on at the destination of a move although its caller left while the move was under way.
@@ -62,8 +62,8 @@
         fixture.run("/query/1");
         EXPECT_TRUE(fixture.targets.log.empty());
         EXPECT_EQ(fixture.pools.grantRequests.size(), 1U);
-        EXPECT_TRUE(fixture.exchange.isAborted);
-        EXPECT_EQ(fixture.exchange.responses, 0);
+        EXPECT_EQ(fixture.exchange.responses, 1);
+        EXPECT_EQ(fixture.exchange.status, 502) << "not one that has the caller repeat it";
     }
 
     /** The claim of the grant request for a stream that continues "c1" after event 2. */
