--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -1,7 +1,7 @@
 #include "briarhitch/http/HttpClient.h"
 #include "briarhitch/http/HttpServer.h"
 #include "briarhitch/runtime/Loop.h"
-#include "process/ChildProcess.h"
+#include "platform/process/PlatformProcesses.h"
 
 #include <algorithm>
 #include <atomic>
@@ -20,12 +20,11 @@
     using namespace std::chrono_literals;
     using Json = nlohmann::json;
 
-    constexpr uint16_t adminPort = 18300;
-    constexpr uint16_t linkPort = 18301;
-    constexpr uint16_t poolLinkPort = 18302;
-    constexpr uint16_t callerPort = 18303;
-    constexpr uint16_t readyPort = 18304;
-    constexpr uint16_t platformPort = 18305;
+    constexpr auto adminPort = PlatformProcesses::adminPort;
+    constexpr auto linkPort = PlatformProcesses::linkPort;
+    constexpr auto callerPort = PlatformProcesses::callerPort;
+    constexpr auto readyPort = PlatformProcesses::readyPort;
+    constexpr auto platformPort = PlatformProcesses::platformPort;
 
     // Paths that select how the fake servers respond.
     constexpr auto slowPlan = "/plan/slow";
@@ -235,11 +234,8 @@
     class PlatformFleetTest : public testing::Test {
     protected:
         PlatformFleetTest()
-            : addressPrefix_("127." + std::to_string(10 + getpid() % 200) + "." + std::to_string((getpid() / 200 + fleetCount++) % 200) + ".")
-            , platform_(*new FakePlatform(host(50)))
+            : platform_(*new FakePlatform(host(50)))
         {
-            auto pattern = (std::filesystem::temp_directory_path() / "briarhitch-platform-XXXXXX").string();
-            folder_ = mkdtemp(pattern.data());
         }
         ~PlatformFleetTest() override
         {
@@ -249,66 +245,25 @@
                     std::cout << "log of " << name << ":\n"
                               << process->log() << "\n";
             }
-            std::error_code ignored;
-            std::filesystem::remove_all(folder_, ignored);
         }
 
-        [[nodiscard]] std::string host(int number) const { return addressPrefix_ + std::to_string(number); }
-        [[nodiscard]] std::string address(int number, uint16_t port) const { return host(number) + ":" + std::to_string(port); }
-
-        [[nodiscard]] Json fleet() const
-        {
-            return { { "seeds", { address(1, adminPort), address(2, adminPort), address(3, adminPort) } }, { "link_port", linkPort } };
-        }
-
-        ChildProcess& start(const std::string& name, const std::string& program, const Json& settings, const std::vector<std::string>& extraArguments = {})
-        {
-            auto path = folder_ + "/" + name + ".json";
-            std::ofstream(path) << settings.dump(2);
-            std::vector<std::string> arguments { "--config=" + path };
-            arguments.insert(arguments.end(), extraArguments.begin(), extraArguments.end());
-            auto& process = processes_[name];
-            process = std::make_unique<ChildProcess>(std::string(BRIARHITCH_BIN_DIR) + "/" + program, arguments, folder_ + "/" + name + ".log");
-            return *process;
-        }
-
-        ChildProcess& startControl(int number, bool mayBootstrap)
-        {
-            return start("control-" + std::to_string(number), "briarhitch-platform-control", controlSettings(number, mayBootstrap), { "--instances=" + address(50, platformPort) });
-        }
+        [[nodiscard]] std::string host(int number) const { return fleet_.host(number); }
+        [[nodiscard]] std::string address(int number, uint16_t port) const { return fleet_.address(number, port); }
+        ChildProcess& startControl(int number, bool mayBootstrap) { return fleet_.startControl(number, mayBootstrap); }
+        ChildProcess& startPoolOwner(int number) { return fleet_.startPoolOwner(number); }
+        ChildProcess& startFront(int number) { return fleet_.startFront(number); }
 
         /** A control process with a limit of some kilobytes on its file sizes; writes beyond it fail as on a full disk. */
         ChildProcess& startControlWithFileSizeLimit(int number)
         {
             auto name = "control-" + std::to_string(number);
             auto path = folder_ + "/" + name + ".json";
-            std::ofstream(path) << controlSettings(number, true).dump(2);
+            std::ofstream(path) << fleet_.controlSettings(number, true).dump(2);
             auto& process = processes_[name];
             process = std::make_unique<ChildProcess>("/bin/sh", std::vector<std::string> { "-c", "trap '' XFSZ; ulimit -f 32; exec \"$0\" \"$@\"", std::string(BRIARHITCH_BIN_DIR) + "/briarhitch-platform-control", "--config=" + path, "--instances=" + address(50, platformPort) }, folder_ + "/" + name + ".log");
             return *process;
         }
 
-        [[nodiscard]] Json controlSettings(int number, bool mayBootstrap) const
-        {
-            auto settings = Json { { "fleet", fleet() }, { "link", { { "host", host(number) }, { "port", linkPort } } }, { "admin", { { "address", address(number, adminPort) } } },
-                { "data_folder", folder_ + "/data-" + std::to_string(number) }, { "fleet_key", "fleet key of the tests" } };
-            settings["fleet"]["may_found"] = mayBootstrap;
-            return settings;
-        }
-
-        ChildProcess& startPoolOwner(int number)
-        {
-            return start("pools-" + std::to_string(number), "briarhitch-platform-entry", { { "fleet", fleet() }, { "region", "fleet" }, { "zone", "a" }, { "serves_callers", false }, { "prefers_pools", true }, { "link", { { "host", host(number) }, { "port", poolLinkPort } } }, { "fleet_key", "fleet key of the tests" }, { "policy", { { "name", "slots" } } } });
-        }
-
-        ChildProcess& startFront(int number)
-        {
-            return start("front-" + std::to_string(number), "briarhitch-platform-entry",
-                { { "fleet", fleet() }, { "region", "fleet" }, { "zone", "a" }, { "http", { { "address", address(number, callerPort) } } }, { "ready", { { "address", address(number, readyPort) } } },
-                    { "link", { { "host", host(number) }, { "port", linkPort } } }, { "fleet_key", "fleet key of the tests" }, { "policy", { { "name", "slots" } } },
-                    { "limits", { { "heartbeat_interval_ms", 100 }, { "solo_after_ms", 150 }, { "lame_duck_ms", 300 }, { "drain_timeout_ms", 5000 }, { "handover_timeout_ms", 100 } } } });
-        }
-
         static Json routingDocument(uint64_t version)
         {
             auto route = [](const std::string& prefix, const std::string& kind, const std::string& service) {
@@ -321,19 +276,12 @@
                 { "tenants", { { { "name", "harbour" }, { "apiKeys", { "key" } } } } } };
         }
 
-        static HttpCallSettings callSettings(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
+        template <class... Arguments>
+        static HttpCallSettings callSettings(const Arguments&... arguments)
         {
-            HttpCallSettings settings;
-            settings.host = host;
-            settings.port = port;
-            settings.method = method;
-            settings.target = path;
-            settings.body = body;
-            settings.headers = headers;
-            settings.headerTimeout = 30s;
-            settings.isReuseAllowed = false;
-            return settings;
+            return PlatformProcesses::callSettings(arguments...);
         }
+        static HttpHeaders requestHeaders(const std::string& id, const std::string& key, int deadlineMs) { return PlatformProcesses::requestHeaders(id, key, deadlineMs); }
 
         HttpResponse call(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
         {
@@ -347,11 +295,6 @@
             return result;
         }
 
-        static HttpHeaders requestHeaders(const std::string& id, const std::string& key, int deadlineMs)
-        {
-            return { { "Host", "a.example" }, { "Briarhitch-Request-Id", id }, { "X-Api-Key", key }, { "Briarhitch-Deadline-Ms", std::to_string(deadlineMs) } };
-        }
-
         HttpResponse request(const std::string& path, const std::string& id, const std::string& key = "key", int deadlineMs = 20000)
         {
             return call(host(20), callerPort, "POST", path, "body", requestHeaders(id, key, deadlineMs));
@@ -427,15 +370,15 @@
                 std::cout << explanation;
         }
 
-        /** Calls the operator API of a control process and follows its redirect. */
         HttpResponse callOperatorApi(int number, const std::string& method, const std::string& body = {})
         {
-            auto response = call(host(number), adminPort, method, "/v1/config", body);
-            if (response.status != 307)
-                return response;
-            std::string location(findHeader(response.headers, "Location"));
-            auto begin = location.find("//") + 2;
-            return call(location.substr(begin, location.find(':', begin) - begin), adminPort, method, "/v1/config", body);
+            HttpResponse result;
+            loop_.spawn([&] {
+                result = fleet_.callOperatorApi(client_, number, method, body);
+                loop_.stop();
+            });
+            loop_.run();
+            return result;
         }
 
         static void waitUntil(const std::string& what, const std::function<bool()>& condition)
@@ -459,16 +402,13 @@
             return 0;
         }
 
-        /** Number of fleets that this process has started; each has addresses of its own. */
-        static inline int fleetCount = 0;
-
-        std::string addressPrefix_;
+        PlatformProcesses fleet_ { BRIARHITCH_BIN_DIR };
+        const std::string& folder_ { fleet_.folder() };
+        std::map<std::string, std::unique_ptr<ChildProcess>>& processes_ { fleet_.all() };
         /** Never deleted, as its thread uses it until the process exits. */
         FakePlatform& platform_;
         Loop loop_;
         HttpClient client_ { loop_ };
-        std::string folder_;
-        std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
     };
 
     // Guards against a fleet that does not bootstrap from its seeds, loses a routing document, or does not serve after its pool
