--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -276,10 +276,9 @@
                 { "tenants", { { { "name", "harbour" }, { "apiKeys", { "key" } } } } } };
         }
 
-        template <class... Arguments>
-        static HttpCallSettings callSettings(const Arguments&... arguments)
+        static HttpCallSettings callSettings(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {})
         {
-            return PlatformProcesses::callSettings(arguments...);
+            return PlatformProcesses::callSettings(host, port, method, path, body, headers);
         }
         static HttpHeaders requestHeaders(const std::string& id, const std::string& key, int deadlineMs) { return PlatformProcesses::requestHeaders(id, key, deadlineMs); }
 
@@ -344,6 +343,41 @@
             return hasLogged("control-1") || hasLogged("control-2") || hasLogged("control-3");
         }
 
+        /** Begins streams, falls silent with open connections, and continues them through the same entry and through another one. */
+        void expectOneRunOfContinuedStreams()
+        {
+            startFront(21);
+            waitUntil("the second front to be ready", [&] { return call(host(21), readyPort, "GET", "/v1/ready").status == 200; });
+            waitUntil("the list with both engines", [&] { return hasControlLogged("discovery lists 3 targets"); });
+            for (int lastFront : { 20, 21 }) {
+                auto first = "silent-" + std::to_string(lastFront);
+                // The calls are neither read to the end nor closed.
+                std::vector<std::shared_ptr<HttpCall>> connections;
+                auto begin = [&](int front, const HttpHeaders& headers) {
+                    loop_.spawn([&, headers] {
+                        if (auto started = client_.start(callSettings(host(front), callerPort, "POST", endlessQuery, "body", headers))) {
+                            connections.push_back(*started);
+                            (void)connections.back()->read(30s);
+                        }
+                        loop_.stop();
+                    });
+                    loop_.run();
+                };
+                auto checkedBefore = platform_.checkedRuns.load();
+                begin(20, requestHeaders(first, "key", 20000));
+                auto headers = requestHeaders(first + "-continued", "key", 20000);
+                headers.emplace_back("Last-Event-Id", "1");
+                headers.emplace_back("Resumes", first);
+                begin(lastFront, headers);
+                ASSERT_EQ(connections.size(), 2U);
+                EXPECT_EQ(connections[1]->status(), 200) << first;
+                waitUntil("the continued run", [&] { return platform_.checkedRuns > checkedBefore; });
+                EXPECT_EQ(platform_.overlappingRuns, 0) << first;
+                for (auto& connection : connections)
+                    connection->cancel();
+            }
+        }
+
         /** The explanation of a request that briarhitch-ctl gives from the logs. */
         std::string explain(const std::string& id)
         {
@@ -696,38 +730,17 @@
     // caller continues it, through the same entry and through another one.
     TEST_F(PlatformFleetTest, ContinuedStreamDoesNotRunTwice)
     {
-        startServingFleet();
-        startFront(21);
-        waitUntil("the second front to be ready", [&] { return call(host(21), readyPort, "GET", "/v1/ready").status == 200; });
         platform_.setEngines({ { "i-llm", "v1" }, { "i-llm2", "v1" } });
-        waitUntil("the list with the new engine", [&] { return hasControlLogged("discovery lists 3 targets"); });
-        for (int lastFront : { 20, 21 }) {
-            auto first = "silent-" + std::to_string(lastFront);
-            // The calls are neither read to the end nor closed.
-            std::vector<std::shared_ptr<HttpCall>> connections;
-            auto begin = [&](int front, const HttpHeaders& headers) {
-                loop_.spawn([&, headers] {
-                    if (auto started = client_.start(callSettings(host(front), callerPort, "POST", endlessQuery, "body", headers))) {
-                        connections.push_back(*started);
-                        (void)connections.back()->read(30s);
-                    }
-                    loop_.stop();
-                });
-                loop_.run();
-            };
-            auto checkedBefore = platform_.checkedRuns.load();
-            begin(20, requestHeaders(first, "key", 20000));
-            auto headers = requestHeaders(first + "-continued", "key", 20000);
-            headers.emplace_back("Last-Event-Id", "1");
-            headers.emplace_back("Resumes", first);
-            begin(lastFront, headers);
-            ASSERT_EQ(connections.size(), 2U);
-            EXPECT_EQ(connections[1]->status(), 200);
-            waitUntil("the continued run", [&] { return platform_.checkedRuns > checkedBefore; });
-            EXPECT_EQ(platform_.overlappingRuns, 0) << lastFront;
-            for (auto& connection : connections)
-                connection->cancel();
-        }
+        startServingFleet();
+        expectOneRunOfContinuedStreams();
+    }
+
+    // Guards against the same at engines that name no version, whose streams were continued without the name of the stream.
+    TEST_F(PlatformFleetTest, ContinuedStreamOfAnUnnamedVersionDoesNotRunTwice)
+    {
+        platform_.setEngines({ { "i-llm", "" }, { "i-llm2", "" } });
+        startServingFleet();
+        expectOneRunOfContinuedStreams();
     }
 
     // Guards against a voter that acknowledges entries it could not write, or does not recover from a full disk.
