Send a continuation once the attempts that it overtakes have ended

Of two requests that continue a stream at once, the one granted first could reach its target after the second one did, and both ran until the order to stop arrived: mostly a few milliseconds, longer where the loop of the entry is busy.

The owner holds the grant of a request that overtakes running attempts until their entries have reported the end, for at most 200 ms, since an entry may be suspended. A held request that is overtaken itself is refused, and nothing of it was sent. A former owner of a pool drops what it knows of the pool's streams; before, it would have repeated its orders for attempts whose ends are reported to the next owner.

--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -139,10 +139,12 @@
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
     void stopSuperseded(const StreamRuns::Run& run, RequestId overtakenBy);
     /** To be called when an attempt has ended, whether or not it is hosted here. */
-    void forgetStreamRun(AttemptId attempt);
+    void endStreamRun(AttemptId attempt);
     void addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt);
-    /** Refuses requests that wait in the pool, if a later one continues their stream. */
+    /** Refuses requests of the pool that were not sent yet, if a later one continues their stream. */
     void refuseOvertaken(Pool& pool);
+    /** Sends the grants whose requests need not wait any more. */
+    void sendHeldGrants();
     /** `isUnsent`: no target has seen the request under this attempt. */
     void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
     /** Hands a request to the scheduler, unless it is blocked or continues an unknown stream. */
@@ -169,6 +171,8 @@
     OwnerSuspects suspects_;
     OwnerStreams streams_;
     StreamRuns streamRuns_;
+    /** Not sent yet, because the attempts that they overtake have not ended. */
+    std::set<std::pair<PoolId, AttemptId>> heldGrants_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/entry/StreamRuns.h
+++ b/include/briarhitch/entry/StreamRuns.h
@@ -30,6 +30,8 @@
     /** An overtaken request is remembered for this long after the last attempt of its stream has ended. */
     static constexpr Duration retention = std::chrono::minutes(2);
     static constexpr size_t capacity = 65536;
+    /** How long a request waits for the end of the attempts that it overtook; their entries may be suspended. */
+    static constexpr Duration maxWaitForEnd = std::chrono::milliseconds(200);
 
     /** The hook stops an attempt; it may be called again for one that has not ended. */
     StreamRuns(StopHook stop, ClockHook now);
@@ -38,12 +40,15 @@
     [[nodiscard]] bool isOvertaken(const GrantRequest& request, Instant arrivedAt) const;
     /** Stops the attempts of the requests that this one overtakes, or this one if it has been overtaken. */
     void attemptGranted(NodeId entry, const GrantRequest& request, Instant arrivedAt);
+    /** Whether attempts that the request overtook have not ended, and it should not be sent yet. */
+    [[nodiscard]] bool shouldWait(const GrantRequest& request) const;
     /** Ignored if the attempt is known; otherwise its entry selected the target, and says nothing else of it. */
     void attemptStarted(NodeId entry, const AttemptStarted& started);
     /** The time since the attempt was first stopped; none if it was not. */
     std::optional<Duration> attemptEnded(AttemptId attempt);
     /** The entry has ended, and its attempts with it. */
     void forgetEntry(NodeId entry);
+    void forgetPool(PoolId pool);
     /** Drops the entry's attempts in the pool for which the function is false. */
     void retain(NodeId entry, PoolId pool, const std::function<bool(AttemptId)>& isRunning);
     /** When the request of this attempt arrived at its entry. */
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -77,10 +77,34 @@
     transport_.postToEntry(run.entry, MessageType::AttemptSuperseded, encode(AttemptSuperseded { run.pool, run.attempt }));
 }
 
-void PoolHost::forgetStreamRun(AttemptId attempt)
+void PoolHost::endStreamRun(AttemptId attempt)
 {
     if (auto sinceStop = streamRuns_.attemptEnded(attempt))
         metrics_.observe("pool_superseded_stop_seconds", {}, toSeconds(*sinceStop));
+    sendHeldGrants();
+}
+
+void PoolHost::sendHeldGrants()
+{
+    if (heldGrants_.empty() || !hooks_.hasLease())
+        return;
+    // An entry on this node may react to a grant synchronously.
+    std::vector<std::pair<PoolId, AttemptId>> due;
+    std::erase_if(heldGrants_, [&](const auto& held) {
+        auto* pool = find(held.first);
+        auto request = pool ? pool->requests.find(held.second) : std::map<AttemptId, HostedRequest>::iterator();
+        bool isGranted = pool && request != pool->requests.end() && request->second.target.isValid();
+        if (isGranted && streamRuns_.shouldWait(request->second.grantRequest))
+            return false;
+        if (isGranted)
+            due.push_back(held);
+        return true;
+    });
+    for (const auto& [poolId, attempt] : due) {
+        auto* pool = find(poolId);
+        if (auto request = pool->requests.find(attempt); request != pool->requests.end())
+            sendGrant(*pool, request->second);
+    }
 }
 
 void PoolHost::addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt)
@@ -96,12 +120,15 @@
 {
     std::vector<AttemptId> overtaken;
     for (const auto& [attempt, request] : pool.requests) {
-        if (!request.target.isValid() && streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt))
+        bool isUnsent = !request.target.isValid() || heldGrants_.contains({ pool.assignment.id, attempt });
+        if (isUnsent && streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt))
             overtaken.push_back(attempt);
     }
     for (auto attempt : overtaken) {
         if (!pool.requests.contains(attempt))
             continue;
+        heldGrants_.erase({ pool.assignment.id, attempt });
+        streamRuns_.attemptEnded(attempt);
         if (pool.scheduler)
             pool.scheduler->cancel(attempt, hooks_.now());
         refuse(pool, attempt, supersededError());
@@ -181,10 +208,9 @@
         }
         poolLog().info("Pool " + it->second.assignment.name + " is no longer assigned to this node.");
         rateLimits_.forgetPool(it->first, hooks_.now());
-        for (const auto& [attempt, request] : it->second.requests) {
+        for (const auto& [attempt, request] : it->second.requests)
             suspects_.forget(attempt);
-            streamRuns_.attemptEnded(attempt);
-        }
+        streamRuns_.forgetPool(it->first);
         if (assigned != config.pools.end() && assigned->second.owner.isValid())
             pendingReleases_.push_back({ assigned->second.owner, { it->first, assigned->second.epoch }, hooks_.now() });
         it = pools_.erase(it);
@@ -376,7 +402,7 @@
     request.link = link;
     if (!isNew) {
         // The entry resends its request when the grant was lost with a link or had an older epoch.
-        if (request.target.isValid() && hooks_.hasLease() && pool.scheduler)
+        if (request.target.isValid() && hooks_.hasLease() && pool.scheduler && !heldGrants_.contains({ pool.assignment.id, grantRequest.attempt }))
             sendGrant(pool, request);
         return;
     }
@@ -388,7 +414,8 @@
         return;
     submit(pool, grantRequest.attempt);
     applyActions(pool);
-    if (auto waiting = pool.requests.find(grantRequest.attempt); waiting != pool.requests.end() && !waiting->second.target.isValid())
+    auto waiting = pool.requests.find(grantRequest.attempt);
+    if (waiting != pool.requests.end() && (!waiting->second.target.isValid() || heldGrants_.contains({ pool.assignment.id, grantRequest.attempt })))
         transport_.postToEntry(from, MessageType::GrantQueued, encode(GrantQueued { grantRequest.pool, grantRequest.attempt }));
 }
 
@@ -524,11 +551,11 @@
 {
     auto it = pool.requests.find(attempt);
     if (it == pool.requests.end()) {
-        forgetStreamRun(attempt);
+        endStreamRun(attempt);
         return;
     }
     suspects_.attemptCancelled(it->second.grantRequest, isUnsent);
-    forgetStreamRun(attempt);
+    endStreamRun(attempt);
     pool.requests.erase(it);
     if (pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
@@ -554,7 +581,7 @@
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
     streams_.attemptFinished(finished);
-    forgetStreamRun(finished.attempt);
+    endStreamRun(finished.attempt);
     auto* pool = find(finished.pool);
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
@@ -699,7 +726,10 @@
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
         addStreamRun(it->second.entry, it->second.grantRequest, it->second.arrivedAt);
-        sendGrant(pool, it->second);
+        if (streamRuns_.shouldWait(it->second.grantRequest))
+            heldGrants_.emplace(pool.assignment.id, grant->attempt);
+        else
+            sendGrant(pool, it->second);
         return;
     }
     const auto& refusal = std::get<PoolRefusal>(action);
@@ -786,6 +816,7 @@
     suspects_.tick();
     streams_.tick();
     streamRuns_.tick();
+    sendHeldGrants();
     refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
--- a/src/entry/StreamRuns.cpp
+++ b/src/entry/StreamRuns.cpp
@@ -39,6 +39,17 @@
     add(request.run.stream, { { entry, request.pool, request.attempt }, { request.run.isContinuation, arrivedAt, request.attempt.request } });
 }
 
+bool StreamRuns::shouldWait(const GrantRequest& request) const
+{
+    auto it = streams_.find(request.run.stream);
+    if (it == streams_.end())
+        return false;
+    return std::any_of(it->second.attempts.begin(), it->second.attempts.end(), [&](const Attempt& attempt) {
+        auto stop = stops_.find(attempt.run.attempt);
+        return stop != stops_.end() && attempt.order.request != request.attempt.request && now_() - stop->second.since < maxWaitForEnd;
+    });
+}
+
 void StreamRuns::attemptStarted(NodeId entry, const AttemptStarted& started)
 {
     if (streamsOfAttempts_.contains(started.attempt))
@@ -121,6 +132,11 @@
     dropIf([entry](const Run& run) { return run.entry == entry; });
 }
 
+void StreamRuns::forgetPool(PoolId pool)
+{
+    dropIf([pool](const Run& run) { return run.pool == pool; });
+}
+
 void StreamRuns::retain(NodeId entry, PoolId pool, const std::function<bool(AttemptId)>& isRunning)
 {
     dropIf([&](const Run& run) { return run.entry == entry && run.pool == pool && !isRunning(run.attempt); });
