Give back the trial and the place in a rate limit of a request that is overtaken

A request that may crash targets is tried one at a time. One whose trial waited, and whose caller continued the stream with another request, was refused by the owner of the pool without ending the trial, which held up the next trial until it timed out (10 s). A held grant also kept what it had taken from its target's rate limit.

Test: StreamContinuationTest.OvertakenTrialIsGivenBack failed before (refused as suspect).

--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -125,9 +125,12 @@
             overtaken.push_back(attempt);
     }
     for (auto attempt : overtaken) {
-        if (!pool.requests.contains(attempt))
+        auto it = pool.requests.find(attempt);
+        if (it == pool.requests.end())
             continue;
-        heldGrants_.erase({ pool.assignment.id, attempt });
+        suspects_.attemptCancelled(it->second.grantRequest, true);
+        if (heldGrants_.erase({ pool.assignment.id, attempt }) > 0)
+            rateLimits_.limiter().refundRequest(it->second.target, hooks_.now());
         streamRuns_.attemptEnded(attempt);
         if (pool.scheduler)
             pool.scheduler->cancel(attempt, hooks_.now());
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -482,6 +482,45 @@
         EXPECT_EQ(overtaken.grants().size(), 1U);
     }
 
+    // Guards against a suspect request that is overtaken while it waits for its trial, and holds up others until that times out.
+    TEST(StreamContinuationTest, OvertakenTrialIsGivenBack)
+    {
+        Owner owner;
+        auto suspect = [](uint64_t id) {
+            auto request = continuation(id);
+            request.continuedStream = {};
+            request.run = {};
+            request.digest = RequestDigest(9);
+            return request;
+        };
+        for (uint64_t id : { 20, 21 }) {
+            owner.send(2, MessageType::GrantRequest, suspect(id));
+            auto crashed = endOf(id);
+            crashed.outcome = AttemptOutcome::Failed;
+            crashed.hasTargetClosed = true;
+            owner.send(2, MessageType::AttemptFinished, crashed);
+            owner.clock.now += 3s;
+            owner.host->tick();
+        }
+        owner.send(2, MessageType::GrantRequest, suspect(22));
+        ASSERT_EQ(owner.refusals().size(), 1U);
+        EXPECT_EQ(owner.refusals()[0].kind, ErrorKind::SuspectRequest);
+        owner.clock.now += 10s;
+        owner.host->tick();
+        owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
+        auto trial = continuation(100);
+        trial.digest = RequestDigest(9);
+        owner.send(2, MessageType::GrantRequest, trial);
+        owner.send(2, MessageType::GrantRequest, continuation(101));
+        ASSERT_EQ(owner.refusals().size(), 2U);
+        EXPECT_EQ(owner.refusals()[1].kind, ErrorKind::Superseded);
+        auto grantsBefore = owner.grants().size();
+        owner.clock.now += 1s;
+        owner.send(2, MessageType::GrantRequest, suspect(23));
+        EXPECT_EQ(owner.refusals().size(), 2U);
+        EXPECT_EQ(owner.grants().size(), grantsBefore + 1);
+    }
+
     // Guards against a former owner that stops attempts without end.
     TEST(StreamContinuationTest, FormerOwnerStopsNothing)
     {
