--- a/tests/platform/process/PlatformFleetTest.cpp
+++ b/tests/platform/process/PlatformFleetTest.cpp
@@ -21,7 +21,6 @@
     using Json = nlohmann::json;
 
     constexpr auto adminPort = PlatformProcesses::adminPort;
-    constexpr auto linkPort = PlatformProcesses::linkPort;
     constexpr auto callerPort = PlatformProcesses::callerPort;
     constexpr auto readyPort = PlatformProcesses::readyPort;
     constexpr auto platformPort = PlatformProcesses::platformPort;
--- a/tests/platform/soak/LedgerTargets.cpp
+++ b/tests/platform/soak/LedgerTargets.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -92,12 +93,13 @@
     ::inet_pton(AF_INET, (settings_.addressPrefix + std::to_string(firstHost + engines + bookingServers)).c_str(), &address.sin_addr);
     const auto* generic = reinterpret_cast<const sockaddr*>(&address);
     hangingSockets_.push_back(openTcpSocket());
-    ::bind(hangingSockets_.back(), generic, sizeof(address));
-    ::listen(hangingSockets_.back(), 0);
+    if (::bind(hangingSockets_.back(), generic, sizeof(address)) != 0 || ::listen(hangingSockets_.back(), 0) != 0)
+        throw std::runtime_error("cannot listen at the address of the target that does not accept connections");
     constexpr int connectionsThatFillTheQueue = 4;
     for (int i = 0; i < connectionsThatFillTheQueue; ++i) {
         hangingSockets_.push_back(openTcpSocket());
-        ::connect(hangingSockets_.back(), generic, sizeof(address));
+        // Does not wait, so there is no result yet.
+        (void)::connect(hangingSockets_.back(), generic, sizeof(address));
     }
 }
 
@@ -173,10 +175,10 @@
         IsAnotherTarget,
         LosesTheAnswer,
         ClosesUnread,
-        behaviours };
+        BehaviourCount };
     std::string id(request.header("Briarhitch-Request-Id"));
     Random random(settings_.seed ^ stableHash(id + target));
-    auto behaviour = static_cast<Behaviour>(random.below(behaviours));
+    auto behaviour = static_cast<Behaviour>(random.below(BehaviourCount));
     HttpHeaders headers { { "Briarhitch-Request-Id", id } };
     if (behaviour == RefusesOnce || behaviour == IsAnotherTarget) {
         headers.emplace_back("Briarhitch-Not-Run", "1");
--- a/tests/platform/soak/StreamCallers.cpp
+++ b/tests/platform/soak/StreamCallers.cpp
@@ -83,14 +83,14 @@
 
 std::pair<StreamCallers::Call, bool> StreamCallers::open(Random& random, const std::string& id, const Progress& progress)
 {
-    const auto& [entry, host] = pickEntry(random);
-    targets_.withLedger([&](RunLedger& ledger) { ledger.recordEntry(id, entry); });
+    const auto& entry = pickEntry(random);
+    targets_.withLedger([&](RunLedger& ledger) { ledger.recordEntry(id, entry.first); });
     auto headers = PlatformProcesses::requestHeaders(id, "key", 20000);
     if (!progress.firstRequest.empty()) {
         headers.emplace_back("Resumes", progress.firstRequest);
         headers.emplace_back("Last-Event-Id", std::to_string(progress.lastEvent));
     }
-    auto settings = PlatformProcesses::callSettings(host, settings_.port, "POST", "/query/1", "body of " + id.substr(0, id.rfind('-')), headers);
+    auto settings = PlatformProcesses::callSettings(entry.second, settings_.port, "POST", "/query/1", "body of " + id.substr(0, id.rfind('-')), headers);
     settings.headerTimeout = patience;
     Call call;
     settings.onSending = [&call](const Call& sending) { call = sending; };
--- a/tests/platform/soak/StreamSoakMain.cpp
+++ b/tests/platform/soak/StreamSoakMain.cpp
@@ -57,10 +57,10 @@
             FreezePools,
             KillControl,
             BreakStreams,
-            kinds };
+            KindCount };
         constexpr std::chrono::milliseconds shortestFault = 300ms;
         auto duration = shortestFault + std::chrono::milliseconds(random_.below(1500));
-        switch (static_cast<Kind>(random_.below(kinds))) {
+        switch (static_cast<Kind>(random_.below(KindCount))) {
         case KillFront:
             replaceFront(
                 pick(fronts), [&](ChildProcess& process) { process.kill(); }, duration);
