Give what an owner does about superseded attempts a class of its own

No change of behaviour but one: of two held grants that are superseded at once, in two pools, the second cannot be sent any more between the ends of the first and its own.

OwnerStreamRuns takes the orders to stop, the held grants, their log line and metrics out of PoolHost. One word for one thing: superseded, not also overtaken, which the schedulers use for the order of queues. GrantRequest::run becomes streamClaim. The error of a superseded request is made in one place, and callSettings() only builds settings.

--- a/include/briarhitch/entry/EntryStreamRuns.h
+++ b/include/briarhitch/entry/EntryStreamRuns.h
@@ -13,8 +13,8 @@
 public:
     EntryStreamRuns(NodeId self, ClockHook now);
 
-    [[nodiscard]] bool isOvertaken(const GrantRequest& request, Instant arrivedAt) const { return runs_.isOvertaken(request, arrivedAt); }
-    /** Stops the attempts at this entry that the request overtakes. */
+    [[nodiscard]] bool isSuperseded(const GrantRequest& request, Instant arrivedAt) const { return runs_.isSuperseded(request, arrivedAt); }
+    /** Stops the attempts at this entry that the request supersedes. */
     void attemptGranted(const GrantRequest& request, Instant arrivedAt);
     void attemptEnded(AttemptId attempt);
     /** The hook is called at once if the attempt has been stopped already. */
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -100,7 +100,7 @@
     Result<Grant> acquireSlot(const GrantRequest& request, Instant arrivedAt, Instant deadline);
     void onSupersededMessage(const AttemptSuperseded& superseded);
     /** Refuses requests that wait here for a target, if a later one continues their stream. */
-    void refuseOvertaken();
+    void refuseSuperseded();
     /** Records an attempt before it is sent, and stops those of earlier requests of its stream. */
     void addRunning(const PendingRequest& pending, TargetId target);
     /** Releases a local selection for a stream if the target may have another software version by now. */
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -2,9 +2,9 @@
 
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/OwnerRateLimits.h"
+#include "briarhitch/entry/OwnerStreamRuns.h"
 #include "briarhitch/entry/OwnerStreams.h"
 #include "briarhitch/entry/OwnerSuspects.h"
-#include "briarhitch/entry/StreamRuns.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/TargetRestrictions.h"
@@ -118,6 +118,7 @@
     void bufferEarlyMessage(NodeId from, LinkId link, MessageType type, std::string_view body);
     void replayEarlyMessages();
     void onGrantRequest(NodeId from, LinkId link, const GrantRequest& grantRequest);
+    void onStreamSelection(NodeId from, const GrantRequest& grantRequest);
     void onPoolSync(NodeId from, LinkId link, const PoolSync& sync);
     void dropUnlistedRequests(Pool& pool, NodeId from, LinkId link, const PoolSync& sync);
     void restoreAttempt(Pool& pool, NodeId from, LinkId link, const RunningAttempt& running);
@@ -137,14 +138,9 @@
     [[nodiscard]] const Target* findTarget(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
-    void stopSuperseded(const StreamRuns::Run& run, RequestId overtakenBy);
-    /** To be called when an attempt has ended, whether or not it is hosted here. */
-    void endStreamRun(AttemptId attempt);
-    void addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt);
-    /** Refuses requests of the pool that were not sent yet, if a later one continues their stream. */
-    void refuseOvertaken(Pool& pool);
-    /** Sends the grants whose requests need not wait any more. */
-    void sendHeldGrants();
+    [[nodiscard]] OwnerStreamRunsHooks streamRunsHooks();
+    /** Refuses requests of the pool that wait, or whose grants are held, if a later one continues their stream. */
+    void refuseSuperseded(Pool& pool);
     /** `isUnsent`: no target has seen the request under this attempt. */
     void removeRequest(Pool& pool, AttemptId attempt, bool isUnsent);
     /** Hands a request to the scheduler, unless it is blocked or continues an unknown stream. */
@@ -170,9 +166,7 @@
     OwnerRateLimits rateLimits_;
     OwnerSuspects suspects_;
     OwnerStreams streams_;
-    StreamRuns streamRuns_;
-    /** Not sent yet, because the attempts that they overtake have not ended. */
-    std::set<std::pair<PoolId, AttemptId>> heldGrants_;
+    OwnerStreamRuns streamRuns_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/include/briarhitch/entry/StreamRuns.h
+++ b/include/briarhitch/entry/StreamRuns.h
@@ -15,7 +15,7 @@
 
 /**
  * The attempts that run streams which callers may continue, from their grants on. Of the requests that continue a stream only the
- * latest runs; it overtakes the one that began the stream, and those that continued it before. Owners of pools keep the attempts of
+ * latest runs; it supersedes the one that began the stream, and those that continued it before. Owners of pools keep the attempts of
  * all entries, entries their own.
  */
 class StreamRuns {
@@ -25,24 +25,26 @@
         PoolId pool;
         AttemptId attempt;
     };
-    using StopHook = std::function<void(const Run& run, RequestId overtakenBy)>;
+    using StopHook = std::function<void(const Run& run, RequestId supersededBy)>;
 
-    /** An overtaken request is remembered for this long after the last attempt of its stream has ended. */
+    /** An superseded request is remembered for this long after the last attempt of its stream has ended. */
     static constexpr Duration retention = std::chrono::minutes(2);
     static constexpr size_t capacity = 65536;
-    /** How long a request waits for the end of the attempts that it overtook; their entries may be suspended. */
+    /** How long a request waits for the end of the attempts that it superseded; their entries may be suspended. */
     static constexpr Duration maxWaitForEnd = std::chrono::milliseconds(200);
 
     /** The hook stops an attempt; it may be called again for one that has not ended. */
     StreamRuns(StopHook stop, ClockHook now);
 
     /** Whether a later request that continues the stream has been granted a target. */
-    [[nodiscard]] bool isOvertaken(const GrantRequest& request, Instant arrivedAt) const;
-    /** Stops the attempts of the requests that this one overtakes, or this one if it has been overtaken. */
+    [[nodiscard]] bool isSuperseded(const GrantRequest& request, Instant arrivedAt) const;
+    /** Stops the attempts of the requests that this one supersedes, or this one if it has been superseded. */
     void attemptGranted(NodeId entry, const GrantRequest& request, Instant arrivedAt);
-    /** Whether attempts that the request overtook have not ended, and it should not be sent yet. */
-    [[nodiscard]] bool shouldWait(const GrantRequest& request) const;
-    /** Ignored if the attempt is known; otherwise its entry selected the target, and says nothing else of it. */
+    /** Whether other requests' attempts to run the stream have been stopped and not ended, so that this request should not be sent yet. */
+    [[nodiscard]] bool shouldWait(StreamId stream, RequestId request) const;
+    /** Whether the attempt has been stopped and not ended. */
+    [[nodiscard]] bool isStopped(AttemptId attempt) const { return stops_.contains(attempt); }
+    /** For an entry of an earlier release, which reports nothing else of the targets that it selects itself; ignored if the attempt is known. */
     void attemptStarted(NodeId entry, const AttemptStarted& started);
     /** The time since the attempt was first stopped; none if it was not. */
     std::optional<Duration> attemptEnded(AttemptId attempt);
@@ -74,7 +76,7 @@
         std::optional<Order> latestContinuation;
         std::vector<Attempt> attempts;
         /** Kept by id too, because a message that was delayed makes its request seem to have arrived later. */
-        std::vector<RequestId> overtaken;
+        std::vector<RequestId> superseded;
         Instant idleSince;
     };
     struct Stop {
@@ -82,9 +84,9 @@
         Instant repeatedAt;
     };
 
-    static bool isOvertaken(const Stream& stream, const Order& order);
+    static bool isSuperseded(const Stream& stream, const Order& order);
     void add(StreamId id, const Attempt& attempt);
-    void stopOvertaken(Stream& stream);
+    void stopSuperseded(Stream& stream);
     /** Removes the attempts for which the function is true. */
     void dropIf(const std::function<bool(const Run&)>& isDropped);
     void forgetIdleStreams();
@@ -94,7 +96,7 @@
     absl::flat_hash_map<StreamId, Stream> streams_;
     absl::flat_hash_map<AttemptId, StreamId> streamsOfAttempts_;
     std::map<AttemptId, Stop> stops_;
-    /** Streams without attempts in which a request was overtaken, by the time since. */
+    /** Streams without attempts in which a request was superseded, by the time since. */
     std::deque<std::pair<Instant, StreamId>> idleStreams_;
 };
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -168,8 +168,8 @@
     }
 };
 
-/** The stream that a request runs. */
-struct StreamRunClaim {
+/** The claim of a request to run a stream. */
+struct StreamClaim {
     /** Invalid if callers cannot continue the stream. */
     StreamId stream;
     /** The caller continues the stream with this request, so earlier ones that run it must end. */
@@ -223,13 +223,13 @@
     StreamId continuedStream;
     /** Only targets of this version may be granted, because one of them began the stream; never empty; none: any. */
     std::optional<std::string> softwareVersion;
-    StreamRunClaim run {};
+    StreamClaim streamClaim {};
 
     template <class V>
     void fields(V& visit)
     {
         visit(pool, attempt, customer, tier, kind, promptTokens, maxOutputTokens, prefix, deadlineMs, excluded, idempotencyKeyHash, expectedOutputTokens,
-            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest, continuedStream, softwareVersion, run);
+            objectiveMs, responseMs, eventGapObjectiveMs, urgency, migratesFrom, zone, sharedParts, digest, continuedStream, softwareVersion, streamClaim);
     }
 };
 
--- a/src/entry/EntryStreamRuns.cpp
+++ b/src/entry/EntryStreamRuns.cpp
@@ -41,7 +41,7 @@
 void EntryStreamRuns::updateAge(GrantRequest& request) const
 {
     if (auto arrivedAt = runs_.arrivedAt(request.attempt))
-        request.run.ageMs = clampMs(now_() - *arrivedAt);
+        request.streamClaim.ageMs = clampMs(now_() - *arrivedAt);
 }
 
 }
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -144,7 +144,7 @@
     auto& state = pools_[request.pool];
     if (!settings_.localSelectionAfter && hasOwnerTimedOut(state))
         return tl::unexpected(missingOwnerError());
-    if (streamRuns_.isOvertaken(request, arrivedAt))
+    if (streamRuns_.isSuperseded(request, arrivedAt))
         return tl::unexpected(supersededError());
     auto pending = std::make_shared<PendingRequest>(loop_, request, arrivedAt, deadline);
     pending->requestedAt = now_();
@@ -208,10 +208,10 @@
         it->second->decide(tl::unexpected(supersededError()));
 }
 
-void PoolClient::refuseOvertaken()
+void PoolClient::refuseSuperseded()
 {
     for (const auto& [attempt, pending] : pending_) {
-        if (!pending->decided.isSet() && streamRuns_.isOvertaken(pending->grantRequest, pending->arrivedAt))
+        if (!pending->decided.isSet() && streamRuns_.isSuperseded(pending->grantRequest, pending->arrivedAt))
             pending->decide(tl::unexpected(supersededError()));
     }
 }
@@ -222,8 +222,8 @@
     running_[request.attempt] = RunningAttempt { request, target, false };
     suspects_.attemptGranted(request, target);
     streamRuns_.attemptGranted(request, pending.arrivedAt);
-    if (request.run.isContinuation)
-        refuseOvertaken();
+    if (request.streamClaim.isContinuation)
+        refuseSuperseded();
 }
 
 void PoolClient::release(const Grant& grant)
@@ -310,7 +310,7 @@
     auto request = pending.grantRequest;
     request.zone = settings_.zone;
     request.deadlineMs = remainingMs(pending.deadline, now_());
-    request.run.ageMs = clampMs(now_() - pending.arrivedAt);
+    request.streamClaim.ageMs = clampMs(now_() - pending.arrivedAt);
     for (TargetId target : restrictions_.restrictedTargets(settings_.self, now_())) {
         if (std::find(request.excluded.begin(), request.excluded.end(), target) == request.excluded.end())
             request.excluded.push_back(target);
@@ -662,7 +662,7 @@
                 pending->decide(Grant { pool, attempt, Epoch(), grant->target, pending->grantRequest.softwareVersion });
                 addRunning(*pending, grant->target);
                 // An owner that does not respond has it when it does; one that is unreachable gets a PoolSync.
-                if (pending->grantRequest.run.stream.isValid())
+                if (pending->grantRequest.streamClaim.stream.isValid())
                     postToPoolOwner(pool, MessageType::StreamSelection, prepareRequest(*pending));
                 continue;
             }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -47,7 +47,7 @@
     , rateLimits_(settings_.self)
     , suspects_(metrics, suspectHooks())
     , streams_(metrics, hooks_.now)
-    , streamRuns_([this](const StreamRuns::Run& run, RequestId overtakenBy) { stopSuperseded(run, overtakenBy); }, hooks_.now)
+    , streamRuns_(metrics, streamRunsHooks())
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -70,67 +70,38 @@
     return hooks;
 }
 
-void PoolHost::stopSuperseded(const StreamRuns::Run& run, RequestId overtakenBy)
+OwnerStreamRunsHooks PoolHost::streamRunsHooks()
 {
-    metrics_.count("pool_superseded_attempts_total");
-    poolLog().event("attempt superseded", { { "attempt", toString(run.attempt) }, { "entry", int64_t(run.entry.value()) }, { "continued_by", toString(overtakenBy) } });
-    transport_.postToEntry(run.entry, MessageType::AttemptSuperseded, encode(AttemptSuperseded { run.pool, run.attempt }));
-}
-
-void PoolHost::endStreamRun(AttemptId attempt)
-{
-    if (auto sinceStop = streamRuns_.attemptEnded(attempt))
-        metrics_.observe("pool_superseded_stop_seconds", {}, toSeconds(*sinceStop));
-    sendHeldGrants();
-}
-
-void PoolHost::sendHeldGrants()
-{
-    if (heldGrants_.empty() || !hooks_.hasLease())
-        return;
-    // An entry on this node may react to a grant synchronously.
-    std::vector<std::pair<PoolId, AttemptId>> due;
-    std::erase_if(heldGrants_, [&](const auto& held) {
-        auto* pool = find(held.first);
-        auto request = pool ? pool->requests.find(held.second) : std::map<AttemptId, HostedRequest>::iterator();
-        bool isGranted = pool && request != pool->requests.end() && request->second.target.isValid();
-        if (isGranted && streamRuns_.shouldWait(request->second.grantRequest))
+    OwnerStreamRunsHooks hooks;
+    hooks.stop = [this](NodeId entry, const AttemptSuperseded& attempt) { transport_.postToEntry(entry, MessageType::AttemptSuperseded, encode(attempt)); };
+    hooks.sendGrant = [this](PoolId id, AttemptId attempt) {
+        if (!hooks_.hasLease())
             return false;
-        if (isGranted)
-            due.push_back(held);
-        return true;
-    });
-    for (const auto& [poolId, attempt] : due) {
-        auto* pool = find(poolId);
-        if (auto request = pool->requests.find(attempt); request != pool->requests.end())
+        auto* pool = find(id);
+        auto request = pool ? pool->requests.find(attempt) : std::map<AttemptId, HostedRequest>::iterator();
+        if (pool && request != pool->requests.end())
             sendGrant(*pool, request->second);
-    }
-}
-
-void PoolHost::addStreamRun(NodeId entry, const GrantRequest& request, Instant arrivedAt)
-{
-    // An entry on this node may react to messages synchronously.
-    auto* pool = request.run.isContinuation ? find(request.pool) : nullptr;
-    streamRuns_.attemptGranted(entry, request, arrivedAt);
-    if (pool)
-        refuseOvertaken(*pool);
+        return true;
+    };
+    hooks.now = hooks_.now;
+    return hooks;
 }
 
-void PoolHost::refuseOvertaken(Pool& pool)
+void PoolHost::refuseSuperseded(Pool& pool)
 {
-    std::vector<AttemptId> overtaken;
+    std::vector<AttemptId> superseded;
     for (const auto& [attempt, request] : pool.requests) {
-        bool isUnsent = !request.target.isValid() || heldGrants_.contains({ pool.assignment.id, attempt });
-        if (isUnsent && streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt))
-            overtaken.push_back(attempt);
+        bool isUnsent = !request.target.isValid() || streamRuns_.isHeld(attempt);
+        if (isUnsent && streamRuns_.isSuperseded(request.grantRequest, request.arrivedAt))
+            superseded.push_back(attempt);
     }
-    for (auto attempt : overtaken) {
+    for (auto attempt : superseded) {
         auto it = pool.requests.find(attempt);
         if (it == pool.requests.end())
             continue;
-        suspects_.attemptCancelled(it->second.grantRequest, true);
-        if (heldGrants_.erase({ pool.assignment.id, attempt }) > 0)
+        if (it->second.target.isValid())
             rateLimits_.limiter().refundRequest(it->second.target, hooks_.now());
+        suspects_.attemptCancelled(it->second.grantRequest, true);
         streamRuns_.attemptEnded(attempt);
         if (pool.scheduler)
             pool.scheduler->cancel(attempt, hooks_.now());
@@ -334,7 +305,7 @@
     case MessageType::StreamSelection:
         decodeAndHandle<GrantRequest>(body, [&](const GrantRequest& grantRequest) {
             if (isKnown(grantRequest.pool, Epoch()))
-                addStreamRun(from, grantRequest, arrivalOf(grantRequest, hooks_.now()));
+                onStreamSelection(from, grantRequest);
         });
         break;
     case MessageType::PoolSync:
@@ -405,7 +376,7 @@
     request.link = link;
     if (!isNew) {
         // The entry resends its request when the grant was lost with a link or had an older epoch.
-        if (request.target.isValid() && hooks_.hasLease() && pool.scheduler && !heldGrants_.contains({ pool.assignment.id, grantRequest.attempt }))
+        if (request.target.isValid() && hooks_.hasLease() && pool.scheduler && !streamRuns_.isHeld(grantRequest.attempt))
             sendGrant(pool, request);
         return;
     }
@@ -418,10 +389,16 @@
     submit(pool, grantRequest.attempt);
     applyActions(pool);
     auto waiting = pool.requests.find(grantRequest.attempt);
-    if (waiting != pool.requests.end() && (!waiting->second.target.isValid() || heldGrants_.contains({ pool.assignment.id, grantRequest.attempt })))
+    if (waiting != pool.requests.end() && (!waiting->second.target.isValid() || streamRuns_.isHeld(grantRequest.attempt)))
         transport_.postToEntry(from, MessageType::GrantQueued, encode(GrantQueued { grantRequest.pool, grantRequest.attempt }));
 }
 
+void PoolHost::onStreamSelection(NodeId from, const GrantRequest& grantRequest)
+{
+    streamRuns_.attemptReported(from, grantRequest, arrivalOf(grantRequest, hooks_.now()));
+    refuseSuperseded(*find(grantRequest.pool));
+}
+
 void PoolHost::onPoolSync(NodeId from, LinkId link, const PoolSync& sync)
 {
     auto& pool = *find(sync.pool);
@@ -468,7 +445,7 @@
     auto& request = it->second;
     request.link = link;
     request.arrivedAt = arrivalOf(running.request, hooks_.now());
-    streamRuns_.attemptGranted(from, running.request, request.arrivedAt);
+    streamRuns_.attemptReported(from, running.request, request.arrivedAt);
     if (!isNew && request.target == running.target)
         return;
     if (!isNew && pool.scheduler)
@@ -499,7 +476,7 @@
 void PoolHost::submit(Pool& pool, AttemptId attempt)
 {
     auto& request = pool.requests.at(attempt);
-    if (streamRuns_.isOvertaken(request.grantRequest, request.arrivedAt)) {
+    if (streamRuns_.isSuperseded(request.grantRequest, request.arrivedAt)) {
         refuse(pool, attempt, supersededError());
         return;
     }
@@ -519,7 +496,7 @@
 void PoolHost::refuse(Pool& pool, AttemptId attempt, const Error& error)
 {
     auto it = pool.requests.find(attempt);
-    GrantRefusal message { pool.assignment.id, attempt, error.kind, clampMs(*error.retryAfter), error.message };
+    GrantRefusal message { pool.assignment.id, attempt, error.kind, clampMs(error.retryAfter.value_or(Duration::zero())), error.message };
     auto entry = it->second.entry;
     pool.requests.erase(it);
     transport_.postToEntry(entry, MessageType::GrantRefusal, encode(message));
@@ -554,11 +531,11 @@
 {
     auto it = pool.requests.find(attempt);
     if (it == pool.requests.end()) {
-        endStreamRun(attempt);
+        streamRuns_.attemptEnded(attempt);
         return;
     }
     suspects_.attemptCancelled(it->second.grantRequest, isUnsent);
-    endStreamRun(attempt);
+    streamRuns_.attemptEnded(attempt);
     pool.requests.erase(it);
     if (pool.scheduler)
         pool.scheduler->cancel(attempt, hooks_.now());
@@ -584,7 +561,7 @@
 void PoolHost::onFinished(const AttemptFinished& finished)
 {
     streams_.attemptFinished(finished);
-    endStreamRun(finished.attempt);
+    streamRuns_.attemptEnded(finished.attempt);
     auto* pool = find(finished.pool);
     auto it = pool ? pool->requests.find(finished.attempt) : std::map<AttemptId, HostedRequest>::iterator();
     if (!pool || it == pool->requests.end())
@@ -728,11 +705,11 @@
             return;
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
-        addStreamRun(it->second.entry, it->second.grantRequest, it->second.arrivedAt);
-        if (streamRuns_.shouldWait(it->second.grantRequest))
-            heldGrants_.emplace(pool.assignment.id, grant->attempt);
-        else
+        bool isContinuation = it->second.grantRequest.streamClaim.isContinuation;
+        if (streamRuns_.attemptGranted(it->second.entry, it->second.grantRequest, it->second.arrivedAt))
             sendGrant(pool, it->second);
+        if (isContinuation)
+            refuseSuperseded(pool);
         return;
     }
     const auto& refusal = std::get<PoolRefusal>(action);
@@ -819,7 +796,6 @@
     suspects_.tick();
     streams_.tick();
     streamRuns_.tick();
-    sendHeldGrants();
     refuseBlocked();
     for (auto& [id, pool] : pools_) {
         if (!hooks_.hasLease()) {
--- a/src/entry/PoolRequests.cpp
+++ b/src/entry/PoolRequests.cpp
@@ -11,14 +11,13 @@
 
 Instant arrivalOf(const GrantRequest& grantRequest, Instant sentAt)
 {
-    return sentAt - std::chrono::milliseconds(grantRequest.run.ageMs);
+    return sentAt - std::chrono::milliseconds(grantRequest.streamClaim.ageMs);
 }
 
 Error supersededError()
 {
     auto error = makeError(ErrorKind::Superseded, "the caller continues the stream with a later request");
     error.ran = Ran::No;
-    error.retryAfter = Duration::zero();
     return error;
 }
 
--- a/src/entry/PoolRequests.h
+++ b/src/entry/PoolRequests.h
@@ -11,7 +11,7 @@
 /** When the request arrived at its entry, given when its grant request was sent. */
 Instant arrivalOf(const GrantRequest& grantRequest, Instant sentAt);
 
-/** Refuses a grant request whose caller continues the stream with a later one. */
+/** For a request that has not run, and whose caller continues the stream with a later one. */
 Error supersededError();
 
 /** Converts an entry's grant request to a scheduler request; `now` is its time of arrival. */
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Digest.h"
 #include "briarhitch/metrics/MetricRegistry.h"
+#include "entry/PoolRequests.h"
 #include "entry/RequestDigests.h"
 
 #include <absl/strings/str_cat.h>
@@ -189,7 +190,7 @@
     return { route_->isResumable ? streamId_ : StreamId(), softwareVersion_.value_or("") };
 }
 
-StreamRunClaim RoutedRequestRun::streamRunClaim() const
+StreamClaim RoutedRequestRun::streamClaim() const
 {
     if (route_->kind != RouteKind::Stream || !route_->isResumable)
         return {};
@@ -261,7 +262,7 @@
         grantRequest.softwareVersion = softwareVersion_;
     else if (softwareVersion_ || lastEventId_)
         grantRequest.continuedStream = streamId_;
-    grantRequest.run = streamRunClaim();
+    grantRequest.streamClaim = streamClaim();
     grantRequest.deadlineMs = clampMs((isStreamStarted_ ? deadline_ : firstEventDeadline_) - now());
     // Zero means no objective: a stream that has started is not treated as late, since its caller waits for the rest.
     if (!isStreamStarted_ && route_->objectiveMs > 0)
@@ -348,7 +349,6 @@
     settings.isResendAllowed = false;
     // A late copy of an earlier answer to this request could be taken for the answer to this attempt.
     settings.isReuseAllowed = std::find(usedAddresses_.begin(), usedAddresses_.end(), addressOf(target)) == usedAddresses_.end();
-    usedAddresses_.push_back(addressOf(target));
     settings.responseOwner = [this](const HttpHeaders& headers) { return runner_.protocol.responseOwner(request_, headers); };
     return settings;
 }
@@ -370,6 +370,7 @@
     mayHaveStopped_ = false;
     connectionAge_ = Duration::zero();
     auto settings = callSettings(target);
+    usedAddresses_.push_back(addressOf(target));
     auto sending = std::make_shared<std::weak_ptr<HttpCall>>();
     // A non-idempotent call is completed even if its caller disconnects.
     bool isCancellable = route_->kind != RouteKind::AtMostOnce;
@@ -542,7 +543,7 @@
         return;
     }
     // A status that promises that nothing ran would have the caller repeat a request that it has continued with another.
-    auto error = makeError(ErrorKind::Superseded, "the caller continues the stream with a later request");
+    auto error = supersededError();
     error.ran = ran_;
     exchange_.send(errorInfo(error.kind).httpStatus, { { "Content-Type", "application/json" } }, errorToJson(error));
 }
--- a/src/entry/RoutedRequestRun.h
+++ b/src/entry/RoutedRequestRun.h
@@ -88,7 +88,7 @@
     [[nodiscard]] Duration timeLeft() const;
     /** For the pool, once the caller has events; the id is invalid if callers cannot continue the stream. */
     [[nodiscard]] StreamVersion streamVersion() const;
-    [[nodiscard]] StreamRunClaim streamRunClaim() const;
+    [[nodiscard]] StreamClaim streamClaim() const;
     [[nodiscard]] Tokens quotaTokens() const;
     void recordEvent(const std::string& event, const std::string& reason = {}, const LogFields& fields = {});
     /** True for failed, late and retried requests, and for a sample of the others. */
--- a/src/entry/StreamRuns.cpp
+++ b/src/entry/StreamRuns.cpp
@@ -10,7 +10,7 @@
     using namespace std::chrono_literals;
 
     constexpr Duration stopRepeatInterval = 250ms;
-    constexpr size_t maxOvertakenPerStream = 16;
+    constexpr size_t maxSupersededPerStream = 16;
 
 }
 
@@ -20,33 +20,33 @@
 {
 }
 
-bool StreamRuns::isOvertaken(const Stream& stream, const Order& order)
+bool StreamRuns::isSuperseded(const Stream& stream, const Order& order)
 {
     if (!stream.latestContinuation || stream.latestContinuation->request == order.request)
         return false;
-    bool wasOvertaken = std::find(stream.overtaken.begin(), stream.overtaken.end(), order.request) != stream.overtaken.end();
-    return wasOvertaken || order < *stream.latestContinuation;
+    bool wasSuperseded = std::find(stream.superseded.begin(), stream.superseded.end(), order.request) != stream.superseded.end();
+    return wasSuperseded || order < *stream.latestContinuation;
 }
 
-bool StreamRuns::isOvertaken(const GrantRequest& request, Instant arrivedAt) const
+bool StreamRuns::isSuperseded(const GrantRequest& request, Instant arrivedAt) const
 {
-    auto it = streams_.find(request.run.stream);
-    return it != streams_.end() && isOvertaken(it->second, { request.run.isContinuation, arrivedAt, request.attempt.request });
+    auto it = streams_.find(request.streamClaim.stream);
+    return it != streams_.end() && isSuperseded(it->second, { request.streamClaim.isContinuation, arrivedAt, request.attempt.request });
 }
 
 void StreamRuns::attemptGranted(NodeId entry, const GrantRequest& request, Instant arrivedAt)
 {
-    add(request.run.stream, { { entry, request.pool, request.attempt }, { request.run.isContinuation, arrivedAt, request.attempt.request } });
+    add(request.streamClaim.stream, { { entry, request.pool, request.attempt }, { request.streamClaim.isContinuation, arrivedAt, request.attempt.request } });
 }
 
-bool StreamRuns::shouldWait(const GrantRequest& request) const
+bool StreamRuns::shouldWait(StreamId stream, RequestId request) const
 {
-    auto it = streams_.find(request.run.stream);
+    auto it = streams_.find(stream);
     if (it == streams_.end())
         return false;
     return std::any_of(it->second.attempts.begin(), it->second.attempts.end(), [&](const Attempt& attempt) {
         auto stop = stops_.find(attempt.run.attempt);
-        return stop != stops_.end() && attempt.order.request != request.attempt.request && now_() - stop->second.since < maxWaitForEnd;
+        return stop != stops_.end() && attempt.order.request != request && now_() - stop->second.since < maxWaitForEnd;
     });
 }
 
@@ -66,33 +66,33 @@
     std::erase_if(stream.attempts, [&](const Attempt& known) { return known.run.attempt == attempt.run.attempt; });
     stream.attempts.push_back(attempt);
     streamsOfAttempts_[attempt.run.attempt] = id;
-    if (attempt.order.isContinuation && !isOvertaken(stream, attempt.order)) {
+    if (attempt.order.isContinuation && !isSuperseded(stream, attempt.order)) {
         bool isNew = !stream.latestContinuation || stream.latestContinuation->request != attempt.order.request;
         if (isNew && stream.latestContinuation)
-            stream.overtaken.push_back(stream.latestContinuation->request);
+            stream.superseded.push_back(stream.latestContinuation->request);
         if (isNew)
             stream.latestContinuation = attempt.order;
     }
-    stopOvertaken(stream);
+    stopSuperseded(stream);
 }
 
-void StreamRuns::stopOvertaken(Stream& stream)
+void StreamRuns::stopSuperseded(Stream& stream)
 {
-    std::vector<Run> overtaken;
+    std::vector<Run> superseded;
     for (const auto& attempt : stream.attempts) {
-        if (!isOvertaken(stream, attempt.order) || !stops_.try_emplace(attempt.run.attempt, Stop { now_(), now_() }).second)
+        if (!isSuperseded(stream, attempt.order) || !stops_.try_emplace(attempt.run.attempt, Stop { now_(), now_() }).second)
             continue;
-        overtaken.push_back(attempt.run);
-        stream.overtaken.push_back(attempt.order.request);
+        superseded.push_back(attempt.run);
+        stream.superseded.push_back(attempt.order.request);
     }
-    if (stream.overtaken.size() > maxOvertakenPerStream)
-        stream.overtaken.erase(stream.overtaken.begin(), stream.overtaken.end() - maxOvertakenPerStream);
-    if (overtaken.empty())
+    if (stream.superseded.size() > maxSupersededPerStream)
+        stream.superseded.erase(stream.superseded.begin(), stream.superseded.end() - maxSupersededPerStream);
+    if (superseded.empty())
         return;
     // The hook may end attempts.
-    auto overtakenBy = stream.latestContinuation->request;
-    for (const auto& run : overtaken)
-        stop_(run, overtakenBy);
+    auto supersededBy = stream.latestContinuation->request;
+    for (const auto& run : superseded)
+        stop_(run, supersededBy);
 }
 
 std::optional<Duration> StreamRuns::attemptEnded(AttemptId attempt)
@@ -166,8 +166,8 @@
                 repeated.emplace_back(candidate.run, stream.latestContinuation->request);
         }
     }
-    for (const auto& [run, overtakenBy] : repeated)
-        stop_(run, overtakenBy);
+    for (const auto& [run, supersededBy] : repeated)
+        stop_(run, supersededBy);
 }
 
 void StreamRuns::forgetIdleStreams()
--- a/tests/RequestRunsOnceTest.cpp
+++ b/tests/RequestRunsOnceTest.cpp
@@ -67,7 +67,7 @@
     }
 
     /** The claim of the grant request for a stream that continues "c1" after event 2. */
-    StreamRunClaim claimOf(const std::string& path, const std::string& key, const std::string& body, const std::string& resumes = "c1")
+    StreamClaim claimOf(const std::string& path, const std::string& key, const std::string& body, const std::string& resumes = "c1")
     {
         Fixture fixture;
         auto request = Fixture::requestTo(path, key);
@@ -76,7 +76,7 @@
         request.lastEventId = 2;
         request.body = body;
         fixture.run(request);
-        return fixture.pools.grantRequests.at(0).run;
+        return fixture.pools.grantRequests.at(0).streamClaim;
     }
 
     // Guards against a caller without a customer that stops the stream of another one by its name, and against nameless requests
@@ -87,7 +87,7 @@
         auto begun = Fixture::requestTo("/query/1");
         begun.body = "secret";
         fixture.run(begun);
-        auto claim = fixture.pools.grantRequests.at(0).run;
+        auto claim = fixture.pools.grantRequests.at(0).streamClaim;
         EXPECT_TRUE(claim.stream.isValid());
         EXPECT_FALSE(claim.isContinuation);
         EXPECT_EQ(claimOf("/query/1", "", "secret").stream, claim.stream);
--- a/tests/StreamContinuationTest.cpp
+++ b/tests/StreamContinuationTest.cpp
@@ -35,7 +35,7 @@
         request.promptTokens = Tokens(100);
         request.maxOutputTokens = request.expectedOutputTokens = Tokens(50);
         request.continuedStream = stream;
-        request.run = { stream, true, 0 };
+        request.streamClaim = { stream, true, 0 };
         return request;
     }
 
@@ -101,7 +101,7 @@
             for (uint64_t id = 100; id < 104; ++id) {
                 auto request = continuation(id);
                 // Otherwise each would wait for the end of the one before.
-                request.run = {};
+                request.streamClaim = {};
                 owner.send(2, MessageType::GrantRequest, request);
             }
             auto expected = TargetId(version == std::string("v1") ? 1 : 2);
@@ -122,7 +122,7 @@
         owner.send(2, MessageType::GrantCancellation, GrantCancellation { pool, request.attempt, true });
         owner.send(2, MessageType::AttemptStarted, startOf(100, "v1"));
         owner.send(2, MessageType::GrantRequest, continuation(101));
-        // The grant waits for the end of the attempt that it overtakes.
+        // The grant waits for the end of the attempt that it supersedes.
         owner.send(2, MessageType::AttemptFinished, endOf(100));
         EXPECT_EQ(owner.grants().back(), TargetId(1));
     }
@@ -409,9 +409,9 @@
     TEST(StreamContinuationTest, OwnerStopsWhatEntriesSelectedThemselves)
     {
         auto earlier = continuation(100);
-        earlier.run.ageMs = 500;
+        earlier.streamClaim.ageMs = 500;
         auto later = continuation(90);
-        later.run.ageMs = 100;
+        later.streamClaim.ageMs = 100;
         for (bool isOwnerNew : { false, true }) {
             Owner owner;
             PoolSync sync { pool, Epoch(2), {}, {}, {}, {}, {}, {} };
@@ -427,9 +427,9 @@
         }
     }
 
-    // Guards against a continuation that waits, is overtaken, and runs when a target is free; and against one that is refused and has
+    // Guards against a continuation that waits, is superseded, and runs when a target is free; and against one that is refused and has
     // nevertheless ended the stream.
-    TEST(StreamContinuationTest, OnlyAGrantedContinuationOvertakesOthers)
+    TEST(StreamContinuationTest, OnlyAGrantedContinuationSupersedesOthers)
     {
         Owner owner;
         owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
@@ -446,16 +446,16 @@
         // A further attempt of the one that began the stream.
         auto again = continuation(5);
         again.attempt.number = 2;
-        again.run.isContinuation = false;
+        again.streamClaim.isContinuation = false;
         owner.send(2, MessageType::GrantRequest, again);
         EXPECT_EQ(owner.grants().size(), 1U);
         ASSERT_FALSE(owner.refusals().empty());
         EXPECT_EQ(owner.refusals().back().kind, ErrorKind::Superseded);
     }
 
-    // Guards against a continuation that is sent before the attempt that it overtakes has ended, one that waits for an entry that is
-    // suspended, and one that is overtaken while it waits and is sent nevertheless.
-    TEST(StreamContinuationTest, GrantWaitsForTheEndOfWhatItOvertakes)
+    // Guards against a continuation that is sent before the attempt that it supersedes has ended, one that waits for an entry that is
+    // suspended, and one that is superseded while it waits and is sent nevertheless.
+    TEST(StreamContinuationTest, GrantWaitsForTheEndOfWhatItSupersedes)
     {
         Owner owner;
         owner.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
@@ -469,27 +469,27 @@
         owner.host->tick();
         EXPECT_EQ(owner.grants().size(), 1U);
 
-        Owner overtaken;
-        overtaken.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
+        Owner superseded;
+        superseded.send(1, MessageType::AttemptStarted, startOf(5, "v1"));
         for (uint64_t id : { 100, 101 })
-            overtaken.send(2, MessageType::GrantRequest, continuation(id));
-        ASSERT_EQ(overtaken.refusals().size(), 1U);
-        EXPECT_EQ(overtaken.refusals()[0].attempt, (AttemptId { RequestId(100), 1 }));
-        overtaken.send(1, MessageType::AttemptFinished, endOf(5));
-        ASSERT_EQ(overtaken.grants().size(), 1U);
-        overtaken.clock.now += 1s;
-        overtaken.host->tick();
-        EXPECT_EQ(overtaken.grants().size(), 1U);
+            superseded.send(2, MessageType::GrantRequest, continuation(id));
+        ASSERT_EQ(superseded.refusals().size(), 1U);
+        EXPECT_EQ(superseded.refusals()[0].attempt, (AttemptId { RequestId(100), 1 }));
+        superseded.send(1, MessageType::AttemptFinished, endOf(5));
+        ASSERT_EQ(superseded.grants().size(), 1U);
+        superseded.clock.now += 1s;
+        superseded.host->tick();
+        EXPECT_EQ(superseded.grants().size(), 1U);
     }
 
-    // Guards against a suspect request that is overtaken while it waits for its trial, and holds up others until that times out.
-    TEST(StreamContinuationTest, OvertakenTrialIsGivenBack)
+    // Guards against a suspect request that is superseded while it waits for its trial, and holds up others until that times out.
+    TEST(StreamContinuationTest, SupersededTrialIsGivenBack)
     {
         Owner owner;
         auto suspect = [](uint64_t id) {
             auto request = continuation(id);
             request.continuedStream = {};
-            request.run = {};
+            request.streamClaim = {};
             request.digest = RequestDigest(9);
             return request;
         };
@@ -551,7 +551,7 @@
                 entry.grant(id);
                 entry.client.onSuperseded({ RequestId(id), 1 }, [&stopped, id] { stopped += static_cast<int>(id); });
             }
-            // The second one overtakes the first.
+            // The second one supersedes the first.
             EXPECT_EQ(stopped, 5);
             tellToStop(5);
             tellToStop(5);
--- a/tests/StreamRunsTest.cpp
+++ b/tests/StreamRunsTest.cpp
@@ -20,12 +20,12 @@
             GrantRequest request;
             request.pool = PoolId(10);
             request.attempt = { RequestId(id), number };
-            request.run = { stream, isContinuation, 0 };
+            request.streamClaim = { stream, isContinuation, 0 };
             return request;
         }
 
         void grant(const GrantRequest& request, Duration age = 0ms, uint32_t entry = 1) { runs.attemptGranted(NodeId(entry), request, clock.now - age); }
-        [[nodiscard]] bool isOvertaken(const GrantRequest& request, Duration age = 0ms) const { return runs.isOvertaken(request, clock.now - age); }
+        [[nodiscard]] bool isSuperseded(const GrantRequest& request, Duration age = 0ms) const { return runs.isSuperseded(request, clock.now - age); }
         [[nodiscard]] static std::vector<AttemptId> ids(std::initializer_list<uint64_t> requests)
         {
             std::vector<AttemptId> result;
@@ -36,24 +36,24 @@
     };
 
     // Guards against a request that comes back to its stream after a later one has continued it, also if its message was delayed.
-    TEST(StreamRunsTest, OvertakenRequestDoesNotComeBack)
+    TEST(StreamRunsTest, SupersededRequestDoesNotComeBack)
     {
         Runs runs;
         runs.grant(Runs::request(1, false), 2s);
         runs.grant(Runs::request(2, true), 1s);
         EXPECT_EQ(runs.stopped, Runs::ids({ 1 }));
-        EXPECT_TRUE(runs.isOvertaken(Runs::request(1, false, 2), 2s));
-        EXPECT_TRUE(runs.isOvertaken(Runs::request(1, false, 2))) << "the one that began the stream is earlier than any that continues it";
+        EXPECT_TRUE(runs.isSuperseded(Runs::request(1, false, 2), 2s));
+        EXPECT_TRUE(runs.isSuperseded(Runs::request(1, false, 2))) << "the one that began the stream is earlier than any that continues it";
         runs.grant(Runs::request(3, true));
         EXPECT_EQ(runs.stopped, Runs::ids({ 1, 2 }));
         runs.clock.now += 1s;
-        EXPECT_TRUE(runs.isOvertaken(Runs::request(2, true, 2))) << "the message was delayed";
-        EXPECT_FALSE(runs.isOvertaken(Runs::request(3, true, 2)));
-        EXPECT_FALSE(runs.isOvertaken(Runs::request(4, true)));
+        EXPECT_TRUE(runs.isSuperseded(Runs::request(2, true, 2))) << "the message was delayed";
+        EXPECT_FALSE(runs.isSuperseded(Runs::request(3, true, 2)));
+        EXPECT_FALSE(runs.isSuperseded(Runs::request(4, true)));
         // The attempts that were stopped have ended, and so has the latest.
         for (uint64_t id : { 1, 2, 3 })
             runs.runs.attemptEnded({ RequestId(id), 1 });
-        EXPECT_TRUE(runs.isOvertaken(Runs::request(2, true, 2)));
+        EXPECT_TRUE(runs.isSuperseded(Runs::request(2, true, 2)));
     }
 
     // Guards against two continuations that arrive at once and both run, or stop each other.
@@ -64,8 +64,8 @@
             runs.grant(Runs::request(isFirstGrantedFirst ? 2 : 3, true));
             runs.grant(Runs::request(isFirstGrantedFirst ? 3 : 2, true), 0ms, 2);
             EXPECT_EQ(runs.stopped, Runs::ids({ 2 }));
-            EXPECT_TRUE(runs.isOvertaken(Runs::request(2, true)));
-            EXPECT_FALSE(runs.isOvertaken(Runs::request(3, true)));
+            EXPECT_TRUE(runs.isSuperseded(Runs::request(2, true)));
+            EXPECT_FALSE(runs.isSuperseded(Runs::request(3, true)));
         }
     }
 
@@ -78,10 +78,10 @@
         runs.grant(Runs::request(1, false, 2));
         runs.grant(Runs::request(5, false));
         auto nameless = Runs::request(6, true);
-        nameless.run.stream = {};
+        nameless.streamClaim.stream = {};
         runs.grant(nameless);
         EXPECT_TRUE(runs.stopped.empty());
-        EXPECT_FALSE(runs.isOvertaken(nameless, 1h));
+        EXPECT_FALSE(runs.isSuperseded(nameless, 1h));
         runs.grant(Runs::request(7, true));
         EXPECT_EQ(runs.stopped.size(), 3U);
     }
--- a/tests/platform/process/PlatformProcesses.h
+++ b/tests/platform/process/PlatformProcesses.h
@@ -29,6 +29,8 @@
     PlatformProcesses(const PlatformProcesses&) = delete;
     PlatformProcesses& operator=(const PlatformProcesses&) = delete;
 
+    /** The first three parts of all addresses, with the dot behind them. */
+    [[nodiscard]] const std::string& addressPrefix() const { return addressPrefix_; }
     /** Loopback address with this last part. */
     [[nodiscard]] std::string host(int number) const { return addressPrefix_ + std::to_string(number); }
     [[nodiscard]] std::string address(int number, uint16_t port) const { return host(number) + ":" + std::to_string(port); }
--- a/tests/platform/soak/StreamCallers.cpp
+++ b/tests/platform/soak/StreamCallers.cpp
@@ -39,8 +39,7 @@
 void StreamCallers::stop()
 {
     isStopping_ = true;
-    while (!hasStopped_)
-        std::this_thread::sleep_for(10ms);
+    hasStopped_.wait();
 }
 
 void StreamCallers::run()
@@ -63,7 +62,7 @@
     loop.spawn([&] {
         while (runningFibers_ > 0)
             sleepFor(loop, 10ms);
-        hasStopped_ = true;
+        stopped_.set_value();
         while (!isClosing_)
             sleepFor(loop, 10ms);
         silentCalls_.clear();
--- a/tests/platform/soak/StreamCallers.h
+++ b/tests/platform/soak/StreamCallers.h
@@ -6,6 +6,7 @@
 #include "platform/soak/LedgerTargets.h"
 
 #include <atomic>
+#include <future>
 #include <memory>
 #include <string>
 #include <thread>
@@ -75,7 +76,8 @@
     StreamCallersSettings settings_;
     LedgerTargets& targets_;
     std::atomic<bool> isStopping_ { false };
-    std::atomic<bool> hasStopped_ { false };
+    std::promise<void> stopped_;
+    std::shared_future<void> hasStopped_ { stopped_.get_future() };
     std::atomic<bool> isClosing_ { false };
     Loop* loop_ { nullptr };
     HttpClient* client_ { nullptr };
