Define rollouts: record, report of owners, and settings

The control log, pool owners and operators' tools share these types. Nothing uses them yet, and a deployment without the bounds in its settings renders the same settings as before.

--- a/include/briarhitch/core/Ids.h
+++ b/include/briarhitch/core/Ids.h
@@ -57,6 +57,8 @@
 using StreamId = NumericId<struct StreamIdTag, uint64_t>;
 /** One connection between own processes, unique within a process. */
 using LinkId = NumericId<struct LinkIdTag, uint64_t>;
+/** A rollout of a service to a software version; increases with each one. */
+using RolloutId = NumericId<struct RolloutIdTag, uint64_t>;
 
 /** One attempt to run a request on a target; numbers start at 1. */
 struct AttemptId {
--- a/include/briarhitch/entry/EntrySettings.h
+++ b/include/briarhitch/entry/EntrySettings.h
@@ -5,10 +5,12 @@
 #include "briarhitch/entry/ControlClient.h"
 #include "briarhitch/entry/RoutedRequestRunner.h"
 #include "briarhitch/http/HttpServer.h"
+#include "briarhitch/model/Rollout.h"
 #include "briarhitch/sched/CeilingBuckets.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/ServiceRetryBudget.h"
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -76,6 +78,8 @@
     std::optional<HttpServerSettings> ready;
     RoutedSettings routed;
     CeilingTolerance ceilingTolerance;
+    /** Not set: rollouts restrict nothing. */
+    std::optional<RolloutBounds> rollout;
     std::string fleetKey;
     PoolSettings pool;
     EntryLimits limits;
--- a/include/briarhitch/model/ClusterConfig.h
+++ b/include/briarhitch/model/ClusterConfig.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "briarhitch/model/Contract.h"
+#include "briarhitch/model/Rollout.h"
 #include "briarhitch/model/Routing.h"
 #include "briarhitch/model/RoutingPatch.h"
 #include "briarhitch/model/Suspect.h"
@@ -84,13 +85,15 @@
     Routing routing;
     /** Requests and prompt parts that crash targets. */
     std::map<SuspectId, SuspectRecord> suspects;
+    /** The latest rollout of each service, by the name of the service. */
+    std::map<std::string, Rollout> rollouts;
 
     bool operator==(const ClusterConfig&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(version, customers, targets, nodes, pools, routing, suspects);
+        visit(version, customers, targets, nodes, pools, routing, suspects, rollouts);
     }
 };
 
@@ -119,13 +122,14 @@
     std::vector<TargetId> removedTargets {};
     std::vector<SuspectRecord> suspects {};
     std::vector<SuspectId> clearedSuspects {};
+    std::vector<Rollout> rollouts {};
 
     bool operator==(const ConfigDelta&) const = default;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(version, customers, targets, nodes, pools, routing, removedTargets, suspects, clearedSuspects);
+        visit(version, customers, targets, nodes, pools, routing, removedTargets, suspects, clearedSuspects, rollouts);
     }
 };
 
--- a/include/briarhitch/settings/ControlSettings.h
+++ b/include/briarhitch/settings/ControlSettings.h
@@ -4,6 +4,7 @@
 #include "briarhitch/core/Ids.h"
 #include "briarhitch/core/Log.h"
 #include "briarhitch/core/NodeAddress.h"
+#include "briarhitch/model/Rollout.h"
 #include "briarhitch/settings/SettingsReader.h"
 
 #include <cstdint>
@@ -40,6 +41,8 @@
     bool mayBootstrap { false };
 };
 
+/** Reads the limits of rollouts. */
+RolloutBounds readRolloutBounds(SettingsReader& reader);
 /** Reads "address": "IP:PORT", or "host" and "port". */
 HostPort readAddressSettings(SettingsReader& reader);
 /** Reads the fields that control processes and entries have in common. */
@@ -76,6 +79,8 @@
     uint64_t maxResponseBytes { 512ULL << 20 };
     /** Time after which a recorded response is dropped. */
     Duration responseRetention { std::chrono::hours(24) };
+    /** Not set: rollouts are not served. */
+    std::optional<RolloutBounds> rollout;
     LogLevel logLevel { LogLevel::Info };
 
     /** InvalidSettings with one line for each problem. */
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -22,6 +22,7 @@
     FinishRun = 3,
     Raft = 4,
     RecordSuspects = 5,
+    RolloutReport = 6,
     GrantRequest = 10,
     Grant = 11,
     GrantRefusal = 12,
@@ -168,6 +169,59 @@
     }
 };
 
+/** What the requests of one route got from the targets of a rollout, since the pool's owner learned of the rollout. */
+struct RolloutCounters {
+    WorkKindId route;
+    /** Of the rollout's target version; otherwise of all other versions together. */
+    bool isTargetVersion { false };
+    uint64_t granted { 0 };
+    /** Answers, good or bad. */
+    uint64_t answered { 0 };
+    /** Errors, and answers that broke off. */
+    uint64_t bad { 0 };
+    /** Good answers whose latency is in logLatencySum. */
+    uint64_t samples { 0 };
+    /** Sum of the natural logarithm of the time in milliseconds to the first event of a stream or to another complete answer. */
+    double logLatencySum { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(route, isTargetVersion, granted, answered, bad, samples, logLatencySum);
+    }
+};
+
+/** Pool owner to control leader, several times a second while a rollout runs. Reply: RolloutReportReply. */
+struct RolloutReport {
+    RolloutId rollout;
+    PoolId pool;
+    Epoch epoch;
+    /** Configuration version that the owner had applied when it took the counters. */
+    Version appliedVersion;
+    std::vector<RolloutCounters> counters;
+    /** Requests that run on targets of the target version and on the others. */
+    uint32_t runningOnTargetVersion { 0 };
+    uint32_t runningOnOthers { 0 };
+    /** Active targets of the target version. */
+    uint32_t activeTargets { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(rollout, pool, epoch, appliedVersion, counters, runningOnTargetVersion, runningOnOthers, activeTargets);
+    }
+};
+
+struct RolloutReportReply {
+    bool accepted { false };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(accepted);
+    }
+};
+
 /** The claim of a request to run a stream. */
 struct StreamClaim {
     /** Invalid if callers cannot continue the stream. */
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -142,6 +142,7 @@
         reader.object("http", settings.servesCallers, [&](SettingsReader& http) { readHttp(http, settings.http); });
         reader.object("ready", false, [&](SettingsReader& ready) { readHttp(ready, settings.ready.emplace()); });
         reader.object("ceiling_tolerance", false, [&](SettingsReader& tolerance) { readTolerance(tolerance, settings.ceilingTolerance); });
+        reader.object("rollout", false, [&](SettingsReader& rollout) { settings.rollout = readRolloutBounds(rollout); });
         reader.object("routed", false, [&](SettingsReader& routed) { readRouted(routed, settings.routed); });
         reader.object("link", true, [&](SettingsReader& link) { settings.link = readHostPort(link); });
         settings.announcedLink = settings.link;
--- a/src/model/ClusterConfig.cpp
+++ b/src/model/ClusterConfig.cpp
@@ -22,6 +22,8 @@
         config.suspects[suspect.id] = suspect;
     for (auto suspect : delta.clearedSuspects)
         config.suspects.erase(suspect);
+    for (const auto& rollout : delta.rollouts)
+        config.rollouts[rollout.service] = rollout;
     config.version = delta.version;
     return true;
 }
--- a/src/settings/ControlSettings.cpp
+++ b/src/settings/ControlSettings.cpp
@@ -105,6 +105,7 @@
         settings.maxRunRecords = static_cast<uint64_t>(reader.integer("max_run_records", 1, maxRunRecordsLimit, settings.maxRunRecords));
         settings.maxResponseBytes = static_cast<uint64_t>(reader.integer("max_answer_mib", 0, maxResponseMibLimit, settings.maxResponseBytes >> 20)) << 20;
         settings.responseRetention = std::chrono::hours(reader.integer("answer_retention_h", 1, maxRetentionHours, 24));
+        reader.object("rollout", false, [&](SettingsReader& rollout) { settings.rollout = readRolloutBounds(rollout); });
         settings.logLevel = toLogLevel(reader.choice("log_level", { "debug", "info", "warning", "error" }, "info"));
         settings.linkHeartbeatInterval = std::chrono::milliseconds(reader.integer("link_heartbeat_ms", 10, 10000, toMs(settings.linkHeartbeatInterval)));
         settings.linkIdleTimeout = std::chrono::milliseconds(reader.integer("link_silence_ms", 30, 60000, toMs(settings.linkIdleTimeout)));
@@ -154,6 +155,16 @@
     return ControlVoter { id, addressFromNodeId(id), fleet->linkPort, fleet->seeds.front().port };
 }
 
+RolloutBounds readRolloutBounds(SettingsReader& reader)
+{
+    constexpr int64_t maxRollbackMs = 600000;
+    RolloutBounds bounds;
+    bounds.exposedShare = reader.number("expose_share", 0, 1, bounds.exposedShare);
+    bounds.exposedSlack = reader.number("expose_slack", 0, 1e6, bounds.exposedSlack);
+    bounds.rollbackMs = static_cast<uint32_t>(reader.integer("rollback_ms", 1, maxRollbackMs, bounds.rollbackMs));
+    return bounds;
+}
+
 HostPort readAddressSettings(SettingsReader& reader)
 {
     auto text = reader.stringOr("address", "");
