--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/control/StateMachine.h"
 
 #include "briarhitch/core/Digest.h"
+#include "control/ConfigSizes.h"
 #include "control/SoftwareVersions.h"
 #include "control/SuspectChanges.h"
 #include "wire/Codec.h"
@@ -67,77 +68,6 @@
         return stableHash(encode(command), static_cast<uint64_t>(kind));
     }
 
-    template <class T>
-    size_t encodedSize(const T& object)
-    {
-        return encode(object).size();
-    }
-
-    template <class Key, class T>
-    size_t encodedSizeAt(const std::map<Key, T>& objects, Key key)
-    {
-        auto it = objects.find(key);
-        return it == objects.end() ? 0 : encodedSize(it->second);
-    }
-
-    /** Encoded size of the objects of a delta, without the routing patch. */
-    size_t encodedSize(const ConfigDelta& delta)
-    {
-        size_t bytes = 0;
-        auto add = [&bytes](const auto& objects) {
-            for (const auto& object : objects)
-                bytes += encodedSize(object);
-        };
-        add(delta.customers);
-        add(delta.targets);
-        add(delta.nodes);
-        add(delta.pools);
-        add(delta.suspects);
-        return bytes;
-    }
-
-    size_t encodedRoutingSize(const ClusterConfig& config)
-    {
-        return config.routing.version.isValid() ? encodedSize(config.routing) : 0;
-    }
-
-    /** Encoded size of the objects that a delta replaces or removes. */
-    size_t replacedSize(const ClusterConfig& config, const ConfigDelta& delta)
-    {
-        size_t bytes = 0;
-        for (const auto& contract : delta.customers)
-            bytes += encodedSizeAt(config.customers, contract.customer);
-        for (const auto& target : delta.targets)
-            bytes += encodedSizeAt(config.targets, target.id);
-        for (const auto& node : delta.nodes)
-            bytes += encodedSizeAt(config.nodes, node.id);
-        for (const auto& pool : delta.pools)
-            bytes += encodedSizeAt(config.pools, pool.id);
-        for (auto target : delta.removedTargets)
-            bytes += encodedSizeAt(config.targets, target);
-        for (const auto& suspect : delta.suspects)
-            bytes += encodedSizeAt(config.suspects, suspect.id);
-        for (auto suspect : delta.clearedSuspects)
-            bytes += encodedSizeAt(config.suspects, suspect);
-        return bytes;
-    }
-
-    /** Encoded size of all objects. A voter that loads a snapshot must get the same sum as the voters that counted each change. */
-    size_t encodedSize(const ClusterConfig& config)
-    {
-        size_t bytes = 0;
-        auto add = [&bytes](const auto& objects) {
-            for (const auto& [id, object] : objects)
-                bytes += encodedSize(object);
-        };
-        add(config.customers);
-        add(config.targets);
-        add(config.nodes);
-        add(config.pools);
-        add(config.suspects);
-        return bytes + encodedRoutingSize(config);
-    }
-
     std::string poolNameOf(const Target& target, const std::string& scope)
     {
         const char* prefix = target.kind == TargetKind::Engine ? "model:" : "service:";
