Record rollouts in the replicated state

Change: commands StartRollout and AdvanceRollout with their rules as pure functions in rollout/RolloutChanges. An equal order is accepted with the existing record while it runs and for 10 s after the order; a different one conflicts while it runs; a service that the routing document lacks is not found, and without a document the order is unavailable. A step applies only to the record that it was decided on. Ids are one above the highest record, as records are never removed. Names that would break log lines or metric labels are refused.

--- a/include/briarhitch/control/Commands.h
+++ b/include/briarhitch/control/Commands.h
@@ -25,6 +25,8 @@
     ReplaceDiscovered = 12,
     RecordSuspects = 13,
     RetireSoftwareVersions = 14,
+    StartRollout = 15,
+    AdvanceRollout = 16,
 };
 
 /** One entry of the replicated log. */
@@ -249,6 +251,36 @@
     }
 };
 
+/** An operator's order to move a service to a software version; the leader's wall clock is in Command::timeMs. */
+struct StartRolloutCommand {
+    std::string service;
+    std::string targetVersion;
+    uint32_t durationMs { 0 };
+    /** Share of the stage Trial; part of the command so that every voter decides alike. */
+    uint32_t trialPermille { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(service, targetVersion, durationMs, trialPermille);
+    }
+};
+
+/** Replaces the state, stage and share of a rollout, if they are still those that the decision was based on. */
+struct AdvanceRolloutCommand {
+    /** The record that the decision was based on. */
+    Rollout expected;
+    RolloutState state { RolloutState::Running };
+    RolloutStage stage { RolloutStage::Trial };
+    uint32_t sharePermille { 0 };
+
+    template <class V>
+    void fields(V& visit)
+    {
+        visit(expected, state, stage, sharePermille);
+    }
+};
+
 /** Result of every command except claims. */
 struct CommandResult {
     bool accepted { false };
@@ -298,6 +330,8 @@
 std::string encodeCommand(const ReplaceDiscoveredCommand& command);
 std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs);
 std::string encodeCommand(const RetireSoftwareVersionsCommand& command);
+std::string encodeCommand(const StartRolloutCommand& command, int64_t timeMs);
+std::string encodeCommand(const AdvanceRolloutCommand& command);
 Result<CommandResult> decodeCommandResult(const std::string& bytes);
 Result<ClaimResult> decodeClaimResult(const std::string& bytes);
 
--- a/include/briarhitch/control/StateMachine.h
+++ b/include/briarhitch/control/StateMachine.h
@@ -61,6 +61,8 @@
     CommandResult putRouting(const PutRoutingCommand& command);
     CommandResult replaceDiscovered(const ReplaceDiscoveredCommand& command);
     CommandResult recordSuspects(const RecordSuspectsCommand& command, int64_t timeMs);
+    /** Publishes a rollout's change; the object version of the result is the rollout's id. */
+    CommandResult applyRollout(const std::string& service, Result<ConfigDelta> delta);
     /** The pool of a target; added to the delta if there is none yet. */
     PoolId findOrCreatePool(const Target& target, const std::string& scope, ConfigDelta& delta);
     CommandResult publishNode(const NodeRecord& node);
--- a/src/control/Commands.cpp
+++ b/src/control/Commands.cpp
@@ -28,6 +28,8 @@
 std::string encodeCommand(const ReplaceDiscoveredCommand& command) { return wrap(CommandKind::ReplaceDiscovered, command); }
 std::string encodeCommand(const RecordSuspectsCommand& command, int64_t timeMs) { return wrap(CommandKind::RecordSuspects, command, timeMs); }
 std::string encodeCommand(const RetireSoftwareVersionsCommand& command) { return wrap(CommandKind::RetireSoftwareVersions, command); }
+std::string encodeCommand(const StartRolloutCommand& command, int64_t timeMs) { return wrap(CommandKind::StartRollout, command, timeMs); }
+std::string encodeCommand(const AdvanceRolloutCommand& command) { return wrap(CommandKind::AdvanceRollout, command); }
 
 Result<CommandResult> decodeCommandResult(const std::string& bytes)
 {
--- a/src/control/ConfigSizes.cpp
+++ b/src/control/ConfigSizes.cpp
@@ -34,6 +34,7 @@
     add(delta.nodes);
     add(delta.pools);
     add(delta.suspects);
+    add(delta.rollouts);
     return bytes;
 }
 
@@ -59,6 +60,8 @@
         bytes += sizeAt(config.suspects, suspect.id);
     for (auto suspect : delta.clearedSuspects)
         bytes += sizeAt(config.suspects, suspect);
+    for (const auto& rollout : delta.rollouts)
+        bytes += sizeAt(config.rollouts, rollout.service);
     return bytes;
 }
 
@@ -74,6 +77,7 @@
     add(config.nodes);
     add(config.pools);
     add(config.suspects);
+    add(config.rollouts);
     return bytes + encodedRoutingSize(config);
 }
 
--- a/src/control/StateMachine.cpp
+++ b/src/control/StateMachine.cpp
@@ -4,6 +4,7 @@
 #include "control/ConfigSizes.h"
 #include "control/SoftwareVersions.h"
 #include "control/SuspectChanges.h"
+#include "rollout/RolloutChanges.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -187,6 +188,14 @@
                 publish(std::move(delta));
             return accepted({});
         });
+    case CommandKind::StartRollout:
+        return withDecodedBody<StartRolloutCommand>(command, [&](const auto& body) {
+            return applyRollout(body.service, startRolloutDelta(config_, body, command.timeMs));
+        });
+    case CommandKind::AdvanceRollout:
+        return withDecodedBody<AdvanceRolloutCommand>(command, [&](const auto& body) {
+            return applyRollout(body.expected.service, advanceRolloutDelta(config_, body));
+        });
     case CommandKind::ClaimRun:
         break;
     }
@@ -376,6 +385,17 @@
     return accepted({});
 }
 
+CommandResult StateMachine::applyRollout(const std::string& service, Result<ConfigDelta> delta)
+{
+    if (!delta)
+        return rejected(delta.error().kind, delta.error().message);
+    if (configBytes_ + encodedSize(*delta) > maxConfigBytes)
+        return rejected(ErrorKind::BodyTooLarge, "the configuration would be larger than 6 MiB");
+    if (!delta->rollouts.empty())
+        publish(std::move(*delta));
+    return accepted(Version(config_.rollouts.at(service).id.value()));
+}
+
 CommandResult StateMachine::setTargetState(const SetTargetStateCommand& command)
 {
     const auto* current = findTarget(command.target);
