--- a/include/briarhitch/control/AdminApi.h
+++ b/include/briarhitch/control/AdminApi.h
@@ -44,6 +44,8 @@
     void putTarget(const Call& call);
     void setTargetState(const Call& call, TargetState state);
     void routeSuspect(const Call& call);
+    void routeRollout(const Call& call);
+    void startRollout(const Call& call);
     void clearSuspect(const Call& call, SuspectId id);
     void changeVoter(const Call& call);
     void showChange(const Call& call);
--- a/include/briarhitch/control/ControlServer.h
+++ b/include/briarhitch/control/ControlServer.h
@@ -17,6 +17,7 @@
 
 class Loop;
 class MetricRegistry;
+class RolloutDriver;
 class VersionRetirement;
 
 struct ControlServerSettings {
@@ -31,6 +32,8 @@
     LeaseSettings lease;
     /** See PoolAssigner; not set: a pool is only taken over once its owner's lease has expired. */
     std::optional<Duration> takeoverTimeout {};
+    /** Not set: rollouts are not served. */
+    std::optional<RolloutBounds> rollout {};
     uint64_t maxRunRecords { 0 };
     uint64_t maxResponseBytes { 0 };
     Duration responseRetention { std::chrono::hours(24) };
@@ -77,6 +80,13 @@
     Result<CommandResult> putRouting(const Routing& routing, const std::string& source);
     /** Commits changes of blocked suspects. */
     Result<CommandResult> recordSuspects(const RecordSuspects& changes);
+    /**
+     * Commits an order to move a service to a software version; accepted without effect if it is known. NotFound if rollouts
+     * are not enabled.
+     */
+    Result<CommandResult> startRollout(const std::string& service, const std::string& targetVersion, uint32_t durationMs);
+    /** Not set if rollouts are not enabled. */
+    [[nodiscard]] const RolloutDriver* rollouts() const { return rollouts_.get(); }
     /** Commits the list of discovered targets if it differs from the configuration. */
     Result<void> replaceDiscovered(const std::vector<Target>& targets, const std::string& poolScope);
     /** Nodes that may hold a lease and have not reported this configuration version or a later one. */
@@ -93,6 +103,7 @@
     Result<std::string> onHeartbeat(const Peer& peer, std::string_view body);
     Result<std::string> onClaim(const Peer& peer, std::string_view body);
     Result<std::string> onFinish(const Peer& peer, std::string_view body);
+    Result<std::string> onRolloutReport(const Peer& peer, std::string_view body);
     Result<std::string> onRecordSuspects(const Peer& peer, std::string_view body);
     Result<void> registerIfChanged(const NodeRecord& node);
     [[nodiscard]] std::string redirect() const;
@@ -105,6 +116,10 @@
     void assignPools();
     void retireResponses();
     void retireSoftwareVersions();
+    void advanceRollouts();
+    /** Logs a rollout's new record and makes the nodes fetch it. */
+    void announceRollout(const std::string& service, Version version, const std::string& reason);
+    [[nodiscard]] bool mayAnyNodeHoldLease() const;
     void publishGauges();
 
     Loop& loop_;
@@ -115,6 +130,7 @@
     LeaseTable leases_;
     PoolAssigner assigner_;
     std::unique_ptr<VersionRetirement> versionRetirement_;
+    std::unique_ptr<RolloutDriver> rollouts_;
     std::map<NodeId, NodeReport> reports_;
     bool leading_ { false };
     bool isAnnounced_ { false };
--- a/src/control/AdminApi.cpp
+++ b/src/control/AdminApi.cpp
@@ -5,6 +5,7 @@
 #include "briarhitch/runtime/Loop.h"
 #include "control/AdminJson.h"
 #include "control/StatusReport.h"
+#include "rollout/RolloutDriver.h"
 
 #include <absl/strings/escaping.h>
 #include <absl/strings/numbers.h>
@@ -135,6 +136,8 @@
         routeTarget(call);
     else if (call.path[0] == "suspects")
         routeSuspect(call);
+    else if (call.path[0] == "rollouts" && server_.rollouts())
+        routeRollout(call);
     else if (call.path[0] == "changes" && call.is("GET", 2))
         showChange(call);
     else if (call.path[0] == "voters" && call.is("POST", 3))
@@ -218,6 +221,41 @@
     sendJson(call.exchange, 200, { { "suspect", toString(id) }, { "in_force", behind.empty() }, { "not_applied", toJson(behind) } });
 }
 
+void AdminApi::routeRollout(const Call& call)
+{
+    if (call.is("GET", 1)) {
+        Json list = Json::array();
+        for (const auto& [service, rollout] : server_.state().config().rollouts)
+            list.push_back(toJson(rollout, *server_.rollouts()));
+        sendJson(call.exchange, 200, { { "rollouts", list } });
+    } else if (call.is("POST", 2)) {
+        startRollout(call);
+    } else {
+        call.failNoRoute();
+    }
+}
+
+void AdminApi::startRollout(const Call& call)
+{
+    auto order = parseRolloutOrder(call.path[1], call.request.body);
+    if (!order) {
+        call.fail(order.error());
+        return;
+    }
+    // An order has no change id: a repeated one is recognized by its content.
+    auto result = server_.startRollout(order->service, order->targetVersion, order->durationMs);
+    if (!result) {
+        call.fail(result.error());
+        return;
+    }
+    if (!result->accepted) {
+        sendJson(call.exchange, errorInfo(result->kind).httpStatus, rejectionToJson(*result));
+        return;
+    }
+    auto behind = waitInForce(call, result->configVersion);
+    sendJson(call.exchange, 200, { { "rollout", result->objectVersion.value() }, { "service", order->service }, { "in_force", behind.empty() }, { "not_applied", toJson(behind) } });
+}
+
 void AdminApi::putCustomer(const Call& call)
 {
     auto command = parsePutCustomer(call.path[1], call.request.body);
--- a/src/control/AdminJson.cpp
+++ b/src/control/AdminJson.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/control/StateMachine.h"
 #include "briarhitch/core/Digest.h"
 #include "briarhitch/settings/SettingsReader.h"
+#include "rollout/RolloutDriver.h"
 
 #include <algorithm>
 
@@ -20,6 +21,8 @@
     constexpr int64_t maxSlots = 65536;
     constexpr int64_t maxPort = 65535;
     constexpr size_t maxBodyDepth = 16;
+    constexpr double maxRolloutSeconds = 7 * 24 * 3600;
+    constexpr double minRolloutSeconds = 0.001;
     constexpr auto nameCharacters = "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-";
 
     void readHeader(SettingsReader& reader, ChangeHeader& change)
@@ -121,7 +124,8 @@
         auto reader = SettingsReader::fromText(body, "body");
         if (!reader)
             return tl::unexpected(reader.error());
-        readHeader(*reader, command.change);
+        if constexpr (requires { command.change; })
+            readHeader(*reader, command.change);
         read(*reader, command);
         auto finished = reader->finish();
         if (!finished)
@@ -173,6 +177,16 @@
     });
 }
 
+Result<StartRolloutCommand> parseRolloutOrder(const std::string& service, const std::string& body)
+{
+    StartRolloutCommand command;
+    command.service = service;
+    return parseBody<StartRolloutCommand>(body, command, [](SettingsReader& reader, StartRolloutCommand& parsed) {
+        parsed.targetVersion = readText(reader, "target");
+        parsed.durationMs = clampMs(fromSeconds(reader.number("duration_s", minRolloutSeconds, maxRolloutSeconds)));
+    });
+}
+
 Result<PutTargetCommand> parsePutTarget(const std::string& name, const std::string& body, PoolScope scope)
 {
     if (auto checked = checkName("target", name); !checked)
@@ -251,6 +265,27 @@
     return json;
 }
 
+Json toJson(const Rollout& rollout, const RolloutDriver& driver)
+{
+    auto countsToJson = [](const RolloutCounts& counts) {
+        return Json { { "granted", counts.granted }, { "answered", counts.answered }, { "bad", counts.bad } };
+    };
+    auto counts = driver.countsOf(rollout.id);
+    Json json;
+    json["rollout"] = rollout.id.value();
+    json["service"] = rollout.service;
+    json["target"] = rollout.targetVersion;
+    json["duration_s"] = toSeconds(std::chrono::milliseconds(rollout.durationMs));
+    json["ordered_at_ms"] = rollout.orderedAtMs;
+    json["state"] = toString(rollout.state);
+    json["stage"] = toString(rollout.stage);
+    json["share_permille"] = rollout.sharePermille;
+    json["target_version"] = countsToJson(counts.target);
+    json["other_versions"] = countsToJson(counts.others);
+    json["reasons"] = driver.reasonsOf(rollout.service);
+    return json;
+}
+
 Json changeToJson(const std::string& changeId, const CommandResult& result, const std::vector<NodeId>& notApplied)
 {
     Json json;
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -63,6 +63,7 @@
         server.responseRetention = settings.responseRetention;
         server.lease.lease = settings.lease;
         server.takeoverTimeout = settings.takeoverTimeout;
+        server.rollout = settings.rollout;
         return server;
     }
 
--- a/src/control/ControlServer.cpp
+++ b/src/control/ControlServer.cpp
@@ -5,6 +5,7 @@
 #include "briarhitch/runtime/FiberEvent.h"
 #include "briarhitch/runtime/Loop.h"
 #include "control/VersionRetirement.h"
+#include "rollout/RolloutDriver.h"
 #include "wire/Codec.h"
 
 #include <algorithm>
@@ -83,6 +84,9 @@
     , versionRetirement_(std::make_unique<VersionRetirement>())
     , lifetime_(std::make_shared<Lifetime>(loop))
 {
+    if (settings_.rollout)
+        rollouts_ = std::make_unique<RolloutDriver>(*settings_.rollout,
+            RolloutDriverHooks { [this](Version version) { return nodesBehind(version).empty(); }, [this] { return mayAnyNodeHoldLease(); } });
 }
 
 ControlServer::~ControlServer()
@@ -99,6 +103,8 @@
     reports_.clear();
     assigner_ = PoolAssigner(settings_.takeoverTimeout);
     *versionRetirement_ = VersionRetirement();
+    if (rollouts_)
+        rollouts_->reset();
     leases_.becomeLeader(BootClock::now());
     controlLog().info(isLeader ? "leader in term " + std::to_string(term) : "not leader in term " + std::to_string(term));
 }
@@ -190,6 +196,8 @@
         return onFinish(peer, body);
     case MessageType::RecordSuspects:
         return onRecordSuspects(peer, body);
+    case MessageType::RolloutReport:
+        return onRolloutReport(peer, body);
     default:
         return fail(ErrorKind::BadRequest, "control processes do not handle messages of this type");
     }
@@ -323,6 +331,54 @@
     return result;
 }
 
+Result<std::string> ControlServer::onRolloutReport(const Peer& peer, std::string_view body)
+{
+    auto report = decode<RolloutReport>(body);
+    if (!report)
+        return tl::unexpected(report.error());
+    if (peer.identity.role != LinkRole::Entry)
+        return fail(ErrorKind::Unauthorized, "only entries may report on rollouts");
+    RolloutReportReply reply;
+    if (rollouts_ && isLeader())
+        reply.accepted = rollouts_->addReport(state_.config(), peer.identity.node, *report, BootClock::now());
+    metrics_.count("control_rollout_reports_total", reply.accepted ? "accepted=\"true\"" : "accepted=\"false\"");
+    return encode(reply);
+}
+
+Result<CommandResult> ControlServer::startRollout(const std::string& service, const std::string& targetVersion, uint32_t durationMs)
+{
+    if (!rollouts_)
+        return fail(ErrorKind::NotFound, "rollouts are not enabled");
+    auto idOf = [&] {
+        auto known = state_.config().rollouts.find(service);
+        return known == state_.config().rollouts.end() ? RolloutId() : known->second.id;
+    };
+    auto before = idOf();
+    auto result = propose(encodeCommand(StartRolloutCommand { service, targetVersion, durationMs, rollouts_->trialPermille() }, wallClockMs()));
+    if (result && result->accepted && idOf() != before)
+        announceRollout(service, result->configVersion, "ordered for " + std::to_string(durationMs) + " ms");
+    return result;
+}
+
+void ControlServer::announceRollout(const std::string& service, Version version, const std::string& reason)
+{
+    const auto& rollout = state_.config().rollouts.at(service);
+    rollouts_->onChanged(rollout, version, reason, BootClock::now());
+    auto counts = rollouts_->countsOf(rollout.id);
+    controlLog().info("rollout " + std::to_string(rollout.id.value()) + " of service " + service + " to version " + rollout.targetVersion + ": "
+        + std::string(toString(rollout.state)) + ", stage " + std::string(toString(rollout.stage)) + ", " + std::to_string(rollout.sharePermille)
+        + " permille; granted " + std::to_string(counts.target.granted) + " to the version and " + std::to_string(counts.others.granted)
+        + " to others: " + reason);
+    solicitHeartbeats();
+}
+
+bool ControlServer::mayAnyNodeHoldLease() const
+{
+    auto now = BootClock::now();
+    const auto& nodes = state_.config().nodes;
+    return std::any_of(nodes.begin(), nodes.end(), [&](const auto& entry) { return !entry.second.lost && leases_.mayHoldLease(entry.first, entry.second.incarnation, now); });
+}
+
 std::vector<NodeId> ControlServer::nodesBehind(Version version) const
 {
     std::vector<NodeId> behind;
@@ -367,6 +423,7 @@
     assignPools();
     retireResponses();
     retireSoftwareVersions();
+    advanceRollouts();
     leases_.removeExpired(BootClock::now());
 }
 
@@ -433,8 +490,29 @@
     }
 }
 
+void ControlServer::advanceRollouts()
+{
+    if (!rollouts_)
+        return;
+    for (const auto& decision : rollouts_->decide(state_.config(), BootClock::now(), wallClockMs())) {
+        auto result = isLeader() ? propose(encodeCommand(decision.command)) : fail(ErrorKind::NotLeader, "this voter is not the leader");
+        const auto& service = decision.command.expected.service;
+        if (!result) {
+            // Decided again at the next tick, or by the next leader.
+            controlLog().warning("rollout of service " + service + ": the next step was not committed: " + result.error().message);
+            return;
+        }
+        if (result->accepted)
+            announceRollout(service, result->configVersion, decision.reason);
+        else
+            controlLog().info("rollout of service " + service + ": the next step was not accepted: " + result->message);
+    }
+}
+
 void ControlServer::publishGauges()
 {
+    if (rollouts_)
+        rollouts_->publish(state_.config(), metrics_);
     const auto& config = state_.config();
     auto unowned = std::count_if(config.pools.begin(), config.pools.end(), [](const auto& entry) { return !entry.second.owner.isValid(); });
     auto lost = std::count_if(config.nodes.begin(), config.nodes.end(), [](const auto& entry) { return entry.second.lost; });
--- a/tools/ctl/CtlCommands.cpp
+++ b/tools/ctl/CtlCommands.cpp
@@ -76,6 +76,8 @@
         return voter(words);
     if (words[0] == "suspect")
         return suspect(words);
+    if (words[0] == "rollout")
+        return rollout(words);
     if (words[0] == "status" && words.size() == 1)
         return show("/v1/status", statusToText);
     if (words[0] == "change" && words.size() == 3 && words[1] == "show")
@@ -137,6 +139,24 @@
     return report(client_.send("POST", "/v1/suspects/" + words[2] + "/clear", {}), [](const Json& json) { return json.dump() + "\n"; });
 }
 
+CtlExit CtlCommands::rollout(const Words& words)
+{
+    bool isStatus = words.size() >= 2 && words.size() <= 3 && words[1] == "status";
+    if (isStatus) {
+        auto answer = client_.send("GET", "/v1/rollouts");
+        if (words.size() == 3 && answer && answer->status == statusGood)
+            answer->body = rolloutsOfService(parseAnswer(answer->body), words[2]).dump();
+        return report(answer, rolloutsToText);
+    }
+    if (words.size() != 4 || words[1] != "start" || options_.durationSeconds <= 0)
+        return wrongUsage("rollout needs start SERVICE VERSION --duration_s N, or status and maybe a SERVICE");
+    Json body { { "target", words[3] }, { "duration_s", options_.durationSeconds } };
+    auto answer = client_.send("POST", "/v1/rollouts/" + words[2], body.dump(-1, ' ', false, Json::error_handler_t::replace));
+    if (!answer)
+        std::cerr << "the order may have been accepted; send it again, which changes nothing if it was\n";
+    return report(answer, [](const Json& json) { return json.dump() + "\n"; });
+}
+
 CtlExit CtlCommands::explain(const Words& words)
 {
     if (words.size() == 2 && !options_.logs.empty()) {
--- a/tools/ctl/CtlCommands.h
+++ b/tools/ctl/CtlCommands.h
@@ -34,6 +34,7 @@
     CtlExit target(const Words& words);
     CtlExit voter(const Words& words);
     CtlExit suspect(const Words& words);
+    CtlExit rollout(const Words& words);
     CtlExit explain(const Words& words);
     CtlExit show(const std::string& path, Printer print);
     CtlExit exportCustomer(const std::string& name);
--- a/tools/ctl/CtlMain.cpp
+++ b/tools/ctl/CtlMain.cpp
@@ -18,6 +18,7 @@
 ABSL_FLAG(std::string, file, "", "file with a contract or a target in JSON; - for standard input");
 ABSL_FLAG(std::string, entry, "", "HOST:PORT of an entry, for explain");
 ABSL_FLAG(std::vector<std::string>, logs, {}, "log files of entries and control processes, for explain");
+ABSL_FLAG(double, duration_s, 0, "time until a rollout should be complete, in seconds");
 ABSL_FLAG(double, wait_s, 5, "time to wait for a change to be in force on all nodes, 0 to 30 s");
 ABSL_FLAG(double, timeout_s, 10, "time to look for a leader, in seconds");
 
@@ -38,6 +39,9 @@
                                "  target list\n"
                                "  suspect list                       requests and prompt parts that are blocked because they crash targets\n"
                                "  suspect clear SUSPECT              let it run again\n"
+                               "  rollout start SERVICE VERSION --duration_s N\n"
+                               "                                     move a service to the targets of a software version\n"
+                               "  rollout status [SERVICE]           state, counts and the reasons of the last decisions\n"
                                "  change show CHANGE_ID              the answer that a change got\n"
                                "  voter add|remove NODE             change the members of the control log\n"
                                "  status                             leader, nodes, pools, repairs under way\n"
@@ -58,6 +62,7 @@
         options.file = absl::GetFlag(FLAGS_file);
         options.entry = absl::GetFlag(FLAGS_entry);
         options.logs = absl::GetFlag(FLAGS_logs);
+        options.durationSeconds = absl::GetFlag(FLAGS_duration_s);
         options.waitSeconds = absl::GetFlag(FLAGS_wait_s);
         options.timeoutSeconds = absl::GetFlag(FLAGS_timeout_s);
         if (auto version = absl::GetFlag(FLAGS_expected_version); version >= 0)
--- a/tools/ctl/CtlOptions.h
+++ b/tools/ctl/CtlOptions.h
@@ -28,6 +28,8 @@
     std::vector<std::string> logs;
     /** Time to wait for a change to be in force, in seconds. */
     double waitSeconds { 5 };
+    /** Time until a rollout should be complete, in seconds. */
+    double durationSeconds { 0 };
     /** Time to look for a leader, in seconds. */
     double timeoutSeconds { 10 };
 };
--- a/tools/ctl/CtlPrinter.cpp
+++ b/tools/ctl/CtlPrinter.cpp
@@ -129,6 +129,31 @@
     return table(rows);
 }
 
+std::string rolloutsToText(const Json& answer)
+{
+    std::vector<Row> rows { { "SERVICE", "TARGET", "STATE", "STAGE", "SHARE", "GRANTED", "ANSWERED", "BAD", "OTHERS: ANSWERED", "BAD" } };
+    std::string reasons;
+    for (const auto& rollout : answer.at("rollouts")) {
+        const auto& target = rollout.at("target_version");
+        const auto& others = rollout.at("other_versions");
+        rows.push_back({ word(rollout.at("service")), word(rollout.at("target")), word(rollout.at("state")), word(rollout.at("stage")), word(rollout.at("share_permille")),
+            word(target.at("granted")), word(target.at("answered")), word(target.at("bad")), word(others.at("answered")), word(others.at("bad")) });
+        for (const auto& reason : rollout.at("reasons"))
+            reasons += word(rollout.at("service")) + ": " + word(reason) + "\n";
+    }
+    return table(rows) + reasons;
+}
+
+Json rolloutsOfService(const Json& answer, const std::string& service)
+{
+    Json found = Json::array();
+    for (const auto& rollout : answer.at("rollouts")) {
+        if (rollout.at("service") == service)
+            found.push_back(rollout);
+    }
+    return { { "rollouts", found } };
+}
+
 std::string changeToText(const Json& answer)
 {
     if (!answer.contains("in_force"))
