--- a/tests/platform/process/PlatformProcesses.cpp
+++ b/tests/platform/process/PlatformProcesses.cpp
@@ -99,16 +99,16 @@
     return { { "Host", "a.example" }, { "Briarhitch-Request-Id", id }, { "X-Api-Key", key }, { "Briarhitch-Deadline-Ms", std::to_string(deadlineMs) } };
 }
 
-HttpResponse PlatformProcesses::callOperatorApi(HttpClient& client, int number, const std::string& method, const std::string& body) const
+HttpResponse PlatformProcesses::callOperatorApi(HttpClient& client, int number, const std::string& method, const std::string& body, const std::string& path) const
 {
-    auto response = fetch(client, callSettings(host(number), adminPort, method, "/v1/config", body));
+    auto response = fetch(client, callSettings(host(number), adminPort, method, path, body));
     if (!response)
         return {};
     if (response->status != 307)
         return *response;
     std::string location(findHeader(response->headers, "Location"));
     auto begin = location.find("//") + 2;
-    auto redirected = fetch(client, callSettings(location.substr(begin, location.find(':', begin) - begin), adminPort, method, "/v1/config", body));
+    auto redirected = fetch(client, callSettings(location.substr(begin, location.find(':', begin) - begin), adminPort, method, path, body));
     return redirected ? *redirected : HttpResponse {};
 }
 
--- a/tests/platform/process/PlatformProcesses.h
+++ b/tests/platform/process/PlatformProcesses.h
@@ -50,7 +50,7 @@
     static HttpCallSettings callSettings(const std::string& host, uint16_t port, const std::string& method, const std::string& path, const std::string& body = {}, const HttpHeaders& headers = {});
     static HttpHeaders requestHeaders(const std::string& id, const std::string& key, int deadlineMs);
     /** Calls the operator API of a control process and follows its redirect; in a fiber. Status 0 without a response. */
-    HttpResponse callOperatorApi(HttpClient& client, int number, const std::string& method, const std::string& body = {}) const;
+    HttpResponse callOperatorApi(HttpClient& client, int number, const std::string& method, const std::string& body = {}, const std::string& path = "/v1/config") const;
 
 private:
     [[nodiscard]] Json fleet() const;
