Let OwnerRateLimits publish its gauges

The gauges of the targets' rate limits are computed from what OwnerRateLimits holds, so the function moves there; names and values do not change.

--- a/include/briarhitch/entry/OwnerRateLimits.h
+++ b/include/briarhitch/entry/OwnerRateLimits.h
@@ -11,6 +11,8 @@
 
 namespace briarhitch {
 
+class MetricRegistry;
+
 /** The rate limits of the targets whose pools a node owns: what entries reported, and the rates that it grants. */
 class OwnerRateLimits {
 public:
@@ -31,6 +33,8 @@
     /** Forgets the limits of a pool's targets, because its next owner is told when they change. */
     void forgetPool(PoolId pool, Instant now);
     void tick(Instant now);
+    /** `heldRequests` of the pool wait for the limits of its targets. */
+    void publishGauges(MetricRegistry& metrics, const PoolAssignment& pool, const std::vector<Target>& targets, size_t heldRequests) const;
     /** For the pools' schedulers. */
     [[nodiscard]] TargetRateLimiter& limiter() { return limiter_; }
 
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -156,7 +156,6 @@
     void removeRequestsOfLostEntries();
     void sendReleases();
     void publishStats();
-    void publishRateLimits(const Pool& pool, const PoolStats& stats);
 
     PoolHostSettings settings_;
     NodeTransport& transport_;
--- a/src/entry/OwnerRateLimits.cpp
+++ b/src/entry/OwnerRateLimits.cpp
@@ -1,5 +1,6 @@
 #include "briarhitch/entry/OwnerRateLimits.h"
 
+#include "briarhitch/metrics/MetricRegistry.h"
 #include "briarhitch/sched/RateLimitShares.h"
 #include "entry/RateLimitLog.h"
 
@@ -77,4 +78,21 @@
     }
 }
 
+void OwnerRateLimits::publishGauges(MetricRegistry& metrics, const PoolAssignment& pool, const std::vector<Target>& targets, size_t heldRequests) const
+{
+    RequestRate sum;
+    size_t count = 0;
+    for (const auto& target : targets) {
+        auto limit = target.pool == pool.id ? find(target.id) : std::nullopt;
+        if (!limit)
+            continue;
+        sum += *limit;
+        ++count;
+    }
+    auto labels = "pool=\"" + pool.name + "\"";
+    metrics.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
+    metrics.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
+    metrics.setGauge("pool_rate_limit_held", labels, static_cast<double>(heldRequests));
+}
+
 }
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -824,23 +824,6 @@
     });
 }
 
-void PoolHost::publishRateLimits(const Pool& pool, const PoolStats& stats)
-{
-    RequestRate sum;
-    size_t count = 0;
-    for (const auto& target : targets_) {
-        auto limit = target.pool == pool.assignment.id ? rateLimits_.find(target.id) : std::nullopt;
-        if (!limit)
-            continue;
-        sum += *limit;
-        ++count;
-    }
-    auto labels = "pool=\"" + pool.assignment.name + "\"";
-    metrics_.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
-    metrics_.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
-    metrics_.setGauge("pool_rate_limit_held", labels, static_cast<double>(stats.heldByRateLimit));
-}
-
 void PoolHost::publishStats()
 {
     if (hooks_.now() - statsPublishedAt_ < statsInterval)
@@ -850,7 +833,7 @@
         if (!pool.scheduler)
             continue;
         auto stats = pool.scheduler->stats();
-        publishRateLimits(pool, stats);
+        rateLimits_.publishGauges(metrics_, pool.assignment, targets_, stats.heldByRateLimit);
         for (size_t tier = 0; tier < Tier::count; ++tier) {
             auto labels = "pool=\"" + pool.assignment.name + "\",tier=\"" + std::to_string(tier) + "\"";
             metrics_.setGauge("pool_queued", labels, static_cast<double>(stats.queued[tier]));
