Limit the share of a rollout's target version in the scheduler

While a service moves to another software version, its owner must keep the new version to a share of the service's requests (docs/demanding-load.md, 2.3). The policy "slots" granted any target.

VersionShare decides this without I/O. Each route has a credit in thousandths of a request: the first attempt of a request adds the share, a grant to the target version takes a whole one. Half of the slack is divided among the first routes of the trial, once for each rollout. Credit that is not used is limited, so that targets that come late get no burst. The share goes to as many targets as it fills at the load that the old ones have, one zone after the other. A request whose route is below its share goes there first, whatever speed was learned, so that a slow version is measured too.

SlotScheduler asks it in isEligible, selectTarget and updateCapacity, and tells it of grants. PoolCapacity leaves out targets that new requests may not use; otherwise requests wait for them in vain and are refused late.

--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/core/Registry.h"
 #include "briarhitch/model/ClusterConfig.h"
+#include "briarhitch/rollout/PoolRollout.h"
 #include "briarhitch/sched/TargetRateLimiter.h"
 #include "briarhitch/wire/Messages.h"
 
@@ -105,6 +106,8 @@
 
     /** Replaces the pool's list of targets; targets that are not listed get no new work. */
     virtual void setTargets(const std::vector<Target>& targets, Instant now) = 0;
+    /** Restricts the software versions of targets from the next call of setTargets() on; policies may ignore it. */
+    virtual void setRollout(const std::optional<PoolRollout>&) { }
     virtual void setContract(const Contract& contract) = 0;
     /** Queues a request. Produces exactly one action for it unless it is cancelled first. A known attempt id is ignored. */
     virtual void submit(PoolRequest request, Instant now) = 0;
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -34,6 +34,8 @@
     /** A placement with at most this expected loss is accepted immediately. */
     constexpr double acceptedLoss = 0.05;
     constexpr double acceptedDeadlineRisk = 0.3;
+    /** Below every expected loss: the share of a version that is tried must not depend on how fast it seems. */
+    constexpr double dueVersionLoss = -1;
     /**
      * Relative increases of the predicted duration on a full target, and on one in another availability zone, when targets
      * without loss are compared. Below the speed difference between successive hardware generations, so that a slow
@@ -194,7 +196,7 @@
 bool SlotScheduler::isEligible(const RequestRecord& record, const SlotTarget& target) const
 {
     const auto& version = record.request.softwareVersion;
-    return !contains(record.request.excluded, target.target.id) && (!version || *version == target.target.softwareVersion);
+    return !contains(record.request.excluded, target.target.id) && (!version || *version == target.target.softwareVersion) && versions_.allows(record.request, target.target);
 }
 
 bool SlotScheduler::hasEligibleTarget(const RequestRecord& record) const
@@ -513,6 +515,7 @@
 
 void SlotScheduler::setTargets(const std::vector<Target>& targets, Instant now)
 {
+    versions_.setTargets(targets);
     for (auto& [id, target] : targets_)
         target.isListed = false;
     for (const auto& listed : targets) {
@@ -550,7 +553,9 @@
         double capacity = target.slots() * typicalMs / std::max(serviceMs, 0.01);
         if (auto rate = settings_.rateLimiter ? settings_.rateLimiter->rate(id, now) : std::nullopt)
             capacity = std::min(capacity, rate->value() * grantedCostMs_.valueOr(typicalMs) / 1000);
-        capacity_.add(target.target, capacity);
+        capacity_.add(target.target, capacity, versions_.servesNewRequests(target.target));
+        if (!versions_.servesNewRequests(target.target))
+            continue;
         if (fastestServiceTimeMs_ == 0 || serviceMs < fastestServiceTimeMs_) {
             fastestServiceTimeMs_ = serviceMs;
             fastestPrefillTokenMs_ = prefillTokenMsOf(target);
@@ -606,6 +611,8 @@
             placement.durationMs *= 1 + otherZonePenalty;
         if (settings_.rateLimiter && settings_.rateLimiter->isLimited(id) && !settings_.rateLimiter->needsProbe(id, now))
             placement.durationMs *= 1 + rateLimitPenalty;
+        if (versions_.isDue(record.request, target.target))
+            placement.expectedLoss = dueVersionLoss;
         bool isBetter = !best || placement.expectedLoss < bestPlacement.expectedLoss - acceptedLoss
             || (placement.expectedLoss < bestPlacement.expectedLoss + acceptedLoss && placement.durationMs < bestPlacement.durationMs);
         if (isBetter) {
@@ -647,6 +654,7 @@
 {
     dequeue(record);
     occupySlot(record, target);
+    versions_.recordGrant(record.request, target.target);
     countTowardsRateLimits(record, now);
     grantedCostMs_.addSample(record.queuedCostMs);
     workFractions_.recordGrant(record.request.urgency, record.rank.missesObjective, record.queuedCostMs);
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "briarhitch/rollout/VersionShare.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "sched/GrantedWorkFractions.h"
 #include "sched/LengthEstimator.h"
@@ -29,6 +30,7 @@
     explicit SlotScheduler(const PoolSettings& settings);
 
     void setTargets(const std::vector<Target>& targets, Instant now) override;
+    void setRollout(const std::optional<PoolRollout>& rollout) override { versions_.setRollout(rollout); }
     void setContract(const Contract& contract) override;
     void submit(PoolRequest request, Instant now) override;
     void cancel(AttemptId attempt, Instant now) override;
@@ -134,6 +136,7 @@
 
     PoolSettings settings_;
     LengthEstimator lengths_;
+    VersionShare versions_;
     std::map<TargetId, SlotTarget> targets_;
     absl::flat_hash_map<AttemptId, std::unique_ptr<RequestRecord>> records_;
     std::set<std::pair<Rank, AttemptId>> queue_;
