Let entries obey rollouts when they select and send

An entry without an owner does not know what others send, so its own selection uses only old targets until the service has moved, and only the new ones afterwards. An entry also checks before it sends a request that the granted target's version was not rolled back meanwhile: the grant may have been in transit, or held, when the rollback was applied.

Tests: LocalSelectionLeavesOutTheVersionThatIsTried and GrantForARolledBackVersionIsNotUsed; each failed with its check disabled.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -39,6 +39,8 @@
     PoolSettings localSelectionPolicy {};
     /** For streams of several software versions; see EntryStreams. */
     ConfirmConfigurationHook confirmConfiguration {};
+    /** None: rollouts restrict nothing. */
+    std::optional<RolloutBounds> rollout {};
 };
 
 /** The entry's side of pool scheduling: requests grants from pool owners and tracks this entry's running attempts. */
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -618,6 +618,10 @@
         targets.push_back(target);
         targets.back().slots = std::max(1U, static_cast<uint32_t>(std::lround(localSlots)));
     }
+    auto rollout = findPoolRollout(config, pool, settings_.rollout);
+    if (rollout)
+        rollout->isLocalSelection = true;
+    scheduler.setRollout(rollout);
     scheduler.setTargets(targets, now_());
 }
 
--- a/src/entry/RequestRun.cpp
+++ b/src/entry/RequestRun.cpp
@@ -262,6 +262,7 @@
     auto it = runner_.view.config().targets.find(grant.target);
     bool isUsable = it != runner_.view.config().targets.end() && it->second.state == TargetState::Active;
     bool isExcluded = std::find(excluded_.begin(), excluded_.end(), grant.target) != excluded_.end();
+    isUsable = isUsable && !isRolledBack(runner_.view.config(), it->second);
     if (!isUsable || isExcluded) {
         recordEvent("grant not used", isExcluded ? "the target already got the request" : "the target is draining");
         excluded_.push_back(grant.target);
--- a/src/entry/RoutedRequestRun.cpp
+++ b/src/entry/RoutedRequestRun.cpp
@@ -322,6 +322,8 @@
         if (isUsable && *required && **required != target->second.softwareVersion)
             return Failure { makeError(ErrorKind::NoTarget, "the granted target has another software version than the one that began the stream"), true };
     }
+    if (isUsable && isRolledBack(runner_.view.config(), target->second))
+        return Failure { makeError(ErrorKind::NoTarget, "the software version of the granted target was rolled back"), true };
     if (!isUsable || isExcluded || runner_.pools.isRestricted(grant.target) || !runner_.pools.isCurrent(grant))
         return Failure { makeError(ErrorKind::NoTarget, "the granted target accepts no new requests"), true };
     return std::nullopt;
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -75,6 +75,7 @@
             PoolClientSettings settings { self, "lakes", "duluth", 6s, [this] { return hasLease; } };
             settings.localSelectionAfter = localSelectionAfter_;
             settings.localSelectionPolicy.policy = "slots";
+            settings.rollout = RolloutBounds {};
             return settings;
         }
     };
@@ -255,6 +256,33 @@
         });
     }
 
+    // Guards against entries without an owner that each send a version which is tried the owner's share.
+    TEST(PoolClientTest, LocalSelectionLeavesOutTheVersionThatIsTried)
+    {
+        runInFiber([](Loop& loop) {
+            Entry entry(loop, 150ms);
+            entry.config.targets[TargetId(7)].softwareVersion = "v2";
+            auto old = entry.config.targets[TargetId(7)];
+            old.id = TargetId(8);
+            old.softwareVersion = "v1";
+            entry.config.targets[old.id] = old;
+            entry.config.rollouts["m7"] = { RolloutId(1), "m7", "v2", 12000, 0, RolloutState::Running, RolloutStage::Trial, 60 };
+            entry.assign(modelPool(10, Epoch(6), 2));
+            entry.transport.unreachable.insert(NodeId(2));
+            std::vector<std::shared_ptr<std::optional<Result<Grant>>>> results;
+            for (uint64_t id = 100; id < 104; ++id)
+                results.push_back(entry.requestGrant(id));
+            auto isGranted = [](const auto& result) { return result->has_value() && **result && (**result)->target == TargetId(8); };
+            EXPECT_EQ(std::count_if(results.begin(), results.end(), isGranted), 2) << "1.5 times a third of 4 slots";
+            EXPECT_FALSE(results[3]->has_value());
+            entry.config.rollouts["m7"].stage = RolloutStage::Drain;
+            entry.assign(modelPool(10, Epoch(6), 2));
+            sleepFor(loop, 0ms);
+            ASSERT_TRUE(results[3]->has_value() && **results[3]);
+            EXPECT_EQ((**results[3])->target, TargetId(7));
+        });
+    }
+
     // Guards against overload when many entries lose a pool's owner and each sends at least one request to every target.
     TEST(PoolClientTest, LocalSelectionOfManyEntriesIsSpreadOverTheTargets)
     {
--- a/tests/StreamVersionTest.cpp
+++ b/tests/StreamVersionTest.cpp
@@ -102,6 +102,26 @@
         EXPECT_EQ(fixture.pools.released, 1);
     }
 
+    // Guards against a request that is sent to a faulty version after its rollback, because its target was granted before.
+    TEST(StreamVersionTest, GrantForARolledBackVersionIsNotUsed)
+    {
+        Fixture fixture;
+        fixture.pools.grants = { TargetId(2), TargetId(3) };
+        fixture.pools.onAcquire = [&] {
+            auto config = fixture.view.config();
+            config.version = Version(config.version.value() + 1);
+            for (auto& [id, target] : config.targets)
+                target.serves = "shop";
+            config.rollouts["shop"] = { RolloutId(1), "shop", "v2", 12000, 0, RolloutState::RolledBack };
+            fixture.apply(config);
+        };
+        fixture.targets.script = { respondWith(200, "ok") };
+        fixture.run("/charge/1");
+        EXPECT_EQ(fixture.instances(), std::vector<std::string> { "t3" });
+        EXPECT_EQ(fixture.pools.released, 1);
+        EXPECT_EQ(fixture.exchange.status, 200);
+    }
+
     // Guards against two targets that name no version and are taken for targets of the same one: the pool must decide as for a
     // stream that nobody saw begin.
     TEST(StreamVersionTest, StreamOfAnUnnamedVersionIsUnknownToThePool)
