Report the counters of rollouts from pool owners to the leader

The leader judges a version by what the owner of the pool sees. OwnerRollouts holds the rollout of each owned pool, for its scheduler, and counts grants, answers and latencies by route and version, cumulative within an epoch. Running requests are taken from PoolHost, so that none from before the rollout is left out. While an entry's PoolSync is missing, there is no report, because it would say that nothing runs; after the longest lease it is sent anyway.

RolloutReporter keeps the latest report of each pool and drops those that fail, since the next one contains them.

--- a/include/briarhitch/entry/ControlClient.h
+++ b/include/briarhitch/entry/ControlClient.h
@@ -55,6 +55,8 @@
     Result<void> finishRun(const FinishRun& finish, Duration timeout);
     /** Commits changes of blocked suspects; may be repeated. */
     Result<void> recordSuspects(const RecordSuspects& changes, Duration timeout);
+    /** Sends the counters of a rollout; an error if the leader did not accept them. */
+    Result<void> reportRollout(const RolloutReport& report, Duration timeout);
 
 private:
     struct Impl;
--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -2,6 +2,7 @@
 
 #include "briarhitch/entry/NodeTransport.h"
 #include "briarhitch/entry/OwnerRateLimits.h"
+#include "briarhitch/entry/OwnerRollouts.h"
 #include "briarhitch/entry/OwnerStreamRuns.h"
 #include "briarhitch/entry/OwnerStreams.h"
 #include "briarhitch/entry/OwnerSuspects.h"
@@ -32,6 +33,8 @@
     Duration poolSyncTimeout { std::chrono::milliseconds(500) };
     /** Longest time that another node may consider its lease valid, clock drift included; see docs/design.md 6.1. */
     Duration leaseAndClockDrift { std::chrono::milliseconds(3150) };
+    /** None: rollouts restrict nothing. */
+    std::optional<RolloutBounds> rollout {};
 };
 
 struct PoolHostHooks {
@@ -41,6 +44,8 @@
     /** Records a blocked or cleared suspect in the replicated log. */
     std::function<void(const SuspectVerdict&)> recordSuspect;
     ClockHook now;
+    /** Sends a report to the control leader; must not block. May be empty without rollouts. */
+    std::function<void(const RolloutReport&)> reportRollout {};
 };
 
 /** The pools that this node owns: takeover, grants and handover. Starts no fibers; takes the time from the clock hook. */
@@ -139,6 +144,7 @@
     void onPoolRelease(NodeId from, const PoolRelease& release);
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
     [[nodiscard]] OwnerStreamRunsHooks streamRunsHooks();
+    [[nodiscard]] OwnerRolloutsHooks rolloutsHooks();
     /** Refuses requests of the pool that wait, or whose grants are held, if a later one continues their stream. */
     void refuseSuperseded(Pool& pool);
     /** `isUnsent`: no target has seen the request under this attempt. */
@@ -166,6 +172,7 @@
     OwnerSuspects suspects_;
     OwnerStreams streams_;
     OwnerStreamRuns streamRuns_;
+    OwnerRollouts rollouts_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/src/entry/ControlClient.cpp
+++ b/src/entry/ControlClient.cpp
@@ -363,4 +363,20 @@
     });
 }
 
+Result<void> ControlClient::reportRollout(const RolloutReport& report, Duration timeout)
+{
+    auto impl = impl_;
+    // A reply that does not accept the report is final: the next one follows at once, and trying other voters would make
+    // heartbeats lose the leader.
+    bool isAccepted = false;
+    auto sent = impl->commit(MessageType::RolloutReport, encode(report), timeout, [&isAccepted](const std::string& body) {
+        auto decoded = decode<RolloutReportReply>(body);
+        isAccepted = decoded && decoded->accepted;
+        return true;
+    });
+    if (sent && !isAccepted)
+        return fail(ErrorKind::NotLeader, "the control voter did not accept the report");
+    return sent;
+}
+
 }
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -11,6 +11,7 @@
 #include "briarhitch/entry/PoolClient.h"
 #include "briarhitch/entry/PoolHost.h"
 #include "briarhitch/entry/RequestRunner.h"
+#include "briarhitch/entry/RolloutReporter.h"
 #include "briarhitch/entry/SuspectRecorder.h"
 #include "briarhitch/http/RateLimitHeader.h"
 #include "briarhitch/metrics/MetricRegistry.h"
@@ -38,6 +39,7 @@
     /** Suspects that are blocked or cleared within this time are recorded by one command. */
     constexpr Duration suspectBatchTime = 20ms;
     constexpr Duration suspectRecordTimeout = 2s;
+    constexpr Duration rolloutReportTimeout = 500ms;
     constexpr Duration drainPollInterval = 20ms;
     constexpr Duration drainHeartbeatInterval = 100ms;
     /** Time for callers to receive the last bytes of their responses. */
@@ -92,6 +94,7 @@
         host.region = self.region;
         host.pool = settings.pool;
         host.poolSyncTimeout = settings.limits.poolSyncTimeout;
+        host.rollout = settings.rollout;
         return host;
     }
 
@@ -112,6 +115,7 @@
         , loadPoller({ self.id, self.region }, pollerHooks())
         , httpFront(frontSettings(), clusterView, history, metrics, frontHooks())
         , suspectRecorder([this](const RecordSuspects& changes) { return controlClient.recordSuspects(changes, suspectRecordTimeout); })
+        , rolloutReporter([this](const RolloutReport& report) { return controlClient.reportRollout(report, rolloutReportTimeout); })
     {
     }
 
@@ -200,9 +204,24 @@
             recordSuspectsInBackground();
         };
         hooks.now = &BootClock::now;
+        hooks.reportRollout = [this](const RolloutReport& report) {
+            rolloutReporter.record(report);
+            reportRolloutsInBackground();
+        };
         return hooks;
     }
 
+    void reportRolloutsInBackground()
+    {
+        if (std::exchange(isReportingRollouts, true))
+            return;
+        loop.spawn([this] {
+            while (rolloutReporter.hasReports())
+                runGuarded(entryLog(), "Reporting of rollouts", [this] { rolloutReporter.flush(); });
+            isReportingRollouts = false;
+        });
+    }
+
     void recordSuspectsInBackground()
     {
         if (std::exchange(isRecordingSuspects, true))
@@ -308,6 +327,7 @@
             clientSettings.localSelectionAfter = settings.limits.localSelectionAfter;
         clientSettings.localSelectionPolicy = settings.pool;
         clientSettings.confirmConfiguration = [this](Duration maxAge, Duration timeout) { return controlClient.confirmConfiguration(maxAge, timeout); };
+        clientSettings.rollout = settings.rollout;
         poolClient = std::make_unique<PoolClient>(loop, clientSettings, clusterView, *nodeLinks, &BootClock::now);
         ceilingClient = std::make_unique<CeilingClient>(loop, CeilingClientSettings { self.id, settings.ceilingTolerance }, clusterView, *nodeLinks, metrics, &BootClock::now);
         requestRunner = std::make_unique<RequestRunner>(loop, self, settings.limits, clusterView, *poolClient, targetClient, history, metrics, runnerHooks());
@@ -455,6 +475,8 @@
     std::unique_ptr<NodeLinks> nodeLinks;
     SuspectRecorder suspectRecorder;
     bool isRecordingSuspects { false };
+    RolloutReporter rolloutReporter;
+    bool isReportingRollouts { false };
     std::unique_ptr<PoolHost> poolHost;
     std::unique_ptr<PoolClient> poolClient;
     std::unique_ptr<CeilingClient> ceilingClient;
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -48,6 +48,7 @@
     , suspects_(metrics, suspectHooks())
     , streams_(metrics, hooks_.now)
     , streamRuns_(metrics, streamRunsHooks())
+    , rollouts_(settings_.self, settings_.rollout, metrics, rolloutsHooks())
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -87,6 +88,19 @@
     return hooks;
 }
 
+OwnerRolloutsHooks PoolHost::rolloutsHooks()
+{
+    auto runningAttempts = [this](PoolId id) {
+        OwnerRolloutsHooks::RunningAttempts running;
+        for (const auto& [attempt, request] : find(id)->requests) {
+            if (request.target.isValid())
+                running[attempt] = { request.grantRequest.kind, request.target };
+        }
+        return running;
+    };
+    return { hooks_.reportRollout, runningAttempts, hooks_.now };
+}
+
 void PoolHost::refuseSuperseded(Pool& pool)
 {
     std::vector<AttemptId> superseded;
@@ -130,6 +144,7 @@
     restrictedForAll_ = findRestrictedForAll();
     rateLimits_.onConfigChange(config, hooks_.now());
     suspects_.onConfigChange(config);
+    rollouts_.onConfigChange(config);
     updateActivePools(config);
     dropReassignedPools(config);
     recordLostNodes(config);
@@ -226,6 +241,7 @@
         if (target.state == TargetState::Active && restrictedForAll_.contains(target.id))
             target.state = TargetState::Draining;
     }
+    pool.scheduler->setRollout(rollouts_.find(pool.assignment.id));
     pool.scheduler->setTargets(poolTargets, hooks_.now());
 }
 
@@ -553,6 +569,7 @@
         return;
     it->second.isStarted = true;
     suspects_.attemptStarted(started);
+    rollouts_.attemptStarted(started);
     if (pool->scheduler)
         pool->scheduler->attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), hooks_.now());
     applyActions(*pool);
@@ -569,6 +586,7 @@
     auto request = std::move(it->second);
     pool->requests.erase(it);
     suspects_.attemptFinished(request.grantRequest, finished, request.target, isLeaving(request.target));
+    rollouts_.attemptFinished(finished);
     refuseBlocked();
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
@@ -705,6 +723,7 @@
             return;
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
+        rollouts_.attemptGranted(it->second.grantRequest, grant->target);
         bool isContinuation = it->second.grantRequest.streamClaim.isContinuation;
         if (streamRuns_.attemptGranted(it->second.entry, it->second.grantRequest, it->second.arrivedAt))
             sendGrant(pool, it->second);
@@ -807,6 +826,9 @@
         if (pool.scheduler)
             pool.scheduler->tick(now);
         applyActions(pool);
+        // An entry whose sync is missing may run requests on old targets, which a report must not leave out.
+        if (pool.scheduler && (pool.awaitedSyncs.empty() || now - pool.assignedAt >= settings_.leaseAndClockDrift))
+            rollouts_.tick(id);
     }
     publishStats();
 }
