Keep a rollout from completing while entries may run unknown requests

A rollout completes when the owner of the pool reports no running request on the old targets, and the platform then stops them at once. An owner does not know what an entry selected itself: while their link was closed, while the owner was unresponsive, or before the entry's PoolSync for a new epoch.

OwnerRollouts now counts each entry that serves callers and has not synced in this epoch and over its present link as one running request on the others. This replaces holding back reports, which looked like a lost owner to the leader. An entry sends a PoolSync when an owner responds again, and when a grant shows an epoch that its configuration does not have yet; in that case none was sent later, because the assignment seemed known. Both only while the pool's service has a rollout, so other deployments send what they sent before.

Tests: EntryThatMayRunUnknownRequestsCountsAsRunning and LocalRunsAreReportedToAnOwnerThatRespondsAgain; each failed with its part of the change taken out. NewEpochStartsAtZeroAndWaitsForAllEntries is split: the wait it tested no longer exists, and what it guarded is now tested by the first of these.

--- a/include/briarhitch/entry/OwnerRollouts.h
+++ b/include/briarhitch/entry/OwnerRollouts.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace briarhitch {
 
@@ -33,6 +35,10 @@
     void onConfigChange(const ClusterConfig& config);
     /** For the pool's scheduler. */
     [[nodiscard]] std::optional<PoolRollout> find(PoolId pool) const;
+    /** The entry has named the attempts that it runs. */
+    void entrySynced(NodeId entry, const PoolSync& sync) { syncedEpochs_[{ sync.pool, entry }] = sync.epoch; }
+    /** Until its next sync, the entry may run attempts that this node does not know of. */
+    void entryDisconnected(NodeId entry);
     void attemptGranted(const GrantRequest& request, TargetId target);
     void attemptStarted(const AttemptStarted& started);
     void attemptFinished(const AttemptFinished& finished);
@@ -51,6 +57,8 @@
     State* findRunning(PoolId pool);
     void logChange(const State& state) const;
     void publishGauges(const State& state) const;
+    /** Entries that may run attempts which this node does not know of. */
+    [[nodiscard]] uint32_t unsyncedEntryCount(PoolId pool, Epoch epoch) const;
     [[nodiscard]] bool isTargetVersion(const State& state, TargetId target) const;
 
     NodeId self_;
@@ -60,6 +68,10 @@
     Version appliedVersion_;
     std::map<TargetId, std::string> softwareVersions_;
     std::map<PoolId, State> pools_;
+    /** Entries that serve callers and are not lost. */
+    std::vector<NodeId> entries_;
+    /** The epoch of the last sync of each entry that has not lost its link since. */
+    std::map<std::pair<PoolId, NodeId>, Epoch> syncedEpochs_;
 };
 
 }
--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -91,6 +91,8 @@
         /** The owner is reachable, but did not reply to a grant request in time; single requests probe it meanwhile. */
         bool isOwnerUnresponsive { false };
         Instant nextOwnerProbeAt {};
+        /** The owner may not know all attempts of this entry: it granted under a new epoch, or was unresponsive. */
+        bool isSyncDue { false };
     };
     struct PoolRecentAttempt {
         PoolId pool;
@@ -135,6 +137,8 @@
     void applyLocalActions(PoolId pool);
     void takeOverFromUnresponsiveOwners();
     void tickLocalSchedulers();
+    /** Sends a PoolSync to owners for which it is due, if a rollout depends on what they know. */
+    void sendDueSyncs();
     void cancelLocally(PoolId pool, AttemptId attempt);
     [[nodiscard]] Error missingOwnerError() const;
     /** Whether the target has announced its end. */
--- a/src/entry/OwnerRollouts.cpp
+++ b/src/entry/OwnerRollouts.cpp
@@ -3,6 +3,8 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 
+#include <algorithm>
+
 namespace briarhitch {
 
 namespace {
@@ -46,6 +48,7 @@
 void OwnerRollouts::onConfigChange(const ClusterConfig& config)
 {
     appliedVersion_ = config.version;
+    entries_ = callerServingNodes(config);
     softwareVersions_.clear();
     if (config.rollouts.empty() || !bounds_) {
         pools_.clear();
@@ -104,6 +107,19 @@
     return rollout;
 }
 
+void OwnerRollouts::entryDisconnected(NodeId entry)
+{
+    std::erase_if(syncedEpochs_, [&](const auto& synced) { return synced.first.second == entry; });
+}
+
+uint32_t OwnerRollouts::unsyncedEntryCount(PoolId pool, Epoch epoch) const
+{
+    return static_cast<uint32_t>(std::count_if(entries_.begin(), entries_.end(), [&](NodeId entry) {
+        auto synced = syncedEpochs_.find({ pool, entry });
+        return synced == syncedEpochs_.end() || synced->second != epoch;
+    }));
+}
+
 OwnerRollouts::State* OwnerRollouts::findRunning(PoolId pool)
 {
     auto found = pools_.find(pool);
@@ -154,7 +170,8 @@
     }
     RolloutReport report { state->rollout.rollout.id, pool, state->epoch, appliedVersion_, observations.counters() };
     report.runningOnTargetVersion = observations.runningCount(true);
-    report.runningOnOthers = observations.runningCount(false);
+    // An entry without a link selects targets itself. The rollout must not complete while one might use an old target.
+    report.runningOnOthers = observations.runningCount(false) + unsyncedEntryCount(pool, state->epoch);
     report.activeTargets = state->rollout.targetVersionTargets;
     publishGauges(*state);
     hooks_.report(report);
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -395,6 +395,7 @@
     // The grant may have been in transit when its sender lost the pool.
     if (grant.epoch < state.epoch)
         return;
+    state.isSyncDue = state.isSyncDue || state.epoch < grant.epoch;
     state.epoch = grant.epoch;
     recordOwnerMessage(state);
     auto it = pending_.find(grant.attempt);
@@ -477,6 +478,7 @@
 void PoolClient::sendPoolSync(PoolId pool)
 {
     dropExpiredAttempts();
+    pools_[pool].isSyncDue = false;
     PoolSync message { pool, pools_[pool].epoch, {}, {}, rateLimits_.noticesFor(pool, now_()), {}, suspects_.noticesForOwner(), streams_.list() };
     for (const auto& [attempt, running] : running_) {
         if (running.request.pool != pool)
@@ -544,6 +546,7 @@
     streams_.tick();
     streamRuns_.tick();
     updateLocalRates();
+    sendDueSyncs();
     if (settings_.localSelectionAfter) {
         takeOverFromUnresponsiveOwners();
         tickLocalSchedulers();
@@ -691,6 +694,7 @@
             continue;
         if (isOwnerReachable(state)) {
             state.isOwnerUnresponsive = true;
+            state.isSyncDue = true;
             state.nextOwnerProbeAt = now + ownerProbeInterval;
         }
         withoutReply.push_back(pending);
@@ -701,6 +705,16 @@
     }
 }
 
+void PoolClient::sendDueSyncs()
+{
+    for (auto& [id, state] : pools_) {
+        // A rollout does not complete before its owner knows the attempts of all entries.
+        bool isOwnerResponsive = !state.isOwnerUnresponsive && isOwnerReachable(state);
+        if (state.isSyncDue && isOwnerResponsive && findPoolRollout(view_.config(), id, settings_.rollout))
+            sendPoolSync(id);
+    }
+}
+
 void PoolClient::tickLocalSchedulers()
 {
     for (auto& [pool, scheduler] : localSchedulers_) {
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -424,6 +424,7 @@
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
     streams_.merge(sync);
+    rollouts_.entrySynced(from, sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -771,6 +772,7 @@
 {
     connectedEntries_.erase(node);
     disconnectedSince_.try_emplace(node, hooks_.now());
+    rollouts_.entryDisconnected(node);
     rateLimits_.setConnected(node, false, hooks_.now());
 }
 
@@ -826,8 +828,7 @@
         if (pool.scheduler)
             pool.scheduler->tick(now);
         applyActions(pool);
-        // An entry whose sync is missing may run requests on old targets, which a report must not leave out.
-        if (pool.scheduler && (pool.awaitedSyncs.empty() || now - pool.assignedAt >= settings_.leaseAndClockDrift))
+        if (pool.scheduler)
             rollouts_.tick(id);
     }
     publishStats();
--- a/tests/OwnerRolloutsTest.cpp
+++ b/tests/OwnerRolloutsTest.cpp
@@ -150,24 +150,35 @@
         EXPECT_EQ(owner.reports.back().runningOnOthers, 0u);
     }
 
-    // Guards against counters that the leader adds up twice, and against a report that says that nothing runs before all
-    // entries have named what they run.
-    TEST(OwnerRolloutsTest, NewEpochStartsAtZeroAndWaitsForAllEntries)
+    // Guards against counters that the leader adds up twice.
+    TEST(OwnerRolloutsTest, NewEpochStartsAtZero)
     {
         Owner owner;
         owner.grant(1);
         owner.finish(1);
+        EXPECT_EQ(owner.report()[target].granted, 1u);
+        owner.takeOver(Epoch(3));
+        EXPECT_EQ(owner.report()[target].granted, 0u);
+        EXPECT_EQ(owner.reports.back().epoch, Epoch(3));
+    }
+
+    // Guards against a rollout that completes while an entry which the owner has not heard from runs requests on old targets.
+    TEST(OwnerRolloutsTest, EntryThatMayRunUnknownRequestsCountsAsRunning)
+    {
+        Owner owner;
         owner.report();
-        owner.reports.clear();
+        EXPECT_EQ(owner.reports.back().runningOnOthers, 0u);
+        owner.host->onEntryDisconnected(NodeId(2));
+        owner.report();
+        EXPECT_EQ(owner.reports.back().runningOnOthers, 1u);
         owner.takeOver(Epoch(3), { 1 });
         owner.clock.now += 600ms;
         owner.report();
         ASSERT_TRUE(owner.host->isActive(PoolId(10)));
-        EXPECT_TRUE(owner.reports.empty());
-        owner.clock.now += 3s;
-        EXPECT_EQ(owner.report()[target].granted, 0u);
-        ASSERT_FALSE(owner.reports.empty());
-        EXPECT_EQ(owner.reports.back().epoch, Epoch(3));
+        EXPECT_EQ(owner.reports.back().runningOnOthers, 1u);
+        owner.host->onMessage(NodeId(2), LinkId(2), MessageType::PoolSync, encode(PoolSync { PoolId(10), Epoch(3), {}, {}, {}, {}, {} }));
+        owner.report();
+        EXPECT_EQ(owner.reports.back().runningOnOthers, 0u);
     }
 
     // Guards against an owner that grants the slack of the trial again each time it gets its lease back.
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -283,6 +283,37 @@
         });
     }
 
+    // Guards against a rollout that completes because its owner does not know of a request on an old target that an entry
+    // selected while the owner was suspended; without a rollout nothing more is sent than before.
+    TEST(PoolClientTest, LocalRunsAreReportedToAnOwnerThatRespondsAgain)
+    {
+        runInFiber([](Loop& loop) {
+            for (bool hasRollout : { false, true }) {
+                Entry entry(loop, 150ms);
+                if (hasRollout)
+                    entry.config.rollouts["m7"] = { RolloutId(1), "m7", "v2", 12000, 0, RolloutState::Running, RolloutStage::Trial, 60 };
+                entry.assign(modelPool(10, Epoch(6), 2));
+                auto local = entry.requestGrant(100);
+                entry.clock.now += 200ms;
+                entry.client.checkOwners();
+                sleepFor(loop, 0ms);
+                ASSERT_TRUE(local->has_value() && **local);
+                entry.transport.posts.clear();
+                entry.client.checkOwners();
+                EXPECT_TRUE(entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(2)).empty());
+                entry.grant(999, Epoch(6));
+                entry.client.checkOwners();
+                entry.client.checkOwners();
+                auto syncs = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(2));
+                ASSERT_EQ(syncs.size(), hasRollout ? 1u : 0u);
+                EXPECT_EQ(hasRollout ? syncs[0].running.size() : 1u, 1u);
+                entry.grant(998, Epoch(7));
+                entry.client.checkOwners();
+                EXPECT_EQ(entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(2)).size(), hasRollout ? 2u : 0u) << "a new epoch";
+            }
+        });
+    }
+
     // Guards against overload when many entries lose a pool's owner and each sends at least one request to every target.
     TEST(PoolClientTest, LocalSelectionOfManyEntriesIsSpreadOverTheTargets)
     {
