--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -48,6 +48,7 @@
     , suspects_(metrics, suspectHooks())
     , streams_(metrics, hooks_.now)
     , streamRuns_(metrics, streamRunsHooks())
+    , rollouts_(settings_.self, settings_.rollout, metrics, rolloutsHooks())
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -87,6 +88,19 @@
     return hooks;
 }
 
+OwnerRolloutsHooks PoolHost::rolloutsHooks()
+{
+    auto runningAttempts = [this](PoolId id) {
+        OwnerRolloutsHooks::RunningAttempts running;
+        for (const auto& [attempt, request] : find(id)->requests) {
+            if (request.target.isValid())
+                running[attempt] = { request.grantRequest.kind, request.target };
+        }
+        return running;
+    };
+    return { hooks_.reportRollout, runningAttempts, hooks_.now };
+}
+
 void PoolHost::refuseSuperseded(Pool& pool)
 {
     std::vector<AttemptId> superseded;
@@ -130,6 +144,7 @@
     restrictedForAll_ = findRestrictedForAll();
     rateLimits_.onConfigChange(config, hooks_.now());
     suspects_.onConfigChange(config);
+    rollouts_.onConfigChange(config);
     updateActivePools(config);
     dropReassignedPools(config);
     recordLostNodes(config);
@@ -226,6 +241,7 @@
         if (target.state == TargetState::Active && restrictedForAll_.contains(target.id))
             target.state = TargetState::Draining;
     }
+    pool.scheduler->setRollout(rollouts_.find(pool.assignment.id));
     pool.scheduler->setTargets(poolTargets, hooks_.now());
 }
 
@@ -408,6 +424,7 @@
     mergeRateLimits(from, sync);
     suspects_.merge(sync);
     streams_.merge(sync);
+    rollouts_.entrySynced(from, sync);
     dropUnlistedRequests(pool, from, link, sync);
     for (const auto& running : sync.running)
         restoreAttempt(pool, from, link, running);
@@ -553,6 +570,7 @@
         return;
     it->second.isStarted = true;
     suspects_.attemptStarted(started);
+    rollouts_.attemptStarted(started);
     if (pool->scheduler)
         pool->scheduler->attemptStarted(started.attempt, std::chrono::milliseconds(started.firstTokenMs), hooks_.now());
     applyActions(*pool);
@@ -569,6 +587,7 @@
     auto request = std::move(it->second);
     pool->requests.erase(it);
     suspects_.attemptFinished(request.grantRequest, finished, request.target, isLeaving(request.target));
+    rollouts_.attemptFinished(finished);
     refuseBlocked();
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
@@ -705,6 +724,7 @@
             return;
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
+        rollouts_.attemptGranted(it->second.grantRequest, grant->target);
         bool isContinuation = it->second.grantRequest.streamClaim.isContinuation;
         if (streamRuns_.attemptGranted(it->second.entry, it->second.grantRequest, it->second.arrivedAt))
             sendGrant(pool, it->second);
@@ -752,6 +772,7 @@
 {
     connectedEntries_.erase(node);
     disconnectedSince_.try_emplace(node, hooks_.now());
+    rollouts_.entryDisconnected(node);
     rateLimits_.setConnected(node, false, hooks_.now());
 }
 
@@ -807,6 +828,8 @@
         if (pool.scheduler)
             pool.scheduler->tick(now);
         applyActions(pool);
+        if (pool.scheduler)
+            rollouts_.tick(id);
     }
     publishStats();
 }
@@ -824,23 +847,6 @@
     });
 }
 
-void PoolHost::publishRateLimits(const Pool& pool, const PoolStats& stats)
-{
-    RequestRate sum;
-    size_t count = 0;
-    for (const auto& target : targets_) {
-        auto limit = target.pool == pool.assignment.id ? rateLimits_.find(target.id) : std::nullopt;
-        if (!limit)
-            continue;
-        sum += *limit;
-        ++count;
-    }
-    auto labels = "pool=\"" + pool.assignment.name + "\"";
-    metrics_.setGauge("pool_rate_limited_targets", labels, static_cast<double>(count));
-    metrics_.setGauge("pool_rate_limit_requests_per_second", labels, sum.value());
-    metrics_.setGauge("pool_rate_limit_held", labels, static_cast<double>(stats.heldByRateLimit));
-}
-
 void PoolHost::publishStats()
 {
     if (hooks_.now() - statsPublishedAt_ < statsInterval)
@@ -850,7 +856,7 @@
         if (!pool.scheduler)
             continue;
         auto stats = pool.scheduler->stats();
-        publishRateLimits(pool, stats);
+        rateLimits_.publishGauges(metrics_, pool.assignment, targets_, stats.heldByRateLimit);
         for (size_t tier = 0; tier < Tier::count; ++tier) {
             auto labels = "pool=\"" + pool.assignment.name + "\",tier=\"" + std::to_string(tier) + "\"";
             metrics_.setGauge("pool_queued", labels, static_cast<double>(stats.queued[tier]));
