Learn margins, fixed prefill time and the turnaround of slots in the slots policy

Cause: on pools of unlike targets, far from their owner, the policy predicts the first answer wrong in three ways. Calls are granted at the last moment at which their mean time still meets the objective, so half of them miss it; the fixed part of an engine's time to the first token is taken for the time of a prompt token, so that long prompts decline slots that suit them; and slots of short calls count as occupied while their end travels.

Change: PredictionMargin, FirstTokenModel and SlotTurnaround, each a class of its own, switched on by policy.enabled_parts.

--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -90,6 +90,8 @@
     size_t maxQueued { 20000 };
     /** Names of policy features to disable, for measurements. */
     std::set<std::string> disabledFeatures;
+    /** Names of policy features that are off by default. */
+    std::set<std::string> enabledFeatures {};
     /** Fraction of the pool's capacity, 0 to 0.5, that a kind of work gets even under more urgent load. */
     std::map<WorkKindId, double> floors;
     /** Rate limits of the pool's targets; not owned. Null: none. */
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -6,6 +6,7 @@
 #include "briarhitch/settings/SettingsReader.h"
 
 #include <algorithm>
+#include <set>
 
 namespace briarhitch {
 
@@ -53,6 +54,12 @@
         pool.seed = static_cast<uint64_t>(reader.integer("seed", 0, INT64_MAX, static_cast<int64_t>(pool.seed)));
         for (const auto& feature : reader.strings("disabled_parts"))
             pool.disabledFeatures.insert(feature);
+        const std::set<std::string> optional { "first_token_model", "prediction_margin", "slot_turnaround" };
+        for (const auto& feature : reader.strings("enabled_parts")) {
+            pool.enabledFeatures.insert(feature);
+            if (!optional.contains(feature))
+                reader.addProblem("enabled_parts", "found \"" + feature + "\", expected one of first_token_model, prediction_margin, slot_turnaround");
+        }
         reader.objects("floors", false, [&](SettingsReader& floor) { readFloor(floor, pool); });
     }
 
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -93,6 +93,9 @@
 
 SlotScheduler::SlotScheduler(const PoolSettings& settings)
     : settings_(settings)
+    , learnsMargins_(settings.enabledFeatures.contains("prediction_margin"))
+    , overlapsTurnaround_(settings.enabledFeatures.contains("slot_turnaround") && settings.kind == PoolKind::Service)
+    , modelsFirstToken_(settings.enabledFeatures.contains("first_token_model") && settings.kind == PoolKind::Model)
 {
 }
 
@@ -119,6 +122,13 @@
     return target.prefillTokenMs.valueOr(typicalMs);
 }
 
+double SlotScheduler::prefillMs(const SlotTarget& target, double tokens) const
+{
+    if (modelsFirstToken_ && firstTokens_.isLearned())
+        return firstTokens_.firstTokenMs(target.target.id, tokens);
+    return tokens * prefillTokenMsOf(target);
+}
+
 SlotScheduler::Placement SlotScheduler::evaluatePlacement(const RequestRecord& record, const SlotTarget& target, Instant now) const
 {
     const auto& request = record.request;
@@ -128,25 +138,26 @@
     double deadlineLeftMs = toMsExact(request.deadline - now);
     if (!isModel()) {
         placement.firstTokenMs = placement.durationMs = dispatchOverheadMs + serviceMs;
-        placement.expectedLoss = placement.durationMs > objective ? objectiveMissLoss : 0;
+        placement.expectedLoss = placement.durationMs + marginMs(request) > objective ? objectiveMissLoss : 0;
         return placement;
     }
     double prompt = static_cast<double>(request.promptTokens.value());
-    double prefill = prefillTokenMsOf(target);
-    placement.firstTokenMs = dispatchOverheadMs + serviceMs + (target.prefillTokens + prompt) * prefill;
+    double prefill = modelsFirstToken_ && firstTokens_.isLearned() ? firstTokens_.tokenMs(target.target.id) : prefillTokenMsOf(target);
+    placement.firstTokenMs = dispatchOverheadMs + serviceMs + prefillMs(target, target.prefillTokens + prompt);
     placement.durationMs = placement.firstTokenMs + record.expectedOutput * serviceMs * sharedDecodeFactor;
     double eventGapMs = toMsExact(request.eventGapObjective);
     double stepMs = serviceMs + prefillChunkTokens * prefill;
     double eventTokens = std::max(1U, target.target.tokensPerEvent);
     bool isTooSlow = eventGapMs > 0 && eventTokens * serviceMs > usableGapFraction * eventGapMs;
-    if (placement.firstTokenMs > objective || isTooSlow)
+    if (placement.firstTokenMs + marginMs(request) > objective || isTooSlow)
         placement.expectedLoss += objectiveMissLoss;
     double responseLeftMs = std::max(deadlineLeftMs, toMsExact(request.responseDeadline - now));
     placement.deadlineRisk = deadlineMissLoss * exceedanceProbability((responseLeftMs - placement.firstTokenMs) / (serviceMs * sharedDecodeFactor), record.expectedOutput);
     placement.expectedLoss += placement.deadlineRisk;
     // During prefill, each decoding step of the other requests takes one chunk longer.
     double chunks = std::min(eventTokens, std::ceil(prompt / prefillChunkTokens));
-    bool delaysOthers = eventGapMs > 0 && chunks * stepMs + (eventTokens - chunks) * serviceMs > usableGapFraction * eventGapMs;
+    double gapMs = chunks * stepMs + (eventTokens - chunks) * serviceMs;
+    bool delaysOthers = eventGapMs > 0 && gapMs > usableGapFraction * eventGapMs;
     uint32_t decoding = target.running - target.prefilling;
     if (delaysOthers && decoding > 0)
         placement.expectedLoss += objectiveMissLoss * decoding / 2.0;
@@ -166,15 +177,19 @@
 {
     if (!isModel())
         return dispatchOverheadMs + fastestServiceTimeMs_;
-    return dispatchOverheadMs + fastestServiceTimeMs_ + static_cast<double>(record.request.promptTokens.value()) * fastestPrefillTokenMs_;
+    double prompt = static_cast<double>(record.request.promptTokens.value());
+    bool isLearned = modelsFirstToken_ && firstTokens_.isLearned();
+    return dispatchOverheadMs + fastestServiceTimeMs_ + (isLearned ? firstTokens_.firstTokenMs(fastestTarget_, prompt) : prompt * fastestPrefillTokenMs_);
 }
 
 Instant SlotScheduler::latestStartForObjective(const RequestRecord& record) const
 {
     const auto& request = record.request;
     // Prefill of a long prompt takes most of the time to its objective; without a minimum wait it would always lose to others.
-    auto minWait = fromSeconds(minWaitFraction * std::max(0.0, toSeconds(request.objective - record.arrivedAt)));
-    auto bestFirstToken = fromMs(bestFirstTokenMs(record) + callerRoundTripMs);
+    // Calls of plain services are alike, and a learned margin tells how late they may start.
+    double fraction = learnsMargins_ && !isModel() ? 0 : minWaitFraction;
+    auto minWait = fromSeconds(fraction * std::max(0.0, toSeconds(request.objective - record.arrivedAt)));
+    auto bestFirstToken = fromMs(bestFirstTokenMs(record) + callerRoundTripMs + marginMs(request));
     auto latest = request.objective - bestFirstToken;
     return minWait > Duration(0) ? std::max<Instant>(latest, record.arrivedAt + minWait) : latest;
 }
@@ -409,6 +424,8 @@
         return;
     auto& record = *it->second;
     record.firstToken = firstToken;
+    if (isModel())
+        learnMargin(record, now);
     auto found = targets_.find(record.target);
     if (found != targets_.end()) {
         auto& target = found->second;
@@ -417,6 +434,7 @@
         if (record.isOnlyPrefill && prompt >= prefillChunkTokens / 2) {
             double sample = std::max(0.0, toMsExact(firstToken) - dispatchOverheadMs) / prompt;
             target.prefillTokenMs.addSample(sample);
+            firstTokens_.addSample(record.target, prompt, std::max(0.0, toMsExact(firstToken) - dispatchOverheadMs));
             poolPrefillTokenMs_.addSample(sample);
         }
         recordOutcome(target, OutcomeClass::Success, now);
@@ -424,6 +442,12 @@
     dispatch(now);
 }
 
+void SlotScheduler::learnMargin(const RequestRecord& record, Instant now)
+{
+    if (learnsMargins_ && record.predictedFirstTokenMs > 0)
+        margins_.addSample(record.request.kind, record.predictedFirstTokenMs, toMsExact(now - record.grantedAt));
+}
+
 void SlotScheduler::recordOutcome(SlotTarget& target, OutcomeClass outcome, Instant now)
 {
     // Failures of a single target, such as lost connections, must not raise the error rate that its peers are compared with.
@@ -461,6 +485,10 @@
         switch (outcome) {
         case AttemptOutcome::Completed:
             learnServiceTime(*record, target, outputTokens, duration);
+            if (!isModel() && record->predictedFirstTokenMs > 0) {
+                learnMargin(*record, now);
+                turnaround_.addSample(toMsExact(now - record->grantedAt), toMsExact(duration));
+            }
             recordOutcome(target, OutcomeClass::Success, now);
             break;
         case AttemptOutcome::Errored:
@@ -546,10 +574,11 @@
     fastestServiceTimeMs_ = 0;
     fastestPrefillTokenMs_ = 0;
     double typicalMs = poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
-    for (const auto& [id, target] : targets_) {
+    for (auto& [id, target] : targets_) {
         if (!target.isActive() || target.outlierDetector.isBackedOff())
             continue;
         double serviceMs = serviceTimeMsOf(target);
+        target.extraRequests = overlapsTurnaround_ ? turnaround_.extraRequests(target.slots(), serviceMs) : 0;
         double capacity = target.slots() * typicalMs / std::max(serviceMs, 0.01);
         if (auto rate = settings_.rateLimiter ? settings_.rateLimiter->rate(id, now) : std::nullopt)
             capacity = std::min(capacity, rate->value() * grantedCostMs_.valueOr(typicalMs) / 1000);
@@ -558,6 +587,7 @@
             continue;
         if (fastestServiceTimeMs_ == 0 || serviceMs < fastestServiceTimeMs_) {
             fastestServiceTimeMs_ = serviceMs;
+            fastestTarget_ = id;
             fastestPrefillTokenMs_ = prefillTokenMsOf(target);
         }
     }
@@ -653,6 +683,8 @@
 void SlotScheduler::grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now)
 {
     dequeue(record);
+    record.grantedAt = now;
+    record.predictedFirstTokenMs = evaluatePlacement(record, target, now).firstTokenMs;
     occupySlot(record, target);
     versions_.recordGrant(record.request, target.target);
     countTowardsRateLimits(record, now);
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -2,12 +2,15 @@
 
 #include "briarhitch/rollout/VersionShare.h"
 #include "briarhitch/sched/PoolScheduler.h"
+#include "sched/FirstTokenModel.h"
 #include "sched/GrantedWorkFractions.h"
 #include "sched/LengthEstimator.h"
 #include "sched/PoolCapacity.h"
+#include "sched/PredictionMargin.h"
 #include "sched/QueuedWork.h"
 #include "sched/RefusalHistory.h"
 #include "sched/SlotTarget.h"
+#include "sched/SlotTurnaround.h"
 #include "sched/UrgencyDeficits.h"
 
 #include <absl/container/flat_hash_map.h>
@@ -67,6 +70,9 @@
         /** The target had no other prefill in progress when this request was granted. */
         bool isOnlyPrefill { false };
         Duration firstToken { 0 };
+        Instant grantedAt;
+        /** Time from the grant to the first answer as predicted, in milliseconds; zero if it was not. */
+        double predictedFirstTokenMs { 0 };
 
         /** Moves or continues a generation, whose work so far is lost if it comes too late. */
         [[nodiscard]] bool hasEarlierWork() const { return request.migratesFrom.isValid() || request.softwareVersion; }
@@ -85,9 +91,13 @@
     [[nodiscard]] double expectedOutputOf(const PoolRequest& request) const;
     [[nodiscard]] double serviceTimeMsOf(const SlotTarget& target) const;
     [[nodiscard]] double prefillTokenMsOf(const SlotTarget& target) const;
+    /** Milliseconds until the first token on this target, when this many prompt tokens have to be read before it. */
+    [[nodiscard]] double prefillMs(const SlotTarget& target, double tokens) const;
     [[nodiscard]] Placement evaluatePlacement(const RequestRecord& record, const SlotTarget& target, Instant now) const;
     /** Slot time that the request needs on an average target, in milliseconds. */
     [[nodiscard]] double costMs(const RequestRecord& record) const;
+    [[nodiscard]] double marginMs(const PoolRequest& request) const { return learnsMargins_ ? margins_.marginMs(request.kind) : 0; }
+    void learnMargin(const RequestRecord& record, Instant now);
     [[nodiscard]] double bestFirstTokenMs(const RequestRecord& record) const;
     /** Until then the request may wait for a slot on which it meets its objective. */
     [[nodiscard]] Instant latestStartForObjective(const RequestRecord& record) const;
@@ -135,6 +145,12 @@
     void updateCapacity(Instant now);
 
     PoolSettings settings_;
+    const bool learnsMargins_;
+    const bool overlapsTurnaround_;
+    const bool modelsFirstToken_;
+    PredictionMargin margins_;
+    FirstTokenModel firstTokens_;
+    SlotTurnaround turnaround_;
     LengthEstimator lengths_;
     VersionShare versions_;
     std::map<TargetId, SlotTarget> targets_;
@@ -158,6 +174,7 @@
     PoolCapacity capacity_;
     double fastestServiceTimeMs_ { 0 };
     double fastestPrefillTokenMs_ { 0 };
+    TargetId fastestTarget_;
     /** Time until the rate limits allow a request; zero if any target has no limit. */
     Duration rateLimitWait_ { 0 };
     /** Sum of the targets' rate limits; none if any target has no limit. */
--- a/src/sched/SlotTarget.h
+++ b/src/sched/SlotTarget.h
@@ -45,7 +45,10 @@
 
     [[nodiscard]] uint32_t slots() const { return target.slots > 0 ? target.slots : 1; }
     [[nodiscard]] bool isActive() const { return isListed && target.state == TargetState::Active; }
-    [[nodiscard]] bool hasFreeSlot(Instant now) const { return isActive() && running < slots() && outlierDetector.allowsRequest(running, now); }
+    /** Requests beyond its slots that the target may get; they wait there for less than the way of a grant takes. */
+    uint32_t extraRequests { 0 };
+
+    [[nodiscard]] bool hasFreeSlot(Instant now) const { return isActive() && running < slots() + extraRequests && outlierDetector.allowsRequest(running, now); }
 };
 
 }
