--- a/src/sched/PredictionMargin.cpp
+++ b/src/sched/PredictionMargin.cpp
@@ -9,7 +9,7 @@
 
     /** Fraction of the predictions that the margin covers. */
     constexpr double coveredFraction = 0.8;
-    /** Step of the estimate relative to the usual error, so that it follows a change within some tens of answers. */
+    /** Step of the estimate relative to its usual distance from the samples, so that it follows a change within some tens of answers. */
     constexpr double relativeStep = 0.1;
     constexpr double deviationGain = 0.05;
     constexpr int minSamples = 10;
@@ -24,7 +24,8 @@
         return;
     auto& estimate = estimates_[kind];
     double error = actualMs - predictedMs;
-    estimate.deviationMs = estimate.samples == 0 ? std::abs(error) : estimate.deviationMs + deviationGain * (std::abs(error) - estimate.deviationMs);
+    double distance = std::abs(error - estimate.marginMs);
+    estimate.deviationMs = estimate.samples == 0 ? distance : estimate.deviationMs + deviationGain * (distance - estimate.deviationMs);
     ++estimate.samples;
     double step = relativeStep * estimate.deviationMs;
     estimate.marginMs += step * (error > estimate.marginMs ? coveredFraction : coveredFraction - 1);
--- a/src/sched/PredictionMargin.h
+++ b/src/sched/PredictionMargin.h
@@ -20,7 +20,7 @@
 private:
     struct Estimate {
         double marginMs { 0 };
-        /** Mean of the absolute error; the scale of the steps. */
+        /** Mean distance of the errors from the margin; the scale of its steps. */
         double deviationMs { 0 };
         int samples { 0 };
     };
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -10,25 +10,8 @@
 
     using namespace std::chrono_literals;
 
-    // Typical values of engines and plain services, used until samples exist.
-    constexpr double initialTokenMs = 4;
-    constexpr double initialPrefillTokenMs = 0.016;
-    constexpr double initialServiceMs = 30;
-    /** Network round trip to a target, and its time to start a request. */
-    constexpr double dispatchOverheadMs = 6;
     /** Network round trip between caller and entry, which the objective includes: about 3 ms each way. */
     constexpr double callerRoundTripMs = 6;
-    // An engine prefills prompts in chunks of this size, one chunk in each step of its running batch.
-    constexpr double prefillChunkTokens = 1024;
-    // Decoding is slowed by prefill chunks of other requests.
-    constexpr double sharedDecodeFactor = 1.25;
-    // A response that misses its objective has about a third of its value.
-    constexpr double objectiveMissLoss = 0.7;
-    constexpr double deadlineMissLoss = 1.0;
-    // Fraction of the allowed pause between events that a placement may use.
-    constexpr double usableGapFraction = 0.85;
-    // Callers' estimates of the output length are right at the median; this is about the standard deviation of their log error.
-    constexpr double logLengthDeviation = 0.6;
     // Fraction of an engine's memory that placements may use.
     constexpr double usableMemoryFraction = 0.92;
     /** A placement with at most this expected loss is accepted immediately. */
@@ -52,6 +35,8 @@
     /** Queued requests examined per pass; later ones are examined in later passes. */
     constexpr size_t maxExaminedRequests = 48;
     constexpr double peerErrorGain = 0.02;
+    /** The time of shorter prompts says little about the time of a prompt token. */
+    constexpr double minPrefillSampleTokens = 512;
     // Predicted waits are noisy, so a request is refused only if this multiple of the wait exceeds its remaining time.
     constexpr double refusalFactor = 1.2;
     // Fraction of the slots that a queued request is assumed to get at least: most load peaks end before its deadline.
@@ -70,16 +55,6 @@
     double toMsExact(Duration duration) { return toSeconds(duration) * 1000; }
     Duration fromMs(double ms) { return fromSeconds(ms / 1000); }
 
-    /** Probability that the output is longer than the limit, for a log-normal length with the expected median. */
-    double exceedanceProbability(double limit, double expected)
-    {
-        if (limit <= 0)
-            return 1;
-        if (expected <= 0)
-            return 0;
-        return 0.5 * std::erfc(std::log(limit / expected) / (logLengthDeviation * std::sqrt(2.0)));
-    }
-
     bool contains(const std::vector<TargetId>& targets, TargetId target)
     {
         return std::find(targets.begin(), targets.end(), target) != targets.end();
@@ -93,9 +68,8 @@
 
 SlotScheduler::SlotScheduler(const PoolSettings& settings)
     : settings_(settings)
-    , learnsMargins_(settings.enabledFeatures.contains("prediction_margin"))
     , overlapsTurnaround_(settings.enabledFeatures.contains("slot_turnaround") && settings.kind == PoolKind::Service)
-    , modelsFirstToken_(settings.enabledFeatures.contains("first_token_model") && settings.kind == PoolKind::Model)
+    , placements_(settings)
 {
 }
 
@@ -110,86 +84,14 @@
     return std::min(maxOutput, static_cast<double>(request.expectedOutputTokens.value()));
 }
 
-double SlotScheduler::serviceTimeMsOf(const SlotTarget& target) const
-{
-    return target.serviceTimeMs.valueOr(poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs));
-}
-
-double SlotScheduler::prefillTokenMsOf(const SlotTarget& target) const
-{
-    // Prefill speed is assumed to be proportional to decoding speed.
-    double typicalMs = poolPrefillTokenMs_.valueOr(initialPrefillTokenMs) * serviceTimeMsOf(target) / poolServiceTimeMs_.valueOr(initialTokenMs);
-    return target.prefillTokenMs.valueOr(typicalMs);
-}
-
-double SlotScheduler::prefillMs(const SlotTarget& target, double tokens) const
-{
-    if (modelsFirstToken_ && firstTokens_.isLearned())
-        return firstTokens_.firstTokenMs(target.target.id, tokens);
-    return tokens * prefillTokenMsOf(target);
-}
-
-SlotScheduler::Placement SlotScheduler::evaluatePlacement(const RequestRecord& record, const SlotTarget& target, Instant now) const
-{
-    const auto& request = record.request;
-    Placement placement;
-    double serviceMs = serviceTimeMsOf(target);
-    double objective = toMsExact(request.objective - now);
-    double deadlineLeftMs = toMsExact(request.deadline - now);
-    if (!isModel()) {
-        placement.firstTokenMs = placement.durationMs = dispatchOverheadMs + serviceMs;
-        placement.expectedLoss = placement.durationMs + marginMs(request) > objective ? objectiveMissLoss : 0;
-        return placement;
-    }
-    double prompt = static_cast<double>(request.promptTokens.value());
-    double prefill = modelsFirstToken_ && firstTokens_.isLearned() ? firstTokens_.tokenMs(target.target.id) : prefillTokenMsOf(target);
-    placement.firstTokenMs = dispatchOverheadMs + serviceMs + prefillMs(target, target.prefillTokens + prompt);
-    placement.durationMs = placement.firstTokenMs + record.expectedOutput * serviceMs * sharedDecodeFactor;
-    double eventGapMs = toMsExact(request.eventGapObjective);
-    double stepMs = serviceMs + prefillChunkTokens * prefill;
-    double eventTokens = std::max(1U, target.target.tokensPerEvent);
-    bool isTooSlow = eventGapMs > 0 && eventTokens * serviceMs > usableGapFraction * eventGapMs;
-    if (placement.firstTokenMs + marginMs(request) > objective || isTooSlow)
-        placement.expectedLoss += objectiveMissLoss;
-    double responseLeftMs = std::max(deadlineLeftMs, toMsExact(request.responseDeadline - now));
-    placement.deadlineRisk = deadlineMissLoss * exceedanceProbability((responseLeftMs - placement.firstTokenMs) / (serviceMs * sharedDecodeFactor), record.expectedOutput);
-    placement.expectedLoss += placement.deadlineRisk;
-    // During prefill, each decoding step of the other requests takes one chunk longer.
-    double chunks = std::min(eventTokens, std::ceil(prompt / prefillChunkTokens));
-    double gapMs = chunks * stepMs + (eventTokens - chunks) * serviceMs;
-    bool delaysOthers = eventGapMs > 0 && gapMs > usableGapFraction * eventGapMs;
-    uint32_t decoding = target.running - target.prefilling;
-    if (delaysOthers && decoding > 0)
-        placement.expectedLoss += objectiveMissLoss * decoding / 2.0;
-    return placement;
-}
-
-double SlotScheduler::costMs(const RequestRecord& record) const
-{
-    double serviceMs = poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
-    if (!isModel())
-        return serviceMs;
-    double prefill = poolPrefillTokenMs_.valueOr(initialPrefillTokenMs);
-    return dispatchOverheadMs + record.expectedOutput * serviceMs * sharedDecodeFactor + static_cast<double>(record.request.promptTokens.value()) * prefill;
-}
-
-double SlotScheduler::bestFirstTokenMs(const RequestRecord& record) const
-{
-    if (!isModel())
-        return dispatchOverheadMs + fastestServiceTimeMs_;
-    double prompt = static_cast<double>(record.request.promptTokens.value());
-    bool isLearned = modelsFirstToken_ && firstTokens_.isLearned();
-    return dispatchOverheadMs + fastestServiceTimeMs_ + (isLearned ? firstTokens_.firstTokenMs(fastestTarget_, prompt) : prompt * fastestPrefillTokenMs_);
-}
-
 Instant SlotScheduler::latestStartForObjective(const RequestRecord& record) const
 {
     const auto& request = record.request;
     // Prefill of a long prompt takes most of the time to its objective; without a minimum wait it would always lose to others.
     // Calls of plain services are alike, and a learned margin tells how late they may start.
-    double fraction = learnsMargins_ && !isModel() ? 0 : minWaitFraction;
+    double fraction = placements_.hasExactLatestStart() ? 0 : minWaitFraction;
     auto minWait = fromSeconds(fraction * std::max(0.0, toSeconds(request.objective - record.arrivedAt)));
-    auto bestFirstToken = fromMs(bestFirstTokenMs(record) + callerRoundTripMs + marginMs(request));
+    auto bestFirstToken = fromMs(placements_.bestFirstTokenMs(request) + callerRoundTripMs + placements_.marginMs(request));
     auto latest = request.objective - bestFirstToken;
     return minWait > Duration(0) ? std::max<Instant>(latest, record.arrivedAt + minWait) : latest;
 }
@@ -265,7 +167,7 @@
 
 bool SlotScheduler::cannotMeetDeadline(const RequestRecord& record, const QueuedWork& ahead, Instant now) const
 {
-    double minFirstTokenMs = record.request.migratesFrom.isValid() ? 0 : bestFirstTokenMs(record);
+    double minFirstTokenMs = record.request.migratesFrom.isValid() ? 0 : placements_.bestFirstTokenMs(record.request);
     double waitMs = queueDrainMs(ahead, record.request, record.rank) * refusalFactor + toMsExact(rateLimitWait_);
     return waitMs + minFirstTokenMs > toMsExact(record.request.deadline - now);
 }
@@ -314,7 +216,7 @@
 void SlotScheduler::enqueue(RequestRecord& record)
 {
     queue_.emplace(record.rank, record.request.attempt);
-    record.queuedCostMs = costMs(record);
+    record.queuedCostMs = placements_.costMs(workOf(record));
     queuedMeetingObjective_[record.rank.urgency] += record.rank.missesObjective ? 0 : 1;
     ++stats_.queued[record.request.tier.value()];
     stats_.queuedTokens += record.request.promptTokens;
@@ -413,8 +315,10 @@
     target.memoryTokens -= static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
     if (target.running == 0)
         target.memoryTokens = 0;
-    if (!target.isListed && target.running == 0)
+    if (!target.isListed && target.running == 0) {
+        placements_.forget(it->first);
         targets_.erase(it);
+    }
 }
 
 void SlotScheduler::attemptStarted(AttemptId attempt, Duration firstToken, Instant now)
@@ -425,29 +329,19 @@
     auto& record = *it->second;
     record.firstToken = firstToken;
     if (isModel())
-        learnMargin(record, now);
+        placements_.learnMargin(record.request, record.predictedFirstTokenMs, toMsExact(now - record.grantedAt));
     auto found = targets_.find(record.target);
     if (found != targets_.end()) {
         auto& target = found->second;
         endPrefill(record, target);
         auto prompt = static_cast<double>(record.request.promptTokens.value());
-        if (record.isOnlyPrefill && prompt >= prefillChunkTokens / 2) {
-            double sample = std::max(0.0, toMsExact(firstToken) - dispatchOverheadMs) / prompt;
-            target.prefillTokenMs.addSample(sample);
-            firstTokens_.addSample(record.target, prompt, std::max(0.0, toMsExact(firstToken) - dispatchOverheadMs));
-            poolPrefillTokenMs_.addSample(sample);
-        }
+        if (record.isOnlyPrefill && prompt >= minPrefillSampleTokens)
+            placements_.learnFirstToken(target, prompt, std::max(0.0, toMsExact(firstToken) - PlacementModel::dispatchOverheadMs));
         recordOutcome(target, OutcomeClass::Success, now);
     }
     dispatch(now);
 }
 
-void SlotScheduler::learnMargin(const RequestRecord& record, Instant now)
-{
-    if (learnsMargins_ && record.predictedFirstTokenMs > 0)
-        margins_.addSample(record.request.kind, record.predictedFirstTokenMs, toMsExact(now - record.grantedAt));
-}
-
 void SlotScheduler::recordOutcome(SlotTarget& target, OutcomeClass outcome, Instant now)
 {
     // Failures of a single target, such as lost connections, must not raise the error rate that its peers are compared with.
@@ -459,8 +353,7 @@
 void SlotScheduler::learnServiceTime(const RequestRecord& record, SlotTarget& target, Tokens outputTokens, Duration duration)
 {
     if (!isModel()) {
-        target.serviceTimeMs.addSample(toMsExact(duration));
-        poolServiceTimeMs_.addSample(toMsExact(duration));
+        placements_.learnServiceTime(target, toMsExact(duration));
         return;
     }
     lengths_.addSample(record.request.customer, record.request.kind, outputTokens);
@@ -468,9 +361,7 @@
     constexpr double minSampleTokens = 20;
     if (tokens < minSampleTokens)
         return;
-    double sample = toMsExact(duration - record.firstToken) / tokens;
-    target.serviceTimeMs.addSample(sample);
-    poolServiceTimeMs_.addSample(sample);
+    placements_.learnServiceTime(target, toMsExact(duration - record.firstToken) / tokens);
 }
 
 void SlotScheduler::attemptFinished(AttemptId attempt, AttemptOutcome outcome, Tokens, Tokens outputTokens, Duration duration, Instant now)
@@ -486,7 +377,7 @@
         case AttemptOutcome::Completed:
             learnServiceTime(*record, target, outputTokens, duration);
             if (!isModel() && record->predictedFirstTokenMs > 0) {
-                learnMargin(*record, now);
+                placements_.learnMargin(record->request, record->predictedFirstTokenMs, toMsExact(now - record->grantedAt));
                 turnaround_.addSample(toMsExact(now - record->grantedAt), toMsExact(duration));
             }
             recordOutcome(target, OutcomeClass::Success, now);
@@ -554,7 +445,12 @@
         target.target = listed;
         target.isListed = true;
     }
-    std::erase_if(targets_, [](const auto& entry) { return !entry.second.isListed && entry.second.running == 0; });
+    std::erase_if(targets_, [this](const auto& entry) {
+        bool isGone = !entry.second.isListed && entry.second.running == 0;
+        if (isGone)
+            placements_.forget(entry.first);
+        return isGone;
+    });
     updateCapacity(now);
     std::vector<AttemptId> ineligible;
     for (const auto& [rank, attempt] : queue_) {
@@ -571,25 +467,19 @@
 void SlotScheduler::updateCapacity(Instant now)
 {
     capacity_.clear();
-    fastestServiceTimeMs_ = 0;
-    fastestPrefillTokenMs_ = 0;
-    double typicalMs = poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
+    placements_.resetFastest();
+    double typicalMs = placements_.meanServiceTimeMs();
     for (auto& [id, target] : targets_) {
         if (!target.isActive() || target.outlierDetector.isBackedOff())
             continue;
-        double serviceMs = serviceTimeMsOf(target);
+        double serviceMs = placements_.serviceTimeMs(target);
         target.extraRequests = overlapsTurnaround_ ? turnaround_.extraRequests(target.slots(), serviceMs) : 0;
         double capacity = target.slots() * typicalMs / std::max(serviceMs, 0.01);
         if (auto rate = settings_.rateLimiter ? settings_.rateLimiter->rate(id, now) : std::nullopt)
             capacity = std::min(capacity, rate->value() * grantedCostMs_.valueOr(typicalMs) / 1000);
         capacity_.add(target.target, capacity, versions_.servesNewRequests(target.target));
-        if (!versions_.servesNewRequests(target.target))
-            continue;
-        if (fastestServiceTimeMs_ == 0 || serviceMs < fastestServiceTimeMs_) {
-            fastestServiceTimeMs_ = serviceMs;
-            fastestTarget_ = id;
-            fastestPrefillTokenMs_ = prefillTokenMsOf(target);
-        }
+        if (versions_.servesNewRequests(target.target))
+            placements_.considerFastest(target);
     }
 }
 
@@ -601,8 +491,8 @@
         return nullptr;
     SlotTarget* best = nullptr;
     for (auto& [id, target] : targets_) {
-        bool isFaster = serviceTimeMsOf(target) * minSpeedup <= serviceTimeMsOf(current->second);
-        if (isFaster && hasFreeSlot(target, now) && isEligible(record, target) && (!best || serviceTimeMsOf(target) < serviceTimeMsOf(*best)))
+        bool isFaster = placements_.serviceTimeMs(target) * minSpeedup <= placements_.serviceTimeMs(current->second);
+        if (isFaster && hasFreeSlot(target, now) && isEligible(record, target) && (!best || placements_.serviceTimeMs(target) < placements_.serviceTimeMs(*best)))
             best = &target;
     }
     return best;
@@ -634,7 +524,7 @@
         auto memory = static_cast<double>(target.target.memoryTokens);
         if (memory > 0 && target.running > 0 && target.memoryTokens + neededTokens > usableMemoryFraction * memory)
             continue;
-        auto placement = evaluatePlacement(record, target, now);
+        auto placement = placements_.evaluate(workOf(record), target, now);
         // Among targets of equal speed, prefer the less loaded one, where streams slow each other down less.
         placement.durationMs *= 1 + fillPenalty * target.running / target.slots();
         if (!record.request.zone.empty() && record.request.zone != target.target.zone)
@@ -655,7 +545,7 @@
     if (!best || avoidableLoss <= acceptedLoss)
         return best;
     // Wait for a better slot as long as that wait alone does not make the request miss its objective.
-    auto margin = fromMs((refusalFactor - 1) * bestFirstTokenMs(record));
+    auto margin = fromMs((refusalFactor - 1) * placements_.bestFirstTokenMs(record.request));
     return now + margin < latestStartForObjective(record) ? nullptr : best;
 }
 
@@ -684,7 +574,7 @@
 {
     dequeue(record);
     record.grantedAt = now;
-    record.predictedFirstTokenMs = evaluatePlacement(record, target, now).firstTokenMs;
+    record.predictedFirstTokenMs = placements_.evaluate(workOf(record), target, now).firstTokenMs;
     occupySlot(record, target);
     versions_.recordGrant(record.request, target.target);
     countTowardsRateLimits(record, now);
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -2,11 +2,10 @@
 
 #include "briarhitch/rollout/VersionShare.h"
 #include "briarhitch/sched/PoolScheduler.h"
-#include "sched/FirstTokenModel.h"
 #include "sched/GrantedWorkFractions.h"
 #include "sched/LengthEstimator.h"
+#include "sched/PlacementModel.h"
 #include "sched/PoolCapacity.h"
-#include "sched/PredictionMargin.h"
 #include "sched/QueuedWork.h"
 #include "sched/RefusalHistory.h"
 #include "sched/SlotTarget.h"
@@ -77,28 +76,9 @@
         /** Moves or continues a generation, whose work so far is lost if it comes too late. */
         [[nodiscard]] bool hasEarlierWork() const { return request.migratesFrom.isValid() || request.softwareVersion; }
     };
-    /** Predicted effect of granting a request to a target. */
-    struct Placement {
-        double firstTokenMs { 0 };
-        double durationMs { 0 };
-        /** Expected loss of value, as a multiple of one request's full value, of the request and of those running on the target. */
-        double expectedLoss { 0 };
-        /** Probability that the response is not complete by its deadline; included in the expected loss. */
-        double deadlineRisk { 0 };
-    };
-
     [[nodiscard]] bool isModel() const { return settings_.kind == PoolKind::Model; }
+    [[nodiscard]] static PlacementModel::Work workOf(const RequestRecord& record) { return { record.request, record.expectedOutput }; }
     [[nodiscard]] double expectedOutputOf(const PoolRequest& request) const;
-    [[nodiscard]] double serviceTimeMsOf(const SlotTarget& target) const;
-    [[nodiscard]] double prefillTokenMsOf(const SlotTarget& target) const;
-    /** Milliseconds until the first token on this target, when this many prompt tokens have to be read before it. */
-    [[nodiscard]] double prefillMs(const SlotTarget& target, double tokens) const;
-    [[nodiscard]] Placement evaluatePlacement(const RequestRecord& record, const SlotTarget& target, Instant now) const;
-    /** Slot time that the request needs on an average target, in milliseconds. */
-    [[nodiscard]] double costMs(const RequestRecord& record) const;
-    [[nodiscard]] double marginMs(const PoolRequest& request) const { return learnsMargins_ ? margins_.marginMs(request.kind) : 0; }
-    void learnMargin(const RequestRecord& record, Instant now);
-    [[nodiscard]] double bestFirstTokenMs(const RequestRecord& record) const;
     /** Until then the request may wait for a slot on which it meets its objective. */
     [[nodiscard]] Instant latestStartForObjective(const RequestRecord& record) const;
     [[nodiscard]] Rank rankOf(const RequestRecord& record, Instant now) const;
@@ -145,11 +125,8 @@
     void updateCapacity(Instant now);
 
     PoolSettings settings_;
-    const bool learnsMargins_;
     const bool overlapsTurnaround_;
-    const bool modelsFirstToken_;
-    PredictionMargin margins_;
-    FirstTokenModel firstTokens_;
+    PlacementModel placements_;
     SlotTurnaround turnaround_;
     LengthEstimator lengths_;
     VersionShare versions_;
@@ -159,9 +136,6 @@
     std::vector<PoolAction> actions_;
     PoolStats stats_;
     uint64_t lastArrivalNumber_ { 0 };
-    /** Means over all targets; fallbacks for targets without samples. */
-    MovingAverage poolServiceTimeMs_ { 0.02 };
-    MovingAverage poolPrefillTokenMs_ { 0.02 };
     /** Slot time of granted requests, in milliseconds. */
     MovingAverage grantedCostMs_ { 0.02 };
     UrgencyDeficits deficits_;
@@ -172,9 +146,6 @@
     double peerErrorRate_ { 0 };
     /** Of all active targets; speeds are relative to the pool's mean. */
     PoolCapacity capacity_;
-    double fastestServiceTimeMs_ { 0 };
-    double fastestPrefillTokenMs_ { 0 };
-    TargetId fastestTarget_;
     /** Time until the rate limits allow a request; zero if any target has no limit. */
     Duration rateLimitWait_ { 0 };
     /** Sum of the targets' rate limits; none if any target has no limit. */
