Build labels of rollout metrics without temporary sums of strings

g++ 12 reports -Wrestrict for them at -O3, so that the release build that the deployment uses failed; the build with debug information passed.

--- a/src/entry/OwnerRollouts.cpp
+++ b/src/entry/OwnerRollouts.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/metrics/MetricRegistry.h"
 
+#include <absl/strings/str_cat.h>
 #include <algorithm>
 
 namespace briarhitch {
@@ -86,7 +87,7 @@
 void OwnerRollouts::publishGauges(const State& state) const
 {
     const auto& rollout = state.rollout.rollout;
-    auto pool = "pool=\"" + state.poolName + "\"";
+    auto pool = absl::StrCat("pool=\"", state.poolName, "\"");
     bool isShared = rollout.state == RolloutState::Running && rollout.stage != RolloutStage::Drain;
     auto share = isShared ? rollout.sharePermille : rollout.state == RolloutState::RolledBack ? 0U
                                                                                               : 1000U;
@@ -140,7 +141,7 @@
         return;
     bool isTarget = isTargetVersion(*state, target);
     state->observations.attemptGranted(request.attempt, request.kind, isTarget);
-    metrics_.count("pool_rollout_granted_total", "pool=\"" + state->poolName + "\"" + versionLabel(isTarget));
+    metrics_.count("pool_rollout_granted_total", absl::StrCat("pool=\"", state->poolName, "\"", versionLabel(isTarget)));
 }
 
 void OwnerRollouts::attemptStarted(const AttemptStarted& started)
