Let the slot policy send requests to other zones by expected loss

Change: ZonePlacement feeds ZoneSpill from SlotScheduler, which selects a target in the request's own zone, and in others only if ZoneSpill lets the request leave. Settings policy.zone_spill (default off), zone_delay_ms and zone_cost_per_mb. With the setting off, SettingOffGrantsTheRecordedSequence compares all decisions with a digest recorded with the unchanged scheduler.

FullZoneSpillsToBothIdleZones failed while the remainder of rounding in the queued work looked like a queue, and LongQueueOfOneZoneDoesNotDelayOthers while refusals were predicted from the whole pool's queue only.

--- a/include/briarhitch/sched/PoolScheduler.h
+++ b/include/briarhitch/sched/PoolScheduler.h
@@ -5,6 +5,7 @@
 #include "briarhitch/rollout/PoolRollout.h"
 #include "briarhitch/sched/TargetRateLimiter.h"
 #include "briarhitch/wire/Messages.h"
+#include "briarhitch/zone/ZoneSpillSettings.h"
 
 #include <array>
 #include <functional>
@@ -94,6 +95,8 @@
     std::map<WorkKindId, double> floors;
     /** Rate limits of the pool's targets; not owned. Null: none. */
     TargetRateLimiter* rateLimiter { nullptr };
+    /** Only the policy "slots" uses it. */
+    ZoneSpillSettings zoneSpill;
 };
 
 /**
@@ -126,6 +129,8 @@
     /** The decisions since the last call, in order. */
     virtual std::vector<PoolAction> takeActions() = 0;
     [[nodiscard]] virtual PoolStats stats() const = 0;
+    /** Zones that have started or stopped sending work to other zones since the last call. */
+    virtual std::vector<ZoneSpillEvent> takeZoneEvents() { return {}; }
 };
 
 using PoolSchedulerFactory = std::function<std::unique_ptr<PoolScheduler>(const PoolSettings&)>;
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -54,6 +54,9 @@
         for (const auto& feature : reader.strings("disabled_parts"))
             pool.disabledFeatures.insert(feature);
         reader.objects("floors", false, [&](SettingsReader& floor) { readFloor(floor, pool); });
+        pool.zoneSpill.isEnabled = reader.boolean("zone_spill", pool.zoneSpill.isEnabled);
+        pool.zoneSpill.costPerMb = reader.number("zone_cost_per_mb", 0, 1000, pool.zoneSpill.costPerMb);
+        pool.zoneSpill.delay = fromSeconds(reader.number("zone_delay_ms", 0, 1000, toSeconds(pool.zoneSpill.delay) * 1000) / 1000);
     }
 
     void readLimits(SettingsReader& reader, EntryLimits& limits)
--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -1,8 +1,11 @@
 #include "sched/SlotScheduler.h"
 
+#include "briarhitch/zone/TransferBytes.h"
+
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <tuple>
 
 namespace briarhitch {
 
@@ -93,7 +96,13 @@
 
 SlotScheduler::SlotScheduler(const PoolSettings& settings)
     : settings_(settings)
+    , zones_(settings.zoneSpill)
+{
+}
+
+double SlotScheduler::Placement::avoidableLoss() const
 {
+    return expectedLoss - (deadlineRisk < acceptedDeadlineRisk ? deadlineRisk : 0);
 }
 
 double SlotScheduler::expectedOutputOf(const PoolRequest& request) const
@@ -252,6 +261,11 @@
 {
     double minFirstTokenMs = record.request.migratesFrom.isValid() ? 0 : bestFirstTokenMs(record);
     double waitMs = queueDrainMs(ahead, record.request, record.rank) * refusalFactor + toMsExact(rateLimitWait_);
+    // The queue of another zone does not delay a request that has a slot at home in time.
+    if (zones_.appliesTo(record.request) && !record.request.softwareVersion) {
+        if (auto homeWaitMs = zones_.longestHomeWaitMs(zoneRequestOf(record, now), now))
+            waitMs = std::min(waitMs, *homeWaitMs * refusalFactor + toMsExact(rateLimitWait_));
+    }
     return waitMs + minFirstTokenMs > toMsExact(record.request.deadline - now);
 }
 
@@ -300,6 +314,7 @@
 {
     queue_.emplace(record.rank, record.request.attempt);
     record.queuedCostMs = costMs(record);
+    zones_.recordQueued(record.request, record.queuedCostMs);
     queuedMeetingObjective_[record.rank.urgency] += record.rank.missesObjective ? 0 : 1;
     ++stats_.queued[record.request.tier.value()];
     stats_.queuedTokens += record.request.promptTokens;
@@ -308,6 +323,7 @@
 void SlotScheduler::dequeue(RequestRecord& record)
 {
     queue_.erase({ record.rank, record.request.attempt });
+    zones_.recordDequeued(record.request, record.queuedCostMs);
     queuedMeetingObjective_[record.rank.urgency] -= record.rank.missesObjective ? 0 : 1;
     --stats_.queued[record.request.tier.value()];
     stats_.queuedTokens -= record.request.promptTokens;
@@ -335,6 +351,8 @@
         refuse(attempt, ErrorKind::NoTarget, "no target can take the request", now);
         return;
     }
+    if (zones_.isEnabled())
+        zones_.recordArrival(zoneRequestOf(record, now));
     if (!record.rank.missesObjective && !record.hasEarlierWork())
         deficits_.recordSubmission(record.request.urgency);
     // A request that reduces its kind's deficit is granted before the work ahead of it, but rate limits hold for it too.
@@ -366,6 +384,7 @@
     record.isRunning = true;
     record.isOnlyPrefill = target.prefilling == 0;
     ++target.running;
+    zones_.recordOccupied(record.request, target.target);
     target.memoryTokens += static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
     if (!record.isStarted) {
         ++target.prefilling;
@@ -395,6 +414,7 @@
     endPrefill(record, target);
     assert(target.running > 0);
     --target.running;
+    zones_.recordReleased(record.request, target.target);
     target.memoryTokens -= static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
     if (target.running == 0)
         target.memoryTokens = 0;
@@ -589,44 +609,117 @@
     return best;
 }
 
-SlotTarget* SlotScheduler::selectTarget(const RequestRecord& record, Instant now)
+SlotScheduler::Selection SlotScheduler::selectPlacement(const RequestRecord& record, const std::vector<ZoneOption>* zones, Instant now)
 {
-    if (record.request.migratesFrom.isValid())
-        return selectFasterTarget(record, now);
-    if (record.request.mayCrashTarget)
-        return selectLeastUsedTarget(record, now);
-    SlotTarget* best = nullptr;
-    Placement bestPlacement;
+    Selection best;
     double neededTokens = static_cast<double>(record.request.promptTokens.value()) + record.expectedOutput;
     for (auto& [id, target] : targets_) {
         if (!hasFreeSlot(target, now) || !isEligible(record, target))
             continue;
+        size_t zoneOrder = 0;
+        while (zones && zoneOrder < zones->size() && (*zones)[zoneOrder].zone != target.target.zone)
+            ++zoneOrder;
+        if (zones && zoneOrder == zones->size())
+            continue;
         auto memory = static_cast<double>(target.target.memoryTokens);
         if (memory > 0 && target.running > 0 && target.memoryTokens + neededTokens > usableMemoryFraction * memory)
             continue;
         auto placement = evaluatePlacement(record, target, now);
         // Among targets of equal speed, prefer the less loaded one, where streams slow each other down less.
         placement.durationMs *= 1 + fillPenalty * target.running / target.slots();
-        if (!record.request.zone.empty() && record.request.zone != target.target.zone)
+        if (zones)
+            placement.expectedLoss += (*zones)[zoneOrder].addedLoss;
+        else if (!record.request.zone.empty() && record.request.zone != target.target.zone)
             placement.durationMs *= 1 + otherZonePenalty;
         if (settings_.rateLimiter && settings_.rateLimiter->isLimited(id) && !settings_.rateLimiter->needsProbe(id, now))
             placement.durationMs *= 1 + rateLimitPenalty;
         if (versions_.isDue(record.request, target.target))
             placement.expectedLoss = dueVersionLoss;
-        bool isBetter = !best || placement.expectedLoss < bestPlacement.expectedLoss - acceptedLoss
-            || (placement.expectedLoss < bestPlacement.expectedLoss + acceptedLoss && placement.durationMs < bestPlacement.durationMs);
-        if (isBetter) {
-            best = &target;
-            bestPlacement = placement;
-        }
+        bool isBetter = !best.target || placement.expectedLoss < best.placement.expectedLoss - acceptedLoss
+            || (placement.expectedLoss < best.placement.expectedLoss + acceptedLoss && std::tie(zoneOrder, placement.durationMs) < std::tie(best.zoneOrder, best.placement.durationMs));
+        if (isBetter)
+            best = { &target, placement, zoneOrder };
     }
-    // A deadline risk that most targets share is no reason to wait.
-    double avoidableLoss = bestPlacement.expectedLoss - (bestPlacement.deadlineRisk < acceptedDeadlineRisk ? bestPlacement.deadlineRisk : 0);
-    if (!best || avoidableLoss <= acceptedLoss)
+    return best;
+}
+
+SlotScheduler::Selection SlotScheduler::selectByZone(const RequestRecord& record, Instant now)
+{
+    const auto& zone = record.request.zone;
+    std::vector<ZoneOption> home { ZoneOption { zone } };
+    auto best = selectPlacement(record, &home, now);
+    if (best.target && best.placement.avoidableLoss() <= acceptedLoss)
+        return best;
+    auto request = zoneRequestOf(record, now);
+    if (best.target)
+        request.homeLoss = best.placement.expectedLoss;
+    else
+        request.hasHomeTarget = std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.isActive() && entry.second.target.zone == zone && isEligible(record, entry.second); });
+    auto options = zones_.options(request, now);
+    auto other = options.empty() ? Selection() : selectPlacement(record, &options, now);
+    if (!other.target || other.placement.expectedLoss >= zones_.lossAtHome())
         return best;
+    // The added loss has decided on the zone; a wait for another slot would not avoid it.
+    other.placement.expectedLoss -= options[other.zoneOrder].addedLoss;
+    return other;
+}
+
+ZoneSpillRequest SlotScheduler::zoneRequestOf(const RequestRecord& record, Instant now) const
+{
+    const auto& request = record.request;
+    ZoneSpillRequest result;
+    result.zone = request.zone;
+    result.tier = request.tier;
+    result.costMs = costMs(record);
+    result.firstAnswerMs = dispatchOverheadMs + poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
+    result.objectiveMs = toMsExact(request.objective - now);
+    result.deadlineMs = toMsExact(request.deadline - now);
+    result.bytes = estimateTransferBytes(settings_.kind, request.promptTokens, Tokens(static_cast<int64_t>(record.expectedOutput)));
+    if (isModel()) {
+        auto prompt = static_cast<double>(request.promptTokens.value());
+        result.firstAnswerMs += prompt * poolPrefillTokenMs_.valueOr(initialPrefillTokenMs);
+        double eventTokens = targets_.empty() ? 1 : std::max(1U, targets_.begin()->second.target.tokensPerEvent);
+        result.maxServiceMs = usableGapFraction * toMsExact(request.eventGapObjective) / eventTokens;
+    }
+    return result;
+}
+
+void SlotScheduler::observeZones(Instant now)
+{
+    if (!zones_.isEnabled())
+        return;
+    zones_.beginPass();
+    double typicalMs = poolServiceTimeMs_.valueOr(isModel() ? initialTokenMs : initialServiceMs);
+    for (const auto& [id, target] : targets_) {
+        if (!versions_.servesNewRequests(target.target))
+            continue;
+        double serviceMs = std::max(serviceTimeMsOf(target), 0.01);
+        zones_.addTarget(target, typicalMs / serviceMs, serviceMs, hasFreeSlot(target, now));
+    }
+    zones_.endObservation(now);
+}
+
+bool SlotScheduler::mayLeaveQueue(const RequestRecord& record, Instant now)
+{
+    const auto& request = record.request;
+    // The targets of a version, or those not tried yet, may be missing in the request's own zone.
+    if (!zones_.appliesTo(request) || request.softwareVersion || !request.excluded.empty())
+        return true;
+    return zones_.mayBeGranted(zoneRequestOf(record, now), now);
+}
+
+SlotTarget* SlotScheduler::selectTarget(const RequestRecord& record, Instant now)
+{
+    if (record.request.migratesFrom.isValid())
+        return selectFasterTarget(record, now);
+    if (record.request.mayCrashTarget)
+        return selectLeastUsedTarget(record, now);
+    auto best = zones_.appliesTo(record.request) ? selectByZone(record, now) : selectPlacement(record, nullptr, now);
+    if (!best.target || best.placement.avoidableLoss() <= acceptedLoss)
+        return best.target;
     // Wait for a better slot as long as that wait alone does not make the request miss its objective.
     auto margin = fromMs((refusalFactor - 1) * bestFirstTokenMs(record));
-    return now + margin < latestStartForObjective(record) ? nullptr : best;
+    return now + margin < latestStartForObjective(record) ? nullptr : best.target;
 }
 
 bool SlotScheduler::hasAnyFreeSlot(Instant now) const
@@ -655,6 +748,7 @@
     dequeue(record);
     occupySlot(record, target);
     versions_.recordGrant(record.request, target.target);
+    zones_.recordGrant(record.request, target.target, now);
     countTowardsRateLimits(record, now);
     grantedCostMs_.addSample(record.queuedCostMs);
     workFractions_.recordGrant(record.request.urgency, record.rank.missesObjective, record.queuedCostMs);
@@ -688,6 +782,7 @@
 
 void SlotScheduler::dispatch(Instant now)
 {
+    observeZones(now);
     dispatchDeficits(now);
     size_t examined = 0;
     // Many streams may wait for one version; they must not keep the requests behind them from the targets of others.
@@ -700,9 +795,15 @@
             fullVersions.insert(*version);
             continue;
         }
+        if (!mayLeaveQueue(record, now)) {
+            zones_.recordWaiting(record.request, record.queuedCostMs);
+            continue;
+        }
         ++examined;
         if (auto* target = selectTarget(record, now))
             grant(record, *target, false, now);
+        else
+            zones_.recordWaiting(record.request, record.queuedCostMs);
     }
 }
 
--- a/src/sched/SlotScheduler.h
+++ b/src/sched/SlotScheduler.h
@@ -9,6 +9,7 @@
 #include "sched/RefusalHistory.h"
 #include "sched/SlotTarget.h"
 #include "sched/UrgencyDeficits.h"
+#include "sched/ZonePlacement.h"
 
 #include <absl/container/flat_hash_map.h>
 #include <array>
@@ -42,6 +43,7 @@
     void tick(Instant now) override;
     std::vector<PoolAction> takeActions() override;
     [[nodiscard]] PoolStats stats() const override;
+    std::vector<ZoneSpillEvent> takeZoneEvents() override { return zones_.takeEvents(); }
 
 private:
     /** Queue order: first requests that can still meet their objective, then by tier, urgency of the kind, and arrival. */
@@ -79,6 +81,15 @@
         double expectedLoss { 0 };
         /** Probability that the response is not complete by its deadline; included in the expected loss. */
         double deadlineRisk { 0 };
+
+        /** The loss without a deadline risk that most targets share, which is no reason to wait. */
+        [[nodiscard]] double avoidableLoss() const;
+    };
+    struct Selection {
+        SlotTarget* target { nullptr };
+        Placement placement;
+        /** Position of the target's zone in the order of preference. */
+        size_t zoneOrder { 0 };
     };
 
     [[nodiscard]] bool isModel() const { return settings_.kind == PoolKind::Model; }
@@ -124,6 +135,14 @@
     void grant(RequestRecord& record, SlotTarget& target, bool isForDeficit, Instant now);
     void countTowardsRateLimits(const RequestRecord& record, Instant now);
     SlotTarget* selectTarget(const RequestRecord& record, Instant now);
+    /** The best target with a free slot; with `zones`, only in one of these. */
+    Selection selectPlacement(const RequestRecord& record, const std::vector<ZoneOption>* zones, Instant now);
+    /** The best target in the request's own zone, or in another one if ZoneSpill lets the request leave. */
+    Selection selectByZone(const RequestRecord& record, Instant now);
+    [[nodiscard]] ZoneSpillRequest zoneRequestOf(const RequestRecord& record, Instant now) const;
+    void observeZones(Instant now);
+    /** Whether the request can get a target in this pass, as far as zones decide it. */
+    [[nodiscard]] bool mayLeaveQueue(const RequestRecord& record, Instant now);
     /** The target with the fewest running requests; nullptr if none has a free slot. */
     SlotTarget* selectLeastUsedTarget(const RequestRecord& record, Instant now);
     /** A target with a free slot that is much faster than the one that runs the request; nullptr if there is none. */
@@ -153,6 +172,7 @@
     std::array<size_t, Tier::count> queuedMeetingObjective_ {};
     GrantedWorkFractions workFractions_;
     RefusalHistory refusals_;
+    ZonePlacement zones_;
     double peerErrorRate_ { 0 };
     /** Of all active targets; speeds are relative to the pool's mean. */
     PoolCapacity capacity_;
