Show operators the traffic between zones

Change: the owner of a pool counts requests and estimated bytes by zone pair and publishes waiting requests by zone, and logs when a zone starts and stops sending work to others, with the reason. Only with policy.zone_spill.

--- a/include/briarhitch/entry/PoolHost.h
+++ b/include/briarhitch/entry/PoolHost.h
@@ -6,6 +6,7 @@
 #include "briarhitch/entry/OwnerStreamRuns.h"
 #include "briarhitch/entry/OwnerStreams.h"
 #include "briarhitch/entry/OwnerSuspects.h"
+#include "briarhitch/entry/OwnerZones.h"
 #include "briarhitch/model/ClusterConfig.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/TargetRestrictions.h"
@@ -141,6 +142,8 @@
     void postRateLimit(NodeId entry, const Target& target) const;
     void postRateLimitToAll(const Target& target) const;
     [[nodiscard]] const Target* findTarget(TargetId target) const;
+    /** Empty if the target is not listed any more. */
+    [[nodiscard]] std::string zoneOf(TargetId target) const;
     void onPoolRelease(NodeId from, const PoolRelease& release);
     [[nodiscard]] OwnerSuspectsHooks suspectHooks();
     [[nodiscard]] OwnerStreamRunsHooks streamRunsHooks();
@@ -162,6 +165,7 @@
     void removeRequestsOfLostEntries();
     void sendReleases();
     void publishStats();
+    void publishZones(const Pool& pool);
 
     PoolHostSettings settings_;
     NodeTransport& transport_;
@@ -173,6 +177,7 @@
     OwnerStreams streams_;
     OwnerStreamRuns streamRuns_;
     OwnerRollouts rollouts_;
+    OwnerZones zones_;
     std::map<PoolId, Pool> pools_;
     std::vector<Target> targets_;
     std::map<CustomerId, Contract> contracts_;
--- a/src/entry/PoolHost.cpp
+++ b/src/entry/PoolHost.cpp
@@ -49,6 +49,7 @@
     , streams_(metrics, hooks_.now)
     , streamRuns_(metrics, streamRunsHooks())
     , rollouts_(settings_.self, settings_.rollout, metrics, rolloutsHooks())
+    , zones_(metrics, settings_.pool.zoneSpill)
 {
     settings_.pool.rateLimiter = &rateLimits_.limiter();
 }
@@ -589,6 +590,8 @@
     suspects_.attemptFinished(request.grantRequest, finished, request.target, isLeaving(request.target));
     rollouts_.attemptFinished(finished);
     refuseBlocked();
+    if (zones_.isEnabled())
+        zones_.recordFinished(pool->assignment, request.grantRequest.zone, zoneOf(request.target), finished.promptTokens, finished.outputTokens);
     if (pool->scheduler) {
         pool->scheduler->attemptFinished(finished.attempt, finished.outcome, finished.promptTokens, finished.outputTokens,
             std::chrono::milliseconds(finished.durationMs), hooks_.now());
@@ -630,6 +633,12 @@
     return it == targets_.end() ? nullptr : &*it;
 }
 
+std::string PoolHost::zoneOf(TargetId target) const
+{
+    const auto* listed = findTarget(target);
+    return listed ? listed->zone : std::string();
+}
+
 void PoolHost::onRateLimitNotice(NodeId from, const TargetRateLimitNotice& notice)
 {
     const auto* target = findTarget(notice.target);
@@ -725,6 +734,8 @@
         it->second.target = grant->target;
         suspects_.attemptGranted(it->second.grantRequest, grant->target, false);
         rollouts_.attemptGranted(it->second.grantRequest, grant->target);
+        if (zones_.isEnabled())
+            zones_.recordGrant(pool.assignment, it->second.grantRequest.zone, zoneOf(grant->target));
         bool isContinuation = it->second.grantRequest.streamClaim.isContinuation;
         if (streamRuns_.attemptGranted(it->second.entry, it->second.grantRequest, it->second.arrivedAt))
             sendGrant(pool, it->second);
@@ -825,8 +836,10 @@
             continue;
         }
         activateIfReady(pool);
-        if (pool.scheduler)
+        if (pool.scheduler) {
             pool.scheduler->tick(now);
+            zones_.log(pool.assignment, pool.scheduler->takeZoneEvents());
+        }
         applyActions(pool);
         if (pool.scheduler)
             rollouts_.tick(id);
@@ -847,6 +860,16 @@
     });
 }
 
+void PoolHost::publishZones(const Pool& pool)
+{
+    if (!zones_.isEnabled())
+        return;
+    std::map<std::string, size_t> waiting;
+    for (const auto& [attempt, request] : pool.requests)
+        waiting[request.grantRequest.zone] += request.target.isValid() ? 0 : 1;
+    zones_.publishWaiting(pool.assignment, waiting);
+}
+
 void PoolHost::publishStats()
 {
     if (hooks_.now() - statsPublishedAt_ < statsInterval)
@@ -857,6 +880,7 @@
             continue;
         auto stats = pool.scheduler->stats();
         rateLimits_.publishGauges(metrics_, pool.assignment, targets_, stats.heldByRateLimit);
+        publishZones(pool);
         for (size_t tier = 0; tier < Tier::count; ++tier) {
             auto labels = "pool=\"" + pool.assignment.name + "\",tier=\"" + std::to_string(tier) + "\"";
             metrics_.setGauge("pool_queued", labels, static_cast<double>(stats.queued[tier]));
