Observe zones only for passes over a queue

Cause: with zone_spill on, each event of a pool observed all its targets, also with an empty queue.

Change: observe before a pass over queued requests, and in ticks without queued requests. Nothing changes in what is granted.

--- a/src/sched/SlotScheduler.cpp
+++ b/src/sched/SlotScheduler.cpp
@@ -782,6 +782,8 @@
 
 void SlotScheduler::dispatch(Instant now)
 {
+    if (queue_.empty())
+        return;
     observeZones(now);
     dispatchDeficits(now);
     size_t examined = 0;
@@ -853,6 +855,9 @@
     updateRanks(now);
     refusePredictedDeadlineMisses(now);
     updateCapacity(now);
+    // Demand decays, and a spill ends, while nothing is queued.
+    if (queue_.empty())
+        observeZones(now);
     dispatch(now);
     bool isHeld = std::any_of(targets_.begin(), targets_.end(), [&](const auto& entry) { return entry.second.hasFreeSlot(now) && !allowsRequest(entry.second, now); });
     stats_.heldByRateLimit = isHeld ? queue_.size() : 0;
