--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -61,6 +61,9 @@
                 reader.addProblem("enabled_parts", "found \"" + feature + "\", expected one of first_token_model, prediction_margin, slot_turnaround");
         }
         reader.objects("floors", false, [&](SettingsReader& floor) { readFloor(floor, pool); });
+        pool.zoneSpill.isEnabled = reader.boolean("zone_spill", pool.zoneSpill.isEnabled);
+        pool.zoneSpill.costPerMb = reader.number("zone_cost_per_mb", 0, 1000, pool.zoneSpill.costPerMb);
+        pool.zoneSpill.delay = fromSeconds(reader.number("zone_delay_ms", 0, 1000, toSeconds(pool.zoneSpill.delay) * 1000) / 1000);
     }
 
     void readLimits(SettingsReader& reader, EntryLimits& limits)
--- a/src/sched/PlacementModel.cpp
+++ b/src/sched/PlacementModel.cpp
@@ -18,8 +18,7 @@
     // A response that misses its objective has about a third of its value.
     constexpr double objectiveMissLoss = 0.7;
     constexpr double deadlineMissLoss = 1.0;
-    // Fraction of the allowed pause between events that a placement may use.
-    constexpr double usableGapFraction = 0.85;
+    constexpr double acceptedDeadlineRisk = 0.3;
     // Callers' estimates of the output length are right at the median; this is about the standard deviation of their log error.
     constexpr double logLengthDeviation = 0.6;
 
@@ -37,6 +36,11 @@
 
 }
 
+double Placement::avoidableLoss() const
+{
+    return expectedLoss - (deadlineRisk < acceptedDeadlineRisk ? deadlineRisk : 0);
+}
+
 PlacementModel::PlacementModel(const PoolSettings& settings)
     : kind_(settings.kind)
     , learnsMargins_(settings.enabledFeatures.contains("prediction_margin"))
@@ -120,6 +124,12 @@
     return dispatchOverheadMs + fastestServiceTimeMs_ + (usesFirstTokenModel() ? firstTokens_.firstTokenMs(fastestTarget_, prompt) : prompt * fastestPrefillTokenMs_);
 }
 
+double PlacementModel::meanFirstAnswerMs(const PoolRequest& request) const
+{
+    double prompt = isModel() ? static_cast<double>(request.promptTokens.value()) : 0;
+    return dispatchOverheadMs + meanServiceTimeMs() + prompt * poolPrefillTokenMs_.valueOr(initialPrefillTokenMs);
+}
+
 void PlacementModel::learnServiceTime(SlotTarget& target, double sampleMs)
 {
     target.serviceTimeMs.addSample(sampleMs);
--- a/src/sched/PlacementModel.h
+++ b/src/sched/PlacementModel.h
@@ -15,6 +15,9 @@
     double expectedLoss { 0 };
     /** Probability that the response is not complete by its deadline; included in the expected loss. */
     double deadlineRisk { 0 };
+
+    /** The loss without a deadline risk that most targets share, which is no reason to wait. */
+    [[nodiscard]] double avoidableLoss() const;
 };
 
 /** Learns how fast the targets of a pool are, and predicts what a request would meet on one of them. All times are in milliseconds. */
@@ -22,6 +25,8 @@
 public:
     /** Network round trip to a target, and its time to start a request. */
     static constexpr double dispatchOverheadMs = 6;
+    /** Fraction of the allowed pause between events that a placement may use. */
+    static constexpr double usableGapFraction = 0.85;
 
     explicit PlacementModel(const PoolSettings& settings);
 
@@ -40,6 +45,8 @@
     [[nodiscard]] double costMs(const Work& work) const;
     /** Time to the first answer on the fastest target. */
     [[nodiscard]] double bestFirstTokenMs(const PoolRequest& request) const;
+    /** Time to the first answer on an average target without other work. */
+    [[nodiscard]] double meanFirstAnswerMs(const PoolRequest& request) const;
     /** By how much first answers of this kind of work come later than predicted, in most cases. */
     [[nodiscard]] double marginMs(const PoolRequest& request) const { return learnsMargins_ ? margins_.marginMs(request.kind) : 0; }
     /** Whether the margin alone tells how late a call may start: calls of a plain service are alike. */
