--- a/include/briarhitch/entry/EntrySettings.h
+++ b/include/briarhitch/entry/EntrySettings.h
@@ -9,6 +9,7 @@
 #include "briarhitch/sched/CeilingBuckets.h"
 #include "briarhitch/sched/PoolScheduler.h"
 #include "briarhitch/sched/ServiceRetryBudget.h"
+#include "briarhitch/settings/MemorySettings.h"
 
 #include <optional>
 #include <string>
@@ -83,6 +84,7 @@
     std::string fleetKey;
     PoolSettings pool;
     EntryLimits limits;
+    MemorySettings memory;
     /** Hexadecimal SHA-256 hashes of the operator keys that may read /debug/requests from other hosts. */
     std::vector<std::string> operatorKeyHashes;
     LogLevel logLevel { LogLevel::Info };
--- a/include/briarhitch/settings/ControlSettings.h
+++ b/include/briarhitch/settings/ControlSettings.h
@@ -5,6 +5,7 @@
 #include "briarhitch/core/Log.h"
 #include "briarhitch/core/NodeAddress.h"
 #include "briarhitch/model/Rollout.h"
+#include "briarhitch/settings/MemorySettings.h"
 #include "briarhitch/settings/SettingsReader.h"
 
 #include <cstdint>
@@ -81,6 +82,7 @@
     Duration responseRetention { std::chrono::hours(24) };
     /** Not set: rollouts are not served. */
     std::optional<RolloutBounds> rollout;
+    MemorySettings memory;
     LogLevel logLevel { LogLevel::Info };
 
     /** InvalidSettings with one line for each problem. */
--- a/src/entry/EntrySettings.cpp
+++ b/src/entry/EntrySettings.cpp
@@ -155,6 +155,7 @@
         reader.objects("control_voters", !isSelfForming, [&](SettingsReader& voter) { settings.controlVoters.push_back(readHostPort(voter)); });
         reader.object("policy", false, [&](SettingsReader& policy) { readPolicy(policy, settings.pool); });
         reader.object("limits", false, [&](SettingsReader& limits) { readLimits(limits, settings.limits); });
+        settings.memory = readMemorySettings(reader);
         readOperatorKeys(reader, settings);
         settings.logLevel = readLogLevel(reader);
         if (settings.controlVoters.empty())
--- a/src/settings/ControlSettings.cpp
+++ b/src/settings/ControlSettings.cpp
@@ -113,6 +113,7 @@
         settings.lease = std::chrono::milliseconds(reader.integer("lease_ms", 100, 60000, toMs(settings.lease)));
         if (auto timeout = std::chrono::milliseconds(reader.integer("pool_takeover_ms", 0, 60000, 0)); timeout.count() > 0)
             settings.takeoverTimeout = timeout;
+        settings.memory = readMemorySettings(reader);
         if (settings.fleet) {
             addSeeds(settings);
             if (!settings.node.isValid())
