Close idle connections to targets that ended, left the list or were not used

Idle connections have a class of their own, IdleConnections. Every 500 ms, while there are any, it closes those that their target closed and those whose idle time has ended; entries close those of targets that are not configured any more with each configuration. The connection used last is still taken first.

Gauges: http_client_idle_connections, http_client_open_connections.

Tests: IdleConnectionsTest.

--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -90,6 +90,11 @@
      * connection.
      */
     Result<std::shared_ptr<HttpCall>> start(const HttpCallSettings& settings);
+    /** Closes the idle connections to all servers that `mayKeep` rejects. */
+    void closeIdleConnections(const std::function<bool(const std::string& host, uint16_t port)>& mayKeep);
+    [[nodiscard]] size_t idleConnections() const;
+    /** Connections that are being opened, in use or idle. */
+    [[nodiscard]] size_t openConnections() const;
 
 private:
     struct Impl;
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -21,6 +21,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace briarhitch {
@@ -352,6 +353,18 @@
         ceilingClient->onConfigChange(config);
         if (routedRunner)
             routedRunner->onConfigChange(config);
+        closeConnectionsToFormerTargets(config);
+    }
+
+    /** A target that left the list may keep its side open, and its address may never be used again. */
+    void closeConnectionsToFormerTargets(const ClusterConfig& config)
+    {
+        std::set<std::pair<std::string_view, uint16_t>> listed;
+        for (const auto& [id, target] : config.targets) {
+            if (target.state != TargetState::Retired)
+                listed.emplace(target.host, target.port);
+        }
+        httpClient.closeIdleConnections([&](const std::string& host, uint16_t port) { return listed.contains({ host, port }); });
     }
 
     void startFibers()
@@ -398,6 +411,8 @@
         metrics.setGauge("entry_config_version", {}, static_cast<double>(clusterView.config().version.value()));
         metrics.setGauge("entry_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
         metrics.setGauge("entry_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
+        metrics.setGauge("http_client_idle_connections", {}, static_cast<double>(httpClient.idleConnections()));
+        metrics.setGauge("http_client_open_connections", {}, static_cast<double>(httpClient.openConnections()));
         metrics.setGauge("entry_fibers", {}, static_cast<double>(loop.fiberCount()));
         metrics.setGauge("entry_exceptions", {}, static_cast<double>(guardedExceptions()));
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,14 +1,14 @@
 #include "briarhitch/http/HttpClient.h"
 
 #include "briarhitch/runtime/Loop.h"
-#include "http/SocketDeadline.h"
+#include "http/ClientConnection.h"
+#include "http/IdleConnections.h"
 #include "runtime/FiberWaiter.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -17,7 +17,6 @@
 #include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <limits>
-#include <map>
 #include <optional>
 
 namespace briarhitch {
@@ -29,7 +28,6 @@
     using namespace std::chrono_literals;
 
     constexpr size_t readBytes = 16 * 1024;
-    constexpr size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxStatedIdleTime = 60s;
     /** Shorter than the idle timeout of common servers, so that a reused connection is rarely closed already. */
     constexpr Duration defaultIdleTime = 4s;
@@ -38,8 +36,6 @@
     /** A connection with more responses to earlier requests than this is not trusted any more. */
     constexpr int maxSkippedResponses = 4;
     constexpr size_t maxSkippedBytes = 1024 * 1024;
-    /** Beast's parser limits the size of a header itself, but not of the lines around chunks and the trailer. */
-    constexpr size_t maxUnparsedBytes = 64 * 1024;
     /** Bodies of up to this size are buffered regardless of the shared budget. */
     constexpr size_t unreservedBodyBytes = 64 * 1024;
 
@@ -58,80 +54,6 @@
         return std::clamp<Duration>(std::chrono::seconds(seconds) - idleMargin, Duration(0), maxStatedIdleTime);
     }
 
-    struct Connection {
-        explicit Connection(boost::asio::io_context& io)
-            : socket(io)
-            , deadline(socket)
-        {
-        }
-
-        [[nodiscard]] bool isUsable()
-        {
-            // Nothing may have arrived on an idle connection: neither end of file nor unexpected bytes.
-            boost::system::error_code error;
-            socket.non_blocking(true, error);
-            char byte = 0;
-            socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            return error == boost::asio::error::would_block;
-        }
-
-        void close()
-        {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-
-        tcp::socket socket;
-        SocketDeadline deadline;
-        boost::beast::flat_buffer buffer { maxUnparsedBytes };
-        const Instant openedAt { BootClock::now() };
-        Instant idleUntil;
-    };
-
-    struct Address {
-        std::string host;
-        uint16_t port { 0 };
-        /**
-         * Calls whose responses identify their request have separate connections: on others, a late duplicate would
-         * identify none.
-         */
-        bool identifiesRequests { false };
-
-        auto operator<=>(const Address&) const = default;
-        [[nodiscard]] std::string text() const { return host + ":" + std::to_string(port); }
-    };
-
-    /** Idle connections by server. */
-    class ConnectionPool {
-    public:
-        std::shared_ptr<Connection> acquire(const Address& address)
-        {
-            auto& idle = idle_[address];
-            while (!idle.empty()) {
-                auto connection = std::move(idle.back());
-                idle.pop_back();
-                if (BootClock::now() < connection->idleUntil && connection->isUsable())
-                    return connection;
-                connection->close();
-            }
-            return nullptr;
-        }
-
-        void release(const Address& address, std::shared_ptr<Connection> connection, Duration idleTime)
-        {
-            auto& idle = idle_[address];
-            if (idle.size() >= maxIdleConnectionsPerServer || connection->buffer.size() > 0) {
-                connection->close();
-                return;
-            }
-            connection->idleUntil = BootClock::now() + idleTime;
-            idle.push_back(std::move(connection));
-        }
-
-    private:
-        std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
-    };
-
     /** Limits the bytes that all calls of a client buffer at the same time. */
     class BufferBudget {
     public:
@@ -167,11 +89,11 @@
 
     class BeastCall : public HttpCall {
     public:
-        BeastCall(std::shared_ptr<Connection> connection, bool isReused, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<BufferBudget> bufferBudget, Address address, size_t maxResponseBytes)
+        BeastCall(std::shared_ptr<ClientConnection> connection, bool isReused, std::shared_ptr<IdleConnections> idleConnections, std::shared_ptr<BufferBudget> bufferBudget, ServerAddress address, size_t maxResponseBytes)
             : connection_(std::move(connection))
             , connectionOpenedAt_(connection_->openedAt)
             , isReused_(isReused)
-            , pool_(std::move(pool))
+            , idleConnections_(std::move(idleConnections))
             , bufferBudget_(std::move(bufferBudget))
             , address_(std::move(address))
             , maxResponseBytes_(maxResponseBytes)
@@ -314,7 +236,7 @@
             if (!connection_)
                 return;
             if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_)
-                pool_->release(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
+                idleConnections_->release(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
             else
                 connection_->close();
             connection_ = nullptr;
@@ -340,12 +262,12 @@
             return makeError(isClosedByPeer(error) ? ErrorKind::TargetClosed : ErrorKind::TargetFailed, "connection to " + address_.text() + " broke: " + error.message());
         }
 
-        std::shared_ptr<Connection> connection_;
+        std::shared_ptr<ClientConnection> connection_;
         Instant connectionOpenedAt_;
         bool isReused_;
-        std::shared_ptr<ConnectionPool> pool_;
+        std::shared_ptr<IdleConnections> idleConnections_;
         std::shared_ptr<BufferBudget> bufferBudget_;
-        Address address_;
+        ServerAddress address_;
         size_t maxResponseBytes_;
         /** Bytes that this call has reserved in bufferBudget_. */
         size_t reservedBytes_ { 0 };
@@ -358,11 +280,15 @@
 }
 
 struct HttpClient::Impl {
-    Loop& loop;
-    std::shared_ptr<BufferBudget> bufferBudget;
-    std::shared_ptr<ConnectionPool> pool { std::make_shared<ConnectionPool>() };
+    Impl(Loop& loopToUse, const HttpClientSettings& settingsToUse)
+        : loop(loopToUse)
+        , settings(settingsToUse)
+        , bufferBudget(std::make_shared<BufferBudget>(settings.maxBufferedBytes))
+        , idleConnections(std::make_shared<IdleConnections>(loop))
+    {
+    }
 
-    Result<std::shared_ptr<Connection>> connect(const HttpCallSettings& settings) const
+    Result<std::shared_ptr<ClientConnection>> connect(const HttpCallSettings& settings) const
     {
         auto unreachable = [&](const std::string& why, ErrorKind kind = ErrorKind::TargetFailed) {
             Error error = makeError(kind, "cannot connect to " + settings.host + ":" + std::to_string(settings.port) + ": " + why);
@@ -372,7 +298,7 @@
         auto address = boost::asio::ip::make_address(settings.host, error);
         if (error)
             return unreachable(error.message());
-        auto connection = std::make_shared<Connection>(loop.context());
+        auto connection = std::make_shared<ClientConnection>(loop.context(), connectionCount);
         boost::system::error_code openError;
         connection->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), openError);
         if (openError)
@@ -388,10 +314,16 @@
         connection->socket.set_option(tcp::no_delay(true), ignored);
         return connection;
     }
+
+    Loop& loop;
+    HttpClientSettings settings;
+    std::shared_ptr<BufferBudget> bufferBudget;
+    std::shared_ptr<ConnectionCount> connectionCount { std::make_shared<ConnectionCount>() };
+    std::shared_ptr<IdleConnections> idleConnections;
 };
 
 HttpClient::HttpClient(Loop& loop, HttpClientSettings settings)
-    : impl_(std::make_shared<Impl>(Impl { loop, std::make_shared<BufferBudget>(settings.maxBufferedBytes) }))
+    : impl_(std::make_shared<Impl>(loop, settings))
 {
 }
 
@@ -399,9 +331,9 @@
 
 Result<std::shared_ptr<HttpCall>> HttpClient::start(const HttpCallSettings& settings)
 {
-    Address address { settings.host, settings.port, settings.responseOwner != nullptr };
+    ServerAddress address { settings.host, settings.port, settings.responseOwner != nullptr };
     auto impl = impl_;
-    auto connection = settings.isReuseAllowed ? impl->pool->acquire(address) : nullptr;
+    auto connection = settings.isReuseAllowed ? impl->idleConnections->acquire(address) : nullptr;
     bool isReused = connection != nullptr;
     if (!connection) {
         auto opened = impl->connect(settings);
@@ -409,7 +341,7 @@
             return tl::unexpected(opened.error());
         connection = *opened;
     }
-    auto call = std::make_shared<BeastCall>(connection, isReused, impl->pool, impl->bufferBudget, address, settings.maxResponseBytes);
+    auto call = std::make_shared<BeastCall>(connection, isReused, impl->idleConnections, impl->bufferBudget, address, settings.maxResponseBytes);
     if (settings.onSending)
         settings.onSending(call);
     auto sent = call->send(settings);
@@ -424,6 +356,21 @@
     return tl::unexpected(withRan(sent.error(), Ran::Unknown));
 }
 
+void HttpClient::closeIdleConnections(const std::function<bool(const std::string& host, uint16_t port)>& mayKeep)
+{
+    impl_->idleConnections->closeUnless([&](const ServerAddress& address) { return mayKeep(address.host, address.port); });
+}
+
+size_t HttpClient::idleConnections() const
+{
+    return impl_->idleConnections->size();
+}
+
+size_t HttpClient::openConnections() const
+{
+    return impl_->connectionCount->open;
+}
+
 Result<HttpResponse> fetch(HttpClient& client, const HttpCallSettings& settings)
 {
     auto call = client.start(settings);
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -63,6 +63,8 @@
         { "entry_streams_cut_off_total", "Streams that broke off before their end." },
         { "entry_tokens_total", "Tokens of completed requests, by direction." },
         { "entry_waiting_for_grant", "Requests that wait for a target." },
+        { "http_client_idle_connections", "Connections to targets that are kept for the next request." },
+        { "http_client_open_connections", "Connections to targets that are being opened, in use or idle." },
         { "pool_blocked_suspects", "Requests and parts of prompts that are blocked because they crashed targets." },
         { "pool_broken_attempts_total", "Attempts whose target closed the connection before its answer was complete." },
         { "pool_continued_streams_total", "Requests of callers that continue a stream, by whether the owner of the pool knew the software version that began it." },
