Limit the connections to targets below the descriptor limit

Nothing limited the open connections of an HTTP client, so that targets could take the descriptors that callers, links and files need.

At the limit, the connection that has been idle longest is closed for a new one; if none is idle, the request is not sent, and its error says that it has not run. The same happens when the kernel has no descriptor left. The limit is 0.9 of RLIMIT_NOFILE, and half of it on an entry, where each routed request has a connection on either side. It is read for each new connection, because the limit of a running process can change.

Tests: IdleConnectionsTest.LongestIdleIsClosedAtTheLimit and RunningOutOfDescriptorsEndsWithItsCause.

--- a/include/briarhitch/http/HttpClient.h
+++ b/include/briarhitch/http/HttpClient.h
@@ -76,9 +76,16 @@
 struct HttpClientSettings {
     /** Bytes of bodies that all calls together may buffer in readAll(), beyond the first 64 KiB of each. */
     size_t maxBufferedBytes { 12 * 1024 * 1024 };
+    /** Limit of open connections, idle ones included; 0 derives it from the process's descriptor limit. */
+    size_t maxConnections { 0 };
+    /** Part of the descriptor limit that connections of this client may take if maxConnections is 0. */
+    double descriptorShare { 0.9 };
 };
 
-/** HTTP/1.1 client with a pool of idle connections. An endless response takes bounded memory. */
+/**
+ * HTTP/1.1 client with a pool of idle connections. An endless response takes bounded memory. At the limit of open
+ * connections, the one that has been idle longest is closed for a new one.
+ */
 class HttpClient {
 public:
     explicit HttpClient(Loop& loop, HttpClientSettings settings = {});
--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -37,6 +37,8 @@
     constexpr Duration idleTickInterval = 50ms;
     constexpr Duration ownerCheckInterval = 100ms;
     constexpr Duration gaugeInterval = 1s;
+    /** The rest of the descriptors is for callers, links and files: each routed request has a connection on either side. */
+    constexpr double targetDescriptorShare = 0.5;
     /** Suspects that are blocked or cleared within this time are recorded by one command. */
     constexpr Duration suspectBatchTime = 20ms;
     constexpr Duration suspectRecordTimeout = 2s;
@@ -109,7 +111,7 @@
         , self(makeNodeRecord(settings))
         , history(settings.limits.historySize, &BootClock::now)
         , controlClient(loop, makeControlClientSettings(settings, self), clusterView, metrics)
-        , httpClient(loop)
+        , httpClient(loop, httpClientSettings())
         , targetClient([this](const HttpCallSettings& call) { return httpClient.start(call); }, [this](const TargetCall& call, const HttpCall& response, Instant sentAt) { reportRateLimit(call, response, sentAt); })
         , ceilingHost({ self.id, self.incarnation, settings.ceilingTolerance }, metrics, ceilingHooks())
         , serviceRetryBudget(settings.routed.retryBudget)
@@ -120,6 +122,13 @@
     {
     }
 
+    static HttpClientSettings httpClientSettings()
+    {
+        HttpClientSettings client;
+        client.descriptorShare = targetDescriptorShare;
+        return client;
+    }
+
     LoadPollerHooks pollerHooks()
     {
         LoadPollerHooks hooks;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -18,6 +18,7 @@
 #include <charconv>
 #include <limits>
 #include <optional>
+#include <sys/resource.h>
 
 namespace briarhitch {
 
@@ -288,6 +289,27 @@
     {
     }
 
+    /** Read each time, since the limit of a running process can change. */
+    [[nodiscard]] size_t maxConnections() const
+    {
+        if (settings.maxConnections > 0)
+            return settings.maxConnections;
+        rlimit limit {};
+        if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+            return std::numeric_limits<size_t>::max();
+        return static_cast<size_t>(settings.descriptorShare * static_cast<double>(limit.rlim_cur));
+    }
+
+    /** Opens a socket; closes idle connections if that is what it takes. */
+    boost::system::error_code open(ClientConnection& connection, const tcp& protocol) const
+    {
+        boost::system::error_code error;
+        do
+            connection.socket.open(protocol, error);
+        while (error == boost::asio::error::no_descriptors && idleConnections->closeLongestIdle());
+        return error;
+    }
+
     Result<std::shared_ptr<ClientConnection>> connect(const HttpCallSettings& settings) const
     {
         auto unreachable = [&](const std::string& why, ErrorKind kind = ErrorKind::TargetFailed) {
@@ -298,10 +320,12 @@
         auto address = boost::asio::ip::make_address(settings.host, error);
         if (error)
             return unreachable(error.message());
+        while (connectionCount->open >= maxConnections()) {
+            if (!idleConnections->closeLongestIdle())
+                return unreachable("all of this client's " + std::to_string(maxConnections()) + " connections are in use");
+        }
         auto connection = std::make_shared<ClientConnection>(loop.context(), connectionCount);
-        boost::system::error_code openError;
-        connection->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), openError);
-        if (openError)
+        if (auto openError = open(*connection, address.is_v6() ? tcp::v6() : tcp::v4()))
             return unreachable(openError.message());
         connection->deadline.arm(settings.connectTimeout);
         auto result = awaitIo([&](auto handler) { connection->socket.async_connect(tcp::endpoint(address, settings.port), handler); });
--- a/tests/IdleConnectionsTest.cpp
+++ b/tests/IdleConnectionsTest.cpp
@@ -3,7 +3,9 @@
 #include "support/EntryFakes.h"
 #include "support/RawTarget.h"
 
+#include <deque>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 namespace briarhitch {
 namespace {
@@ -100,5 +102,50 @@
         });
     }
 
+    // Guards against connections beyond the limit, and against closing one that is likely to be used soon.
+    TEST(IdleConnectionsTest, LongestIdleIsClosedAtTheLimit)
+    {
+        runInFiber([](Loop& loop) {
+            std::deque<RawTarget> targets;
+            for (int i = 0; i < 4; ++i)
+                targets.emplace_back(loop, [](const std::string&, int) { return RawAnswer { okAnswer }; });
+            HttpClientSettings settings;
+            settings.maxConnections = 3;
+            HttpClient client(loop, settings);
+            for (int i : { 0, 1, 2, 0, 3 })
+                EXPECT_TRUE(fetch(client, callTo(targets[i])));
+            EXPECT_EQ(client.openConnections(), 3u);
+            EXPECT_TRUE(fetch(client, callTo(targets[0])));
+            EXPECT_EQ(targets[0].connections(), 1) << "used more recently than the one of target 1";
+            EXPECT_TRUE(fetch(client, callTo(targets[1])));
+            EXPECT_EQ(targets[1].connections(), 2);
+        });
+    }
+
+    // Guards against a process that keeps failing after its descriptors ran out.
+    TEST(IdleConnectionsTest, RunningOutOfDescriptorsEndsWithItsCause)
+    {
+        runInFiber([](Loop& loop) {
+            RawTarget idle(loop, [](const std::string&, int) { return RawAnswer { okAnswer }; });
+            RawTarget other(loop, [](const std::string&, int) { return RawAnswer { okAnswer }; });
+            HttpClientSettings settings;
+            settings.maxConnections = 1000;
+            HttpClient client(loop, settings);
+            EXPECT_TRUE(fetch(client, callTo(idle)));
+            rlimit usual {};
+            getrlimit(RLIMIT_NOFILE, &usual);
+            rlimit low = usual;
+            low.rlim_cur = 1;
+            setrlimit(RLIMIT_NOFILE, &low);
+            auto refused = client.start(callTo(other));
+            EXPECT_FALSE(refused);
+            EXPECT_EQ(refused ? Ran::Unknown : refused.error().ran, Ran::No);
+            EXPECT_EQ(client.idleConnections(), 0u) << "closed for the new connection";
+            EXPECT_EQ(client.openConnections(), 0u);
+            setrlimit(RLIMIT_NOFILE, &usual);
+            EXPECT_TRUE(fetch(client, callTo(idle)));
+        });
+    }
+
 }
 }
