Take no status outside 200 to 599 for an answer

Beast's parser accepts every status of three digits. A target's answer with status 000, 099, 101, 199, 600 or 999 reached the caller; 1000, 20, letters or none were rejected already.

Such an answer fails the attempt as one that may have run: 502 for an at-most-once request, another attempt where the request may run again.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -37,6 +37,8 @@
     /** A connection with more responses to earlier requests than this is not trusted any more. */
     constexpr int maxSkippedResponses = 4;
     constexpr size_t maxSkippedBytes = 1024 * 1024;
+    constexpr int firstFinalStatus = 200;
+    constexpr int lastFinalStatus = 599;
     /** Bodies of up to this size are buffered regardless of the shared budget. */
     constexpr size_t unreservedBodyBytes = 64 * 1024;
 
@@ -128,10 +130,13 @@
             auto written = awaitIo([&](auto handler) { http::async_write(connection_->socket, request, handler); });
             if (written.error)
                 return tl::unexpected(failure(written.error));
-            for (int skippedResponses = 0; skippedResponses <= maxSkippedResponses; ++skippedResponses) {
+            int skippedResponses = 0;
+            for (;;) {
                 auto read = awaitIo([&](auto handler) { http::async_read_header(connection_->socket, connection_->buffer, *parser_, handler); });
                 if (read.error)
                     return tl::unexpected(failure(read.error));
+                if (status() < firstFinalStatus || status() > lastFinalStatus)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "status " + std::to_string(status()) + " of " + address_.text() + " is no response"));
                 headers_.clear();
                 for (const auto& field : parser_->get())
                     headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
@@ -143,10 +148,11 @@
                     connection_->deadline.disarm();
                     return {};
                 }
+                if (++skippedResponses > maxSkippedResponses)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many responses to other requests from " + address_.text()));
                 if (auto skipped = skipBody(); !skipped)
                     return skipped;
             }
-            return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many responses to other requests from " + address_.text()));
         }
 
         [[nodiscard]] int status() const override { return static_cast<int>(parser_->get().result_int()); }
--- a/tests/platform/PlatformTest.cpp
+++ b/tests/platform/PlatformTest.cpp
@@ -190,6 +190,10 @@
         encoded.emplace_back("Content-Encoding", "gzip");
         EXPECT_EQ(classify(200, encoded), ResponseKind::Invalid);
         EXPECT_EQ(classify(500, { { "Briarhitch-Response-Stamp", "s" }, { "Briarhitch-Request-Id", "other" } }), ResponseKind::Invalid);
+        for (int status : { 0, 99, 100, 101, 199, 600, 999 }) {
+            EXPECT_EQ(classify(status, valid), ResponseKind::Invalid) << status;
+            EXPECT_EQ(classify(status, { { "Briarhitch-Not-Run", "1" } }), ResponseKind::Invalid) << status;
+        }
         EXPECT_EQ(protocol.responseOwner(request, { { "Briarhitch-Request-Id", "other" } }), ResponseOwner::OtherRequest);
         EXPECT_EQ(protocol.responseOwner(request, valid), ResponseOwner::ThisRequest);
         EXPECT_EQ(protocol.responseOwner(request, {}), ResponseOwner::Unknown);
