Skip interim answers of targets

An interim answer (1xx) was taken for the answer: 100, 102 and 103 ended the attempt, since they carry no stamp. An idempotent request ran twice, and an at-most-once request got 502 though its answer followed.

At most 16 interim answers before the answer are skipped; the time-out of the request keeps running. 101 stays a fault, because nobody asked for another protocol.

--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -37,6 +37,9 @@
     /** A connection with more responses to earlier requests than this is not trusted any more. */
     constexpr int maxSkippedResponses = 4;
     constexpr size_t maxSkippedBytes = 1024 * 1024;
+    /** Servers send one or two interim responses (1xx) before a response. */
+    constexpr int maxInterimResponses = 16;
+    constexpr int switchingProtocolsStatus = 101;
     constexpr int firstFinalStatus = 200;
     constexpr int lastFinalStatus = 599;
     /** Bodies of up to this size are buffered regardless of the shared budget. */
@@ -130,11 +133,16 @@
             auto written = awaitIo([&](auto handler) { http::async_write(connection_->socket, request, handler); });
             if (written.error)
                 return tl::unexpected(failure(written.error));
+            int interimResponses = 0;
             int skippedResponses = 0;
             for (;;) {
                 auto read = awaitIo([&](auto handler) { http::async_read_header(connection_->socket, connection_->buffer, *parser_, handler); });
                 if (read.error)
                     return tl::unexpected(failure(read.error));
+                if (status() / 100 == 1 && status() != switchingProtocolsStatus && ++interimResponses <= maxInterimResponses) {
+                    newParser();
+                    continue;
+                }
                 if (status() < firstFinalStatus || status() > lastFinalStatus)
                     return tl::unexpected(makeError(ErrorKind::TargetFailed, "status " + std::to_string(status()) + " of " + address_.text() + " is no response"));
                 headers_.clear();
--- a/tests/platform/TargetAnswerTest.cpp
+++ b/tests/platform/TargetAnswerTest.cpp
@@ -162,6 +162,18 @@
         }
     }
 
+    // Guards against interim answers that are taken for the answer, or that have the request fail or run twice.
+    TEST(TargetAnswerTest, InterimAnswersAreSkipped)
+    {
+        for (const auto* interim : { "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n", "HTTP/1.1 102 X\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n" })
+            expectAnswer(interim, Framing::Length, {});
+        expectNoAnswer({ "HTTP/1.1 100 Continue\r\n\r\n", End::Close });
+        std::string many;
+        for (int i = 0; i < 1000; ++i)
+            many += "HTTP/1.1 100 Continue\r\n\r\n";
+        expectNoAnswer({ many + ok(withLength("whole")), End::Hold });
+    }
+
     // Guards against part of an answer that a caller gets as the whole.
     TEST(TargetAnswerTest, PartOfAnAnswerIsNoAnswer)
     {
