Read a target's answer while the request is still being written

The client wrote the whole request before it read the answer. Two faults came of that: - A target answered an upload of 600 KB at once with a 200 without a length, sent part of the body and closed its side. The socket had accepted the whole request, so the write had ended, and the caller got the part as the complete answer (on all four routes). - An early answer to an upload beyond the socket buffers was lost: the attempt waited for its write until the time-out (504), or failed with the reset (502), and an idempotent request ran twice. An attempt did not outlast its time-out.

RequestWriter writes while the answer is read. An answer without a length is complete only if the whole request was written, the target's kernel has acknowledged all of it, and the state of the socket shows an orderly close: a pending write can take the error of a reset, and the read then sees an end of file. A complete early answer with a length is passed on, and its connection is closed if the request was not acknowledged in full.

Tests: TargetAnswerTest.PartOfAnEarlyAnswerIsNoAnswer, CompleteEarlyAnswerWithALengthIsPassedOn and IdleConnectionsTest.ConnectionOfAnEarlyAnswerIsNotReused failed before. StalledEarlyAnswerEndsAtTheTimeout ended in time before, with 504; now the part is received.

--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -1,5 +1,10 @@
 #include "http/ClientConnection.h"
 
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
 namespace briarhitch {
 
 using boost::asio::ip::tcp;
@@ -26,6 +31,21 @@
     return error == boost::asio::error::would_block;
 }
 
+bool ClientConnection::isAllAcknowledged()
+{
+    int bytes = 0;
+    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes == 0;
+}
+
+bool ClientConnection::hasOrderlyEnd()
+{
+    // A pending write may have taken the error of a reset, and a read then sees an end of file. The state tells them apart.
+    tcp_info info {};
+    socklen_t size = sizeof(info);
+    bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
+    return isKnown && info.tcpi_state == TCP_CLOSE_WAIT && isAllAcknowledged();
+}
+
 void ClientConnection::close()
 {
     boost::system::error_code ignored;
--- a/src/http/ClientConnection.h
+++ b/src/http/ClientConnection.h
@@ -42,6 +42,10 @@
 
     /** Whether nothing has arrived on an idle connection: neither end of file nor unexpected bytes. */
     [[nodiscard]] bool isUsable();
+    /** Whether the server's kernel has acknowledged all bytes that were written. */
+    [[nodiscard]] bool isAllAcknowledged();
+    /** After the end of file: whether the server closed its side without a reset, and has received all that was written. */
+    [[nodiscard]] bool hasOrderlyEnd();
     void close();
 
     boost::asio::ip::tcp::socket socket;
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -3,6 +3,7 @@
 #include "briarhitch/runtime/Loop.h"
 #include "http/ClientConnection.h"
 #include "http/IdleConnections.h"
+#include "http/RequestWriter.h"
 #include "runtime/FiberWaiter.h"
 
 #include <algorithm>
@@ -13,8 +14,6 @@
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <limits>
 #include <optional>
@@ -116,23 +115,10 @@
 
         Result<void> send(const HttpCallSettings& settings)
         {
-            http::request<http::string_body> request;
-            request.method_string(settings.method);
-            request.target(settings.target);
-            request.set(http::field::host, settings.host + ":" + std::to_string(settings.port));
-            for (const auto& [name, value] : settings.headers) {
-                if (boost::beast::iequals(name, "host"))
-                    request.set(name, value);
-                else
-                    request.insert(name, value);
-            }
-            request.body() = settings.body;
-            if (!settings.body.empty() || settings.method == "POST" || settings.method == "PUT")
-                request.prepare_payload();
             connection_->deadline.arm(settings.headerTimeout);
-            auto written = awaitIo([&](auto handler) { http::async_write(connection_->socket, request, handler); });
-            if (written.error)
-                return tl::unexpected(failure(written.error));
+            writer_ = std::make_shared<RequestWriter>(connection_, makeRequest(settings));
+            // A server may answer before it has read the request, and then never read it.
+            writer_->start();
             int interimResponses = 0;
             int skippedResponses = 0;
             for (;;) {
@@ -187,6 +173,12 @@
                 if (count > 0)
                     return std::optional<std::string>(std::string(bytes.data(), count));
             }
+            // Without a length, the end of the connection may have cut the response off.
+            if (connection_ && parser_->need_eof() && !(writer_->isWritten() && connection_->hasOrderlyEnd())) {
+                connection_->close();
+                connection_ = nullptr;
+                return fail(ErrorKind::TargetClosed, "the connection to " + address_.text() + " broke before the request was sent in full");
+            }
             finish();
             return std::optional<std::string>();
         }
@@ -217,6 +209,24 @@
         }
 
     private:
+        static RequestWriter::Request makeRequest(const HttpCallSettings& settings)
+        {
+            RequestWriter::Request request;
+            request.method_string(settings.method);
+            request.target(settings.target);
+            request.set(http::field::host, settings.host + ":" + std::to_string(settings.port));
+            for (const auto& [name, value] : settings.headers) {
+                if (boost::beast::iequals(name, "host"))
+                    request.set(name, value);
+                else
+                    request.insert(name, value);
+            }
+            request.body() = settings.body;
+            if (!settings.body.empty() || settings.method == "POST" || settings.method == "PUT")
+                request.prepare_payload();
+            return request;
+        }
+
         void newParser()
         {
             parser_.emplace();
@@ -250,7 +260,9 @@
         {
             if (!connection_)
                 return;
-            if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_)
+            // The server may still take bytes of a request that it has answered early for the next one.
+            bool isRequestReceived = writer_->isWritten() && connection_->isAllAcknowledged();
+            if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_ && isRequestReceived)
                 idleConnections_->release(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
             else
                 connection_->close();
@@ -287,6 +299,7 @@
         /** Bytes that this call has reserved in bufferBudget_. */
         size_t reservedBytes_ { 0 };
         bool isOwnerKnown_ { true };
+        std::shared_ptr<RequestWriter> writer_;
         std::optional<http::response_parser<http::buffer_body>> parser_;
         HttpHeaders headers_;
         bool isCancelled_ { false };
--- a/tests/IdleConnectionsTest.cpp
+++ b/tests/IdleConnectionsTest.cpp
@@ -147,5 +147,19 @@
         });
     }
 
+    // Guards against the next request on a connection whose target still takes bytes for the one that it answered early.
+    TEST(IdleConnectionsTest, ConnectionOfAnEarlyAnswerIsNotReused)
+    {
+        runInFiber([](Loop& loop) {
+            RawTarget target(loop, [](const std::string&, int number) { return number == 0 ? RawAnswer { okAnswer, End::Hold, false } : RawAnswer { okAnswer }; });
+            HttpClient client(loop);
+            constexpr size_t longBodyBytes = 16 * 1024 * 1024;
+            EXPECT_TRUE(fetch(client, callTo(target, std::string(longBodyBytes, 'x'))));
+            EXPECT_EQ(client.openConnections(), 0u);
+            EXPECT_TRUE(fetch(client, callTo(target)));
+            EXPECT_EQ(target.connections(), 2);
+        });
+    }
+
 }
 }
--- a/tests/platform/TargetAnswerTest.cpp
+++ b/tests/platform/TargetAnswerTest.cpp
@@ -188,6 +188,45 @@
         }
     }
 
+    // Guards against part of an answer that a caller gets as the whole because the target gave up the request while it
+    // was still being sent, and against an attempt that waits for its write.
+    TEST(TargetAnswerTest, PartOfAnEarlyAnswerIsNoAnswer)
+    {
+        for (size_t bodyBytes : { bufferedBodyBytes, longBodyBytes }) {
+            for (auto framing : { Framing::Length, Framing::Chunks, Framing::None }) {
+                for (auto end : { End::Reset, End::Close }) {
+                    SCOPED_TRACE(testing::Message() << bodyBytes << " bytes, framing " << static_cast<int>(framing) << ", end " << static_cast<int>(end));
+                    for (auto delay : { 0ms, 15ms })
+                        expectNoAnswer({ part(framing), end, false, delay }, bodyBytes);
+                }
+            }
+        }
+    }
+
+    // Guards against an attempt that outlasts its time-out because its target reads and sends no more.
+    TEST(TargetAnswerTest, StalledEarlyAnswerEndsAtTheTimeout)
+    {
+        for (const std::string path : paths) {
+            SCOPED_TRACE(path);
+            auto outcome = outcomeOf(path, { part(Framing::Length), End::Hold, false }, longBodyBytes, 400ms);
+            EXPECT_EQ(outcome.requests, 1);
+            EXPECT_EQ(outcome.answer, "cut");
+        }
+    }
+
+    // Guards against answers that get lost because the target sent them before it had read the request.
+    TEST(TargetAnswerTest, CompleteEarlyAnswerWithALengthIsPassedOn)
+    {
+        for (size_t bodyBytes : { bufferedBodyBytes, longBodyBytes }) {
+            for (auto framing : { Framing::Length, Framing::Chunks }) {
+                for (auto end : { End::Reset, End::Close, End::Hold }) {
+                    SCOPED_TRACE(testing::Message() << bodyBytes << " bytes, framing " << static_cast<int>(framing) << ", end " << static_cast<int>(end));
+                    expectAnswer("", framing, { "", end, false }, bodyBytes);
+                }
+            }
+        }
+    }
+
     // Guards against answers of legal form that are rejected.
     TEST(TargetAnswerTest, CompleteAnswersArePassedOn)
     {
