--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -23,6 +23,7 @@
 
 #include <algorithm>
 #include <set>
+#include <string_view>
 #include <utility>
 
 namespace briarhitch {
@@ -38,6 +39,8 @@
     constexpr Duration idleTickInterval = 50ms;
     constexpr Duration ownerCheckInterval = 100ms;
     constexpr Duration gaugeInterval = 1s;
+    /** The rest of the descriptors is for callers, links and files: each routed request has a connection on either side. */
+    constexpr double targetDescriptorShare = 0.5;
     /** Suspects that are blocked or cleared within this time are recorded by one command. */
     constexpr Duration suspectBatchTime = 20ms;
     constexpr Duration suspectRecordTimeout = 2s;
@@ -93,6 +96,7 @@
     {
         HttpClientSettings client;
         client.maxBufferedBytes = std::min(client.maxBufferedBytes, limits.requestBytes / 2);
+        client.descriptorShare = targetDescriptorShare;
         return client;
     }
 
@@ -370,6 +374,18 @@
         ceilingClient->onConfigChange(config);
         if (routedRunner)
             routedRunner->onConfigChange(config);
+        closeConnectionsToFormerTargets(config);
+    }
+
+    /** A target that left the list may keep its side open, and its address may never be used again. */
+    void closeConnectionsToFormerTargets(const ClusterConfig& config)
+    {
+        std::set<std::pair<std::string_view, uint16_t>> listed;
+        for (const auto& [id, target] : config.targets) {
+            if (target.state != TargetState::Retired)
+                listed.emplace(target.host, target.port);
+        }
+        httpClient.closeIdleConnections([&](const std::string& host, uint16_t port) { return listed.contains({ host, port }); });
     }
 
     void startFibers()
@@ -417,6 +433,8 @@
         metrics.setGauge("entry_config_version", {}, static_cast<double>(clusterView.config().version.value()));
         metrics.setGauge("entry_link_bytes_sent", {}, static_cast<double>(linkTraffic().bytesSent));
         metrics.setGauge("entry_link_bytes_received", {}, static_cast<double>(linkTraffic().bytesReceived));
+        metrics.setGauge("http_client_idle_connections", {}, static_cast<double>(httpClient.idleConnections()));
+        metrics.setGauge("http_client_open_connections", {}, static_cast<double>(httpClient.openConnections()));
         metrics.setGauge("entry_fibers", {}, static_cast<double>(loop.fiberCount()));
         metrics.setGauge("entry_exceptions", {}, static_cast<double>(guardedExceptions()));
     }
--- a/src/http/HttpClient.cpp
+++ b/src/http/HttpClient.cpp
@@ -1,24 +1,23 @@
 #include "briarhitch/http/HttpClient.h"
 
 #include "briarhitch/runtime/Loop.h"
-#include "http/SocketDeadline.h"
+#include "http/ClientConnection.h"
+#include "http/IdleConnections.h"
+#include "http/RequestWriter.h"
 #include "runtime/FiberWaiter.h"
 
 #include <algorithm>
 #include <array>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/address.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/buffer_body.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
-#include <boost/beast/http/span_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <limits>
-#include <map>
 #include <optional>
+#include <sys/resource.h>
 
 namespace briarhitch {
 
@@ -29,7 +28,6 @@
     using namespace std::chrono_literals;
 
     constexpr size_t readBytes = 16 * 1024;
-    constexpr size_t maxIdleConnectionsPerServer = 64;
     constexpr Duration maxStatedIdleTime = 60s;
     /** Shorter than the idle timeout of common servers, so that a reused connection is rarely closed already. */
     constexpr Duration defaultIdleTime = 4s;
@@ -38,8 +36,11 @@
     /** A connection with more responses to earlier requests than this is not trusted any more. */
     constexpr int maxSkippedResponses = 4;
     constexpr size_t maxSkippedBytes = 1024 * 1024;
-    /** Beast's parser limits the size of a header itself, but not of the lines around chunks and the trailer. */
-    constexpr size_t maxUnparsedBytes = 64 * 1024;
+    /** Servers send one or two interim responses (1xx) before a response. */
+    constexpr int maxInterimResponses = 16;
+    constexpr int switchingProtocolsStatus = 101;
+    constexpr int firstFinalStatus = 200;
+    constexpr int lastFinalStatus = 599;
     /** Bodies of up to this size are buffered regardless of the shared budget. */
     constexpr size_t unreservedBodyBytes = 64 * 1024;
 
@@ -58,80 +59,6 @@
         return std::clamp<Duration>(std::chrono::seconds(seconds) - idleMargin, Duration(0), maxStatedIdleTime);
     }
 
-    struct Connection {
-        explicit Connection(boost::asio::io_context& io)
-            : socket(io)
-            , deadline(socket)
-        {
-        }
-
-        [[nodiscard]] bool isUsable()
-        {
-            // Nothing may have arrived on an idle connection: neither end of file nor unexpected bytes.
-            boost::system::error_code error;
-            socket.non_blocking(true, error);
-            char byte = 0;
-            socket.receive(boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-            return error == boost::asio::error::would_block;
-        }
-
-        void close()
-        {
-            boost::system::error_code ignored;
-            socket.close(ignored);
-        }
-
-        tcp::socket socket;
-        SocketDeadline deadline;
-        boost::beast::flat_buffer buffer { maxUnparsedBytes };
-        const Instant openedAt { BootClock::now() };
-        Instant idleUntil;
-    };
-
-    struct Address {
-        std::string host;
-        uint16_t port { 0 };
-        /**
-         * Calls whose responses identify their request have separate connections: on others, a late duplicate would
-         * identify none.
-         */
-        bool identifiesRequests { false };
-
-        auto operator<=>(const Address&) const = default;
-        [[nodiscard]] std::string text() const { return host + ":" + std::to_string(port); }
-    };
-
-    /** Idle connections by server. */
-    class ConnectionPool {
-    public:
-        std::shared_ptr<Connection> acquire(const Address& address)
-        {
-            auto& idle = idle_[address];
-            while (!idle.empty()) {
-                auto connection = std::move(idle.back());
-                idle.pop_back();
-                if (BootClock::now() < connection->idleUntil && connection->isUsable())
-                    return connection;
-                connection->close();
-            }
-            return nullptr;
-        }
-
-        void release(const Address& address, std::shared_ptr<Connection> connection, Duration idleTime)
-        {
-            auto& idle = idle_[address];
-            if (idle.size() >= maxIdleConnectionsPerServer || connection->buffer.size() > 0) {
-                connection->close();
-                return;
-            }
-            connection->idleUntil = BootClock::now() + idleTime;
-            idle.push_back(std::move(connection));
-        }
-
-    private:
-        std::map<Address, std::vector<std::shared_ptr<Connection>>> idle_;
-    };
-
     /** Limits the bytes that all calls of a client buffer at the same time. */
     class BufferBudget {
     public:
@@ -167,11 +94,11 @@
 
     class BeastCall : public HttpCall {
     public:
-        BeastCall(std::shared_ptr<Connection> connection, bool isReused, std::shared_ptr<ConnectionPool> pool, std::shared_ptr<BufferBudget> bufferBudget, Address address, size_t maxResponseBytes)
+        BeastCall(std::shared_ptr<ClientConnection> connection, bool isReused, std::shared_ptr<IdleConnections> idleConnections, std::shared_ptr<BufferBudget> bufferBudget, ServerAddress address, size_t maxResponseBytes)
             : connection_(std::move(connection))
             , connectionOpenedAt_(connection_->openedAt)
             , isReused_(isReused)
-            , pool_(std::move(pool))
+            , idleConnections_(std::move(idleConnections))
             , bufferBudget_(std::move(bufferBudget))
             , address_(std::move(address))
             , maxResponseBytes_(maxResponseBytes)
@@ -188,28 +115,22 @@
 
         Result<void> send(const HttpCallSettings& settings)
         {
-            // The body is shared with the request of the caller and with repeats.
-            http::request<http::span_body<const char>> request;
-            request.method_string(settings.method);
-            request.target(settings.target);
-            request.set(http::field::host, settings.host + ":" + std::to_string(settings.port));
-            for (const auto& [name, value] : settings.headers) {
-                if (boost::beast::iequals(name, "host"))
-                    request.set(name, value);
-                else
-                    request.insert(name, value);
-            }
-            request.body() = { settings.body.text().data(), settings.body.size() };
-            if (!settings.body.empty() || settings.method == "POST" || settings.method == "PUT")
-                request.prepare_payload();
             connection_->deadline.arm(settings.headerTimeout);
-            auto written = awaitIo([&](auto handler) { http::async_write(connection_->socket, request, handler); });
-            if (written.error)
-                return tl::unexpected(failure(written.error));
-            for (int skippedResponses = 0; skippedResponses <= maxSkippedResponses; ++skippedResponses) {
+            writer_ = std::make_shared<RequestWriter>(connection_, makeRequest(settings), settings.body);
+            // A server may answer before it has read the request, and then never read it.
+            writer_->start();
+            int interimResponses = 0;
+            int skippedResponses = 0;
+            for (;;) {
                 auto read = awaitIo([&](auto handler) { http::async_read_header(connection_->socket, connection_->buffer, *parser_, handler); });
                 if (read.error)
                     return tl::unexpected(failure(read.error));
+                if (status() / 100 == 1 && status() != switchingProtocolsStatus && ++interimResponses <= maxInterimResponses) {
+                    newParser();
+                    continue;
+                }
+                if (status() < firstFinalStatus || status() > lastFinalStatus)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "status " + std::to_string(status()) + " of " + address_.text() + " is no response"));
                 headers_.clear();
                 for (const auto& field : parser_->get())
                     headers_.emplace_back(std::string(field.name_string()), std::string(field.value()));
@@ -221,10 +142,11 @@
                     connection_->deadline.disarm();
                     return {};
                 }
+                if (++skippedResponses > maxSkippedResponses)
+                    return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many responses to other requests from " + address_.text()));
                 if (auto skipped = skipBody(); !skipped)
                     return skipped;
             }
-            return tl::unexpected(makeError(ErrorKind::TargetFailed, "too many responses to other requests from " + address_.text()));
         }
 
         [[nodiscard]] int status() const override { return static_cast<int>(parser_->get().result_int()); }
@@ -251,6 +173,12 @@
                 if (count > 0)
                     return std::optional<std::string>(std::string(bytes.data(), count));
             }
+            // Without a length, the end of the connection may have cut the response off.
+            if (connection_ && parser_->need_eof() && !(writer_->isWritten() && connection_->hasOrderlyEnd())) {
+                connection_->close();
+                connection_ = nullptr;
+                return fail(ErrorKind::TargetClosed, "the connection to " + address_.text() + " broke before the request was sent in full");
+            }
             finish();
             return std::optional<std::string>();
         }
@@ -281,6 +209,24 @@
         }
 
     private:
+        static RequestWriter::Request makeRequest(const HttpCallSettings& settings)
+        {
+            RequestWriter::Request request;
+            request.method_string(settings.method);
+            request.target(settings.target);
+            request.set(http::field::host, settings.host + ":" + std::to_string(settings.port));
+            for (const auto& [name, value] : settings.headers) {
+                if (boost::beast::iequals(name, "host"))
+                    request.set(name, value);
+                else
+                    request.insert(name, value);
+            }
+            request.body() = { settings.body.text().data(), settings.body.size() };
+            if (!settings.body.empty() || settings.method == "POST" || settings.method == "PUT")
+                request.prepare_payload();
+            return request;
+        }
+
         void newParser()
         {
             parser_.emplace();
@@ -314,8 +260,10 @@
         {
             if (!connection_)
                 return;
-            if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_)
-                pool_->release(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
+            // The server may still take bytes of a request that it has answered early for the next one.
+            bool isRequestReceived = writer_->isWritten() && connection_->isAllAcknowledged();
+            if (parser_->keep_alive() && !isCancelled_ && isOwnerKnown_ && isRequestReceived)
+                idleConnections_->release(address_, std::move(connection_), allowedIdleTime(findHeader(headers_, "Keep-Alive")));
             else
                 connection_->close();
             connection_ = nullptr;
@@ -341,16 +289,17 @@
             return makeError(isClosedByPeer(error) ? ErrorKind::TargetClosed : ErrorKind::TargetFailed, "connection to " + address_.text() + " broke: " + error.message());
         }
 
-        std::shared_ptr<Connection> connection_;
+        std::shared_ptr<ClientConnection> connection_;
         Instant connectionOpenedAt_;
         bool isReused_;
-        std::shared_ptr<ConnectionPool> pool_;
+        std::shared_ptr<IdleConnections> idleConnections_;
         std::shared_ptr<BufferBudget> bufferBudget_;
-        Address address_;
+        ServerAddress address_;
         size_t maxResponseBytes_;
         /** Bytes that this call has reserved in bufferBudget_. */
         size_t reservedBytes_ { 0 };
         bool isOwnerKnown_ { true };
+        std::shared_ptr<RequestWriter> writer_;
         std::optional<http::response_parser<http::buffer_body>> parser_;
         HttpHeaders headers_;
         bool isCancelled_ { false };
@@ -359,11 +308,36 @@
 }
 
 struct HttpClient::Impl {
-    Loop& loop;
-    std::shared_ptr<BufferBudget> bufferBudget;
-    std::shared_ptr<ConnectionPool> pool { std::make_shared<ConnectionPool>() };
+    Impl(Loop& loopToUse, const HttpClientSettings& settingsToUse)
+        : loop(loopToUse)
+        , settings(settingsToUse)
+        , bufferBudget(std::make_shared<BufferBudget>(settings.maxBufferedBytes))
+        , idleConnections(std::make_shared<IdleConnections>(loop))
+    {
+    }
 
-    Result<std::shared_ptr<Connection>> connect(const HttpCallSettings& settings) const
+    /** Read each time, since the limit of a running process can change. */
+    [[nodiscard]] size_t maxConnections() const
+    {
+        if (settings.maxConnections > 0)
+            return settings.maxConnections;
+        rlimit limit {};
+        if (getrlimit(RLIMIT_NOFILE, &limit) != 0 || limit.rlim_cur == RLIM_INFINITY)
+            return std::numeric_limits<size_t>::max();
+        return static_cast<size_t>(settings.descriptorShare * static_cast<double>(limit.rlim_cur));
+    }
+
+    /** Opens a socket; closes idle connections if that is what it takes. */
+    boost::system::error_code open(ClientConnection& connection, const tcp& protocol) const
+    {
+        boost::system::error_code error;
+        do
+            connection.socket.open(protocol, error);
+        while (error == boost::asio::error::no_descriptors && idleConnections->closeLongestIdle());
+        return error;
+    }
+
+    Result<std::shared_ptr<ClientConnection>> connect(const HttpCallSettings& settings) const
     {
         auto unreachable = [&](const std::string& why, ErrorKind kind = ErrorKind::TargetFailed) {
             Error error = makeError(kind, "cannot connect to " + settings.host + ":" + std::to_string(settings.port) + ": " + why);
@@ -373,10 +347,12 @@
         auto address = boost::asio::ip::make_address(settings.host, error);
         if (error)
             return unreachable(error.message());
-        auto connection = std::make_shared<Connection>(loop.context());
-        boost::system::error_code openError;
-        connection->socket.open(address.is_v6() ? tcp::v6() : tcp::v4(), openError);
-        if (openError)
+        while (connectionCount->open >= maxConnections()) {
+            if (!idleConnections->closeLongestIdle())
+                return unreachable("all of this client's " + std::to_string(maxConnections()) + " connections are in use");
+        }
+        auto connection = std::make_shared<ClientConnection>(loop.context(), connectionCount);
+        if (auto openError = open(*connection, address.is_v6() ? tcp::v6() : tcp::v4()))
             return unreachable(openError.message());
         connection->deadline.arm(settings.connectTimeout);
         auto result = awaitIo([&](auto handler) { connection->socket.async_connect(tcp::endpoint(address, settings.port), handler); });
@@ -389,10 +365,16 @@
         connection->socket.set_option(tcp::no_delay(true), ignored);
         return connection;
     }
+
+    Loop& loop;
+    HttpClientSettings settings;
+    std::shared_ptr<BufferBudget> bufferBudget;
+    std::shared_ptr<ConnectionCount> connectionCount { std::make_shared<ConnectionCount>() };
+    std::shared_ptr<IdleConnections> idleConnections;
 };
 
 HttpClient::HttpClient(Loop& loop, HttpClientSettings settings)
-    : impl_(std::make_shared<Impl>(Impl { loop, std::make_shared<BufferBudget>(settings.maxBufferedBytes) }))
+    : impl_(std::make_shared<Impl>(loop, settings))
 {
 }
 
@@ -400,9 +382,9 @@
 
 Result<std::shared_ptr<HttpCall>> HttpClient::start(const HttpCallSettings& settings)
 {
-    Address address { settings.host, settings.port, settings.responseOwner != nullptr };
+    ServerAddress address { settings.host, settings.port, settings.responseOwner != nullptr };
     auto impl = impl_;
-    auto connection = settings.isReuseAllowed ? impl->pool->acquire(address) : nullptr;
+    auto connection = settings.isReuseAllowed ? impl->idleConnections->acquire(address) : nullptr;
     bool isReused = connection != nullptr;
     if (!connection) {
         auto opened = impl->connect(settings);
@@ -410,7 +392,7 @@
             return tl::unexpected(opened.error());
         connection = *opened;
     }
-    auto call = std::make_shared<BeastCall>(connection, isReused, impl->pool, impl->bufferBudget, address, settings.maxResponseBytes);
+    auto call = std::make_shared<BeastCall>(connection, isReused, impl->idleConnections, impl->bufferBudget, address, settings.maxResponseBytes);
     if (settings.onSending)
         settings.onSending(call);
     auto sent = call->send(settings);
@@ -425,6 +407,21 @@
     return tl::unexpected(withRan(sent.error(), Ran::Unknown));
 }
 
+void HttpClient::closeIdleConnections(const std::function<bool(const std::string& host, uint16_t port)>& mayKeep)
+{
+    impl_->idleConnections->closeUnless([&](const ServerAddress& address) { return mayKeep(address.host, address.port); });
+}
+
+size_t HttpClient::idleConnections() const
+{
+    return impl_->idleConnections->size();
+}
+
+size_t HttpClient::openConnections() const
+{
+    return impl_->connectionCount->open;
+}
+
 Result<HttpResponse> fetch(HttpClient& client, const HttpCallSettings& settings)
 {
     auto call = client.start(settings);
--- a/src/metrics/MetricHelp.cpp
+++ b/src/metrics/MetricHelp.cpp
@@ -64,6 +64,8 @@
         { "entry_tokens_total", "Tokens of completed requests, by direction." },
         { "entry_waiting_for_grant", "Requests that wait for a target." },
         { "http_budget_bytes", "Bytes that this process may hold for callers." },
+        { "http_client_idle_connections", "Connections to targets that are kept for the next request." },
+        { "http_client_open_connections", "Connections to targets that are being opened, in use or idle." },
         { "http_closed_total", "Connections closed to make room, by reason." },
         { "http_held_bytes", "Bytes that this process holds for callers, by purpose." },
         { "http_refused_total", "Requests refused before they were complete, by reason." },
