Judge answers without a length by the end of file where the system tells no more

The state of a connection and its unacknowledged bytes are not known on every system; without them, an end of file after a complete write ends the answer.

--- a/src/entry/OwnerRollouts.cpp
+++ b/src/entry/OwnerRollouts.cpp
@@ -31,9 +31,9 @@
         return rollout.stage == RolloutStage::Shift ? "shift" : "drain";
     }
 
-    std::string versionLabel(bool isTargetVersion)
+    std::string_view versionLabel(bool isTargetVersion)
     {
-        return isTargetVersion ? ",version=\"target\"" : ",version=\"other\"";
+        return isTargetVersion ? std::string_view(",version=\"target\"") : std::string_view(",version=\"other\"");
     }
 
 }
@@ -93,7 +93,7 @@
                                                                                               : 1000U;
     metrics_.setGauge("pool_rollout_share_permille", pool, static_cast<double>(share));
     for (bool isTargetVersion : { false, true })
-        metrics_.setGauge("pool_rollout_running", pool + versionLabel(isTargetVersion), static_cast<double>(state.observations.runningCount(isTargetVersion)));
+        metrics_.setGauge("pool_rollout_running", absl::StrCat(pool, std::string(versionLabel(isTargetVersion))), static_cast<double>(state.observations.runningCount(isTargetVersion)));
 }
 
 std::optional<PoolRollout> OwnerRollouts::find(PoolId pool) const
@@ -141,7 +141,7 @@
         return;
     bool isTarget = isTargetVersion(*state, target);
     state->observations.attemptGranted(request.attempt, request.kind, isTarget);
-    metrics_.count("pool_rollout_granted_total", absl::StrCat("pool=\"", state->poolName, "\"", versionLabel(isTarget)));
+    metrics_.count("pool_rollout_granted_total", absl::StrCat("pool=\"", state->poolName, "\"", std::string(versionLabel(isTarget))));
 }
 
 void OwnerRollouts::attemptStarted(const AttemptStarted& started)
--- a/src/http/ClientConnection.cpp
+++ b/src/http/ClientConnection.cpp
@@ -34,7 +34,8 @@
 bool ClientConnection::isAllAcknowledged()
 {
     int bytes = 0;
-    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0 && bytes == 0;
+    // Where the system does not tell, what the socket accepted counts as delivered.
+    return ioctl(socket.native_handle(), SIOCOUTQ, &bytes) != 0 || bytes == 0;
 }
 
 bool ClientConnection::hasOrderlyEnd()
@@ -43,7 +44,9 @@
     tcp_info info {};
     socklen_t size = sizeof(info);
     bool isKnown = getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size) == 0;
-    return isKnown && info.tcpi_state == TCP_CLOSE_WAIT && isAllAcknowledged();
+    // Without the state, an end of file that follows a complete write is all there is to go by.
+    bool isUnknown = !isKnown || info.tcpi_state == 0;
+    return (isUnknown || info.tcpi_state == TCP_CLOSE_WAIT) && isAllAcknowledged();
 }
 
 void ClientConnection::close()
