Complete no rollout while a pool lacks targets of the version

A pool without active targets of the target version keeps granting the others in Drain. With few requests two reports in a row may see none of them running, and the rollout completed, after which the platform stops targets that still get requests. Completion now requires active targets of the target version in each pool.

RolloutDriverTest.APoolWithoutTargetsOfTheVersionPreventsCompletion failed before.

--- a/src/rollout/RolloutDriver.cpp
+++ b/src/rollout/RolloutDriver.cpp
@@ -150,7 +150,8 @@
         situation.reportAge = std::max(situation.reportAge, now - std::max(running.knownSince, reports.lastAt));
         situation.reportsSinceStep = std::min(situation.reportsSinceStep, reports.sinceStep);
         situation.activeTargets += reports.activeTargets;
-        situation.isDrained = situation.isDrained && reports.sinceApplied >= reportsOfDrain && reports.runningOnOthers == 0;
+        // A pool without targets of the target version keeps granting others, although none may run a request at times.
+        situation.isDrained = situation.isDrained && reports.sinceApplied >= reportsOfDrain && reports.runningOnOthers == 0 && reports.activeTargets > 0;
     }
     if (pools.empty())
         situation.reportAge = now - running.knownSince;
--- a/tests/RolloutDriverTest.cpp
+++ b/tests/RolloutDriverTest.cpp
@@ -371,6 +371,32 @@
         }
     }
 
+    // Load: one of two pools has no targets of the target version, and few requests. Guards against a completion in a moment without
+    // a request there, after which the platform stops targets that still get requests.
+    TEST(RolloutDriverTest, APoolWithoutTargetsOfTheVersionPreventsCompletion)
+    {
+        Service service({});
+        const PoolId other(2);
+        auto& target = service.config.targets[TargetId(2)];
+        target.serves = "shop";
+        target.pool = other;
+        service.config.pools[other].owner = owner;
+        service.config.pools[other].epoch = Epoch(1);
+        while (service.elapsed() < 30s) {
+            service.step();
+            if (service.steps % 25 != 0)
+                continue;
+            RolloutReport report;
+            report.rollout = service.record().id;
+            report.pool = other;
+            report.epoch = Epoch(1);
+            report.appliedVersion = service.appliedVersion();
+            service.driver.addReport(service.config, owner, report, service.now);
+        }
+        EXPECT_EQ(service.record().stage, RolloutStage::Drain);
+        EXPECT_EQ(service.record().state, RolloutState::Running);
+    }
+
     // Guards against counters of a node that does not own the pool, or of an earlier rollout.
     TEST(RolloutDriverTest, OnlyThePresentOwnerReportsOnTheRunningRollout)
     {
