Start no shift of a rollout before the rate of requests is known

After a change of leader the first report led to the shift, because without a second one the rate of requests was zero and each share looked affordable. In the test, at 400 requests a second, the shift began within a second of the change at 13 s of 20. It now needs two reports.

RolloutDriverTest.ANewLeaderStartsNoShiftBeforeItKnowsTheRate failed before.

--- a/src/rollout/RolloutController.cpp
+++ b/src/rollout/RolloutController.cpp
@@ -136,7 +136,8 @@
             return rolledBack("the deadline has passed, and the target version is not known to be good: " + situation.judgement.reason);
     }
     bool isTrialOver = situation.elapsed * fifths >= std::chrono::milliseconds(rollout.durationMs) * trialFifths;
-    if (!isGood || !isTrialOver || situation.reportsSinceStep == 0 || !isAffordable(shiftPermille.front(), rollout, situation, timeLeft))
+    // A new leader knows no rate of requests before the second report, and without one every share looks affordable.
+    if (!isGood || !isTrialOver || situation.reportsSinceStep < minReportsOfStep || !isAffordable(shiftPermille.front(), rollout, situation, timeLeft))
         return std::nullopt;
     return shiftTo(shiftPermille.front(), situation.judgement.reason);
 }
--- a/tests/RolloutDriverTest.cpp
+++ b/tests/RolloutDriverTest.cpp
@@ -397,6 +397,19 @@
         EXPECT_EQ(service.record().state, RolloutState::Running);
     }
 
+    // Guards against a new leader that takes the rate of requests, which it does not know yet, for zero, and starts the shift too early.
+    TEST(RolloutDriverTest, ANewLeaderStartsNoShiftBeforeItKnowsTheRate)
+    {
+        Service service({ .rate = 400 });
+        service.runUntil(13s);
+        ASSERT_EQ(service.record().stage, RolloutStage::Trial);
+        service.driver.reset();
+        service.runUntil(14s);
+        EXPECT_EQ(service.record().stage, RolloutStage::Trial) << service.lastReason();
+        service.run(26s);
+        service.expectExposureBound();
+    }
+
     // Guards against counters of a node that does not own the pool, or of an earlier rollout.
     TEST(RolloutDriverTest, OnlyThePresentOwnerReportsOnTheRunningRollout)
     {
