Grant nothing to a version that has used up its exposure

When the exposure was used up during the shift, the rollout returned to the share of Trial, and the owner went on granting six hundredths until the deadline, beyond the bound. The share is 0 now until the deadline, or until growing traffic makes the shift affordable.

RolloutDriverTest.AVersionThatHasGotAllItMayGetsNothingBeforeTheDeadline failed before.

--- a/src/rollout/RolloutController.cpp
+++ b/src/rollout/RolloutController.cpp
@@ -110,8 +110,9 @@
     if (isWithoutTargets)
         return backToTrial("the target version has no active targets");
     bool isOverspent = timeLeft > 0s && rollout.stage != RolloutStage::Trial && remainingExposure(rollout, situation, timeLeft) <= 0;
+    // The share of Trial would go on exceeding the bound.
     if (isOverspent)
-        return backToTrial("the target version has got " + std::to_string(situation.grantedToTarget) + " requests, as many as it may before the deadline");
+        return RolloutStep { RolloutState::Running, RolloutStage::Trial, 0, "the target version has got " + std::to_string(situation.grantedToTarget) + " requests, as many as it may before the deadline" };
     switch (rollout.stage) {
     case RolloutStage::Trial:
         return decideTrial(rollout, situation, timeLeft);
--- a/tests/RolloutDriverTest.cpp
+++ b/tests/RolloutDriverTest.cpp
@@ -410,6 +410,36 @@
         service.expectExposureBound();
     }
 
+    // Load: traffic collapses during the shift, so that the version has had all that it may get. Guards against a share of Trial
+    // that goes on exceeding the exposure bound until the deadline.
+    TEST(RolloutDriverTest, AVersionThatHasGotAllItMayGetsNothingBeforeTheDeadline)
+    {
+        RolloutController controller(RolloutBounds {});
+        Rollout rollout;
+        rollout.durationMs = 20000;
+        rollout.stage = RolloutStage::Shift;
+        rollout.sharePermille = 500;
+        RolloutSituation situation;
+        situation.judgement.verdict = RolloutVerdict::Good;
+        situation.elapsed = 15s;
+        situation.grantedToTarget = 200;
+        situation.grantedToAll = 1000;
+        situation.grantRate = situation.peakGrantRate = 10;
+        situation.activeTargets = 2;
+        situation.reportsSinceStep = 2;
+        auto step = controller.decide(rollout, situation);
+        ASSERT_TRUE(step);
+        EXPECT_EQ(step->stage, RolloutStage::Trial);
+        EXPECT_EQ(step->sharePermille, 0u);
+        rollout.stage = step->stage;
+        rollout.sharePermille = step->sharePermille;
+        EXPECT_FALSE(controller.decide(rollout, situation));
+        situation.elapsed = 20s;
+        step = controller.decide(rollout, situation);
+        ASSERT_TRUE(step);
+        EXPECT_EQ(step->stage, RolloutStage::Shift) << "the exposure is bounded until the deadline only";
+    }
+
     // Guards against counters of a node that does not own the pool, or of an earlier rollout.
     TEST(RolloutDriverTest, OnlyThePresentOwnerReportsOnTheRunningRollout)
     {
