Report local runs to an owner that is not asked again

An entry that selected a target itself, because the owner was suspended, told the owner of it only once the owner had replied to a further request. With few requests none came, the owner reported no request on old targets, and the rollout could complete while the local one ran. While a rollout runs, the entry now sends the sync that is due every 200 ms to an owner that has not replied, unless requests wait, which the sync would take out of the local queue.

PoolClientTest.LocalRunsAreReportedToAnOwnerThatIsNotAskedAgain failed before.

--- a/include/briarhitch/entry/PoolClient.h
+++ b/include/briarhitch/entry/PoolClient.h
@@ -93,6 +93,8 @@
         Instant nextOwnerProbeAt {};
         /** The owner may not know all attempts of this entry: it granted under a new epoch, or was unresponsive. */
         bool isSyncDue { false };
+        /** When a sync that is due may be sent to an owner that has not replied yet. */
+        Instant nextDueSyncAt {};
     };
     struct PoolRecentAttempt {
         PoolId pool;
--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -694,8 +694,9 @@
             continue;
         if (isOwnerReachable(state)) {
             state.isOwnerUnresponsive = true;
-            state.isSyncDue = true;
             state.nextOwnerProbeAt = now + ownerProbeInterval;
+            if (!std::exchange(state.isSyncDue, true))
+                state.nextDueSyncAt = now + ownerProbeInterval;
         }
         withoutReply.push_back(pending);
     }
@@ -709,9 +710,21 @@
 {
     for (auto& [id, state] : pools_) {
         // A rollout does not complete before its owner knows the attempts of all entries.
-        bool isOwnerResponsive = !state.isOwnerUnresponsive && isOwnerReachable(state);
-        if (state.isSyncDue && isOwnerResponsive && findPoolRollout(view_.config(), id, settings_.rollout))
+        auto rollout = state.isSyncDue && isOwnerReachable(state) ? findPoolRollout(view_.config(), id, settings_.rollout) : std::nullopt;
+        if (!rollout)
+            continue;
+        if (!state.isOwnerUnresponsive) {
             sendPoolSync(id);
+            continue;
+        }
+        // Without further requests, nothing tells when the owner works again. Until it replies, this node may select more targets,
+        // so the sync remains due. A sync also sends waiting requests to the owner again, which would take them out of the local queue.
+        bool hasWaiting = std::any_of(pending_.begin(), pending_.end(), [pool = id](const auto& entry) { return entry.second->grantRequest.pool == pool && !entry.second->decided.isSet(); });
+        if (now_() < state.nextDueSyncAt || hasWaiting || rollout->rollout.state != RolloutState::Running)
+            continue;
+        sendPoolSync(id);
+        state.isSyncDue = true;
+        state.nextDueSyncAt = now_() + ownerProbeInterval;
     }
 }
 
--- a/tests/PoolClientTest.cpp
+++ b/tests/PoolClientTest.cpp
@@ -314,6 +314,34 @@
         });
     }
 
+    // Load: no request after the one that met a suspended owner. Guards against a rollout that completes while that request runs
+    // on an old target, because nothing else makes the owner reply to the entry.
+    TEST(PoolClientTest, LocalRunsAreReportedToAnOwnerThatIsNotAskedAgain)
+    {
+        runInFiber([](Loop& loop) {
+            for (bool hasRollout : { false, true }) {
+                Entry entry(loop, 150ms);
+                if (hasRollout)
+                    entry.config.rollouts["m7"] = { RolloutId(1), "m7", "v2", 12000, 0, RolloutState::Running, RolloutStage::Trial, 60 };
+                entry.assign(modelPool(10, Epoch(6), 2));
+                auto local = entry.requestGrant(100);
+                entry.clock.now += 200ms;
+                entry.client.checkOwners();
+                sleepFor(loop, 0ms);
+                ASSERT_TRUE(local->has_value() && **local);
+                entry.transport.posts.clear();
+                for (size_t count : { 1U, 2U }) {
+                    entry.clock.now += 200ms;
+                    entry.client.checkOwners();
+                    entry.client.checkOwners();
+                    auto syncs = entry.transport.posted<PoolSync>(MessageType::PoolSync, NodeId(2));
+                    ASSERT_EQ(syncs.size(), hasRollout ? count : 0u);
+                    EXPECT_EQ(hasRollout ? syncs.back().running.size() : 1u, 1u);
+                }
+            }
+        });
+    }
+
     // Guards against overload when many entries lose a pool's owner and each sends at least one request to every target.
     TEST(PoolClientTest, LocalSelectionOfManyEntriesIsSpreadOverTheTargets)
     {
