--- a/src/rollout/RolloutController.cpp
+++ b/src/rollout/RolloutController.cpp
@@ -110,8 +110,9 @@
     if (isWithoutTargets)
         return backToTrial("the target version has no active targets");
     bool isOverspent = timeLeft > 0s && rollout.stage != RolloutStage::Trial && remainingExposure(rollout, situation, timeLeft) <= 0;
+    // The share of Trial would go on exceeding the bound.
     if (isOverspent)
-        return backToTrial("the target version has got " + std::to_string(situation.grantedToTarget) + " requests, as many as it may before the deadline");
+        return RolloutStep { RolloutState::Running, RolloutStage::Trial, 0, "the target version has got " + std::to_string(situation.grantedToTarget) + " requests, as many as it may before the deadline" };
     switch (rollout.stage) {
     case RolloutStage::Trial:
         return decideTrial(rollout, situation, timeLeft);
@@ -136,7 +137,8 @@
             return rolledBack("the deadline has passed, and the target version is not known to be good: " + situation.judgement.reason);
     }
     bool isTrialOver = situation.elapsed * fifths >= std::chrono::milliseconds(rollout.durationMs) * trialFifths;
-    if (!isGood || !isTrialOver || situation.reportsSinceStep == 0 || !isAffordable(shiftPermille.front(), rollout, situation, timeLeft))
+    // A new leader knows no rate of requests before the second report, and without one every share looks affordable.
+    if (!isGood || !isTrialOver || situation.reportsSinceStep < minReportsOfStep || !isAffordable(shiftPermille.front(), rollout, situation, timeLeft))
         return std::nullopt;
     return shiftTo(shiftPermille.front(), situation.judgement.reason);
 }
--- a/tests/RolloutDriverTest.cpp
+++ b/tests/RolloutDriverTest.cpp
@@ -371,6 +371,75 @@
         }
     }
 
+    // Load: one of two pools has no targets of the target version, and few requests. Guards against a completion in a moment without
+    // a request there, after which the platform stops targets that still get requests.
+    TEST(RolloutDriverTest, APoolWithoutTargetsOfTheVersionPreventsCompletion)
+    {
+        Service service({});
+        const PoolId other(2);
+        auto& target = service.config.targets[TargetId(2)];
+        target.serves = "shop";
+        target.pool = other;
+        service.config.pools[other].owner = owner;
+        service.config.pools[other].epoch = Epoch(1);
+        while (service.elapsed() < 30s) {
+            service.step();
+            if (service.steps % 25 != 0)
+                continue;
+            RolloutReport report;
+            report.rollout = service.record().id;
+            report.pool = other;
+            report.epoch = Epoch(1);
+            report.appliedVersion = service.appliedVersion();
+            service.driver.addReport(service.config, owner, report, service.now);
+        }
+        EXPECT_EQ(service.record().stage, RolloutStage::Drain);
+        EXPECT_EQ(service.record().state, RolloutState::Running);
+    }
+
+    // Guards against a new leader that takes the rate of requests, which it does not know yet, for zero, and starts the shift too early.
+    TEST(RolloutDriverTest, ANewLeaderStartsNoShiftBeforeItKnowsTheRate)
+    {
+        Service service({ .rate = 400 });
+        service.runUntil(13s);
+        ASSERT_EQ(service.record().stage, RolloutStage::Trial);
+        service.driver.reset();
+        service.runUntil(14s);
+        EXPECT_EQ(service.record().stage, RolloutStage::Trial) << service.lastReason();
+        service.run(26s);
+        service.expectExposureBound();
+    }
+
+    // Load: traffic collapses during the shift, so that the version has had all that it may get. Guards against a share of Trial
+    // that goes on exceeding the exposure bound until the deadline.
+    TEST(RolloutDriverTest, AVersionThatHasGotAllItMayGetsNothingBeforeTheDeadline)
+    {
+        RolloutController controller(RolloutBounds {});
+        Rollout rollout;
+        rollout.durationMs = 20000;
+        rollout.stage = RolloutStage::Shift;
+        rollout.sharePermille = 500;
+        RolloutSituation situation;
+        situation.judgement.verdict = RolloutVerdict::Good;
+        situation.elapsed = 15s;
+        situation.grantedToTarget = 200;
+        situation.grantedToAll = 1000;
+        situation.grantRate = situation.peakGrantRate = 10;
+        situation.activeTargets = 2;
+        situation.reportsSinceStep = 2;
+        auto step = controller.decide(rollout, situation);
+        ASSERT_TRUE(step);
+        EXPECT_EQ(step->stage, RolloutStage::Trial);
+        EXPECT_EQ(step->sharePermille, 0u);
+        rollout.stage = step->stage;
+        rollout.sharePermille = step->sharePermille;
+        EXPECT_FALSE(controller.decide(rollout, situation));
+        situation.elapsed = 20s;
+        step = controller.decide(rollout, situation);
+        ASSERT_TRUE(step);
+        EXPECT_EQ(step->stage, RolloutStage::Shift) << "the exposure is bounded until the deadline only";
+    }
+
     // Guards against counters of a node that does not own the pool, or of an earlier rollout.
     TEST(RolloutDriverTest, OnlyThePresentOwnerReportsOnTheRunningRollout)
     {
