Show the descriptor limit as open descriptors when none is left

openDescriptors() could not open /proc/self/fd once all descriptors were in use, so process_open_descriptors showed 0 exactly when the process had run out. EMFILE now counts as the limit.

MemoryBudgetTest.OpenDescriptorsAreTheLimitWhenNoneIsLeft failed before (0 instead of 1).

--- a/src/runtime/Descriptors.cpp
+++ b/src/runtime/Descriptors.cpp
@@ -1,6 +1,7 @@
 #include "briarhitch/runtime/Descriptors.h"
 
 #include <algorithm>
+#include <cerrno>
 #include <dirent.h>
 #include <memory>
 #include <sys/resource.h>
@@ -30,8 +31,10 @@
 size_t openDescriptors()
 {
     std::unique_ptr<DIR, int (*)(DIR*)> folder(opendir("/proc/self/fd"), &closedir);
+    if (!folder)
+        return errno == EMFILE ? descriptorLimit() : 0;
     size_t count = 0;
-    while (folder && readdir(folder.get()) != nullptr)
+    while (readdir(folder.get()) != nullptr)
         ++count;
     return count - std::min(count, ownEntries);
 }
--- a/tests/MemoryBudgetTest.cpp
+++ b/tests/MemoryBudgetTest.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <sys/resource.h>
 
 namespace briarhitch {
 namespace {
@@ -51,6 +52,19 @@
         EXPECT_EQ(deriveMemoryLimits({ 12 * mib, 2 * mib }, 88 * mib).reservedBytes, 2 * mib);
     }
 
+    // Guards against a gauge that shows no open descriptor when none is left.
+    TEST(MemoryBudgetTest, OpenDescriptorsAreTheLimitWhenNoneIsLeft)
+    {
+        rlimit usual {};
+        getrlimit(RLIMIT_NOFILE, &usual);
+        rlimit low = usual;
+        low.rlim_cur = 1;
+        setrlimit(RLIMIT_NOFILE, &low);
+        size_t open = openDescriptors();
+        setrlimit(RLIMIT_NOFILE, &usual);
+        EXPECT_EQ(open, 1U);
+    }
+
     // Guards against listeners that together leave no descriptor for links and targets.
     TEST(MemoryBudgetTest, ListenersLeaveDescriptorsForOthers)
     {
