Bound the time for which an interim response waits for its caller

Reading a request in pieces disarms the deadline after each piece, so the write of "100 Continue" had none. A caller that sends requests with "Expect: 100-continue" and reads nothing held the connection, its fiber and the charge of its body forever. The write now has the time that the request has left, and the connection closes when it fails.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -169,7 +169,12 @@
         return false;
     if (parser.get()[http::field::expect] == "100-continue") {
         const std::string_view continueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
-        awaitIo([&](auto handler) { boost::asio::async_write(socket_, boost::asio::buffer(continueResponse), handler); });
+        // A caller that does not read earlier responses may not accept this one either.
+        deadline_.arm(settings_.memory->timeLeft(reading_->id(), settings_.readTimeout));
+        auto written = awaitIo([&](auto handler) { boost::asio::async_write(socket_, boost::asio::buffer(continueResponse), handler); });
+        deadline_.disarm();
+        if (written.error)
+            return false;
     }
     // All chunks in the buffer are parsed in one step.
     parser.eager(true);
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -178,6 +178,44 @@
             settings);
     }
 
+    // Guards against connections that last forever, with the memory of their body, because their caller asks whether to
+    // send it but reads nothing.
+    TEST_F(HttpTest, UnreadContinueEndsWithTheReadTimeout)
+    {
+        using boost::asio::ip::tcp;
+        auto answer = [](const HttpRequest& request, HttpExchange& exchange) { exchange.send(200, {}, std::string(std::stoul(request.query), 'x')); };
+        HttpServerSettings settings;
+        settings.readTimeout = 500ms;
+        settings.writeTimeout = 500ms;
+        run(
+            answer, [&] {
+                // The first write that waits for the caller is one of many interim and final responses.
+                constexpr int callerCount = 16;
+                std::vector<tcp::socket> callers;
+                for (int i = 0; i < callerCount; ++i) {
+                    callers.emplace_back(loop_.context(), tcp::v4());
+                    callers.back().set_option(tcp::socket::receive_buffer_size(4 * 1024));
+                }
+                int connected = 0;
+                for (int i = 0; i < callerCount; ++i) {
+                    loop_.spawn([&, i] {
+                        auto& caller = callers[size_t(i)];
+                        connected += awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error ? 0 : 1;
+                        auto requests = "GET /?" + std::to_string(100 * i) + " HTTP/1.1\r\n\r\n";
+                        for (int request = 0; request < 5000; ++request)
+                            requests += "POST /?1 HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\nx";
+                        awaitIo([&](auto handler) { boost::asio::async_write(caller, boost::asio::buffer(requests), handler); });
+                    });
+                }
+                sleepFor(loop_, 500ms);
+                ASSERT_EQ(connected, callerCount);
+                for (int i = 0; i < 100 && server_->connectionCount() > 0; ++i)
+                    sleepFor(loop_, 50ms);
+                EXPECT_EQ(server_->connectionCount(), 0u);
+            },
+            settings);
+    }
+
     // Guards against an error that says that a request may have run although no connection was made.
     TEST_F(HttpTest, UnreachableServerMeansNotRun)
     {
