Record the progress of callers that read a large response

The holder of a response that is being written never recorded progress, so after a second it counted as standing still, and the response was cut off as soon as another caller needed room, however fast its own caller read. Responses above 4 KiB are now written in the pieces that Beast writes anyway, at most 64 KiB each, and each piece counts as progress; one deadline still covers the whole response.

HttpTest.OnlyReadersThatStandStillAreEvicted failed before: a caller that read 100 KiB every 100 ms was evicted after 1 s.

--- a/src/http/HttpConnection.cpp
+++ b/src/http/HttpConnection.cpp
@@ -9,7 +9,6 @@
 #include <boost/beast/http/chunk_encode.hpp>
 #include <boost/beast/http/empty_body.hpp>
 #include <boost/beast/http/serializer.hpp>
-#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/write.hpp>
 #include <iterator>
 
@@ -372,11 +371,32 @@
     return !written.error;
 }
 
+bool HttpConnection::writeInPieces(Response& message, const MemoryHolder& writing)
+{
+    if (isDisconnected_)
+        return false;
+    http::response_serializer<http::span_body<const char>> serializer(message);
+    deadline_.arm(settings_.writeTimeout);
+    boost::system::error_code error;
+    while (!error && !serializer.is_done()) {
+        auto written = awaitIo([&](auto handler) { http::async_write_some(socket_, serializer, handler); });
+        settings_.memory->recordProgress(writing.id(), written.count);
+        error = written.error;
+        // A deadline that expires between two pieces has nothing to cancel.
+        if (!error && deadline_.hasExpired())
+            error = boost::asio::error::timed_out;
+    }
+    deadline_.disarm();
+    if (error)
+        handleDisconnect();
+    return !error;
+}
+
 bool HttpConnection::send(int status, const HttpHeaders& headers, std::string_view body)
 {
     if (isExchangeDone_ || isStreaming_)
         return false;
-    http::response<http::span_body<const char>> message;
+    Response message;
     fillHeader(message, status, headers);
     std::optional<MemoryHolder> writing;
     if (body.size() > unchargedResponseBytes) {
@@ -389,7 +409,7 @@
     }
     message.body() = { body.data(), body.size() };
     message.prepare_payload();
-    bool isWritten = writeWithDeadline([&](auto handler) { http::async_write(socket_, message, handler); });
+    bool isWritten = writing ? writeInPieces(message, *writing) : writeWithDeadline([&](auto handler) { http::async_write(socket_, message, handler); });
     responseCharge_.shrinkTo(0);
     isExchangeDone_ = true;
     return isWritten;
--- a/src/http/HttpConnection.h
+++ b/src/http/HttpConnection.h
@@ -8,6 +8,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <memory>
 #include <optional>
@@ -48,6 +49,7 @@
 private:
     using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
     using ResponseHeader = boost::beast::http::response_header<>;
+    using Response = boost::beast::http::response<boost::beast::http::span_body<const char>>;
 
     std::optional<HttpRequest> readRequest();
     bool awaitFirstByte();
@@ -73,6 +75,8 @@
     void fillHeader(Message& message, int status, const HttpHeaders& headers);
     template <class Start>
     bool writeWithDeadline(Start&& start);
+    /** Within one deadline as writeWithDeadline(), but records the progress of the caller. */
+    bool writeInPieces(Response& message, const MemoryHolder& writing);
 
     boost::asio::ip::tcp::socket socket_;
     const HttpServerSettings settings_;
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include "briarhitch/http/CallerMemory.h"
 #include "briarhitch/http/HttpClient.h"
 #include "briarhitch/http/HttpServer.h"
 
@@ -216,6 +217,32 @@
             settings);
     }
 
+    // Guards against responses that are cut off when memory is short, although their caller keeps reading them.
+    TEST_F(HttpTest, OnlyReadersThatStandStillAreEvicted)
+    {
+        auto memory = std::make_shared<CallerMemory>(MemoryLimits { 8 * 1024 * 1024, 1024 * 1024 });
+        HttpServerSettings settings;
+        settings.memory = memory;
+        auto answer = [](const HttpRequest&, HttpExchange& exchange) { exchange.send(200, {}, std::string(3 * 1024 * 1024, 'x')); };
+        run(
+            answer, [&] {
+                boost::asio::ip::tcp::socket caller(loop_.context());
+                caller.open(boost::asio::ip::tcp::v4());
+                caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+                ASSERT_FALSE(awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error);
+                boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+                std::vector<char> bytes(100 * 1024);
+                for (int i = 0; i < 20; ++i) {
+                    ASSERT_FALSE(awaitIo([&](auto handler) { boost::asio::async_read(caller, boost::asio::buffer(bytes), handler); }).error);
+                    ASSERT_FALSE(memory->evictOne());
+                    sleepFor(loop_, 100ms);
+                }
+                sleepFor(loop_, 2500ms);
+                EXPECT_TRUE(memory->evictOne());
+            },
+            settings);
+    }
+
     // Guards against an error that says that a request may have run although no connection was made.
     TEST_F(HttpTest, UnreachableServerMeansNotRun)
     {
