Close idle connections for small requests that find no room

Each connection holds 16 KiB of the budget, also while it is idle, but only new connections of the same port closed idle ones to make room. Once idle connections filled the budget, every request on every port was refused with 503 after 1.5 s, readiness and metrics included: this takes as many callers as the budget has 16 KiB, for example 1024 at 16 MiB, fewer than a port may have. Small requests and new connections now close idle connections of any port if no request stands still. Large requests do not, as one would take hundreds.

HttpTest.IdleConnectionsGiveWayToSmallRequests failed before: 503 on both ports.

--- a/include/briarhitch/http/CallerMemory.h
+++ b/include/briarhitch/http/CallerMemory.h
@@ -33,6 +33,9 @@
     uint64_t addHolder(std::function<void()> evict);
     void removeHolder(uint64_t holder);
     void recordProgress(uint64_t holder, size_t bytes);
+    /** The hook closes an idle connection and returns its charge; false if there is none. */
+    uint64_t addIdleConnections(std::function<bool()> closeOne);
+    void removeIdleConnections(uint64_t id);
     [[nodiscard]] Duration timeLeft(uint64_t holder, Duration allowed) const;
     /** Charges `bytes` more, if need be after closing holders that stand still; ReadDecision says how the caller goes on. */
     ReadDecision reserve(uint64_t holder, MemoryCharge& charge, size_t bytes, bool isSmall);
@@ -41,6 +44,9 @@
     /** Closes the holder that has held most for longest with the least progress; false if none stands still. */
     bool evictOne(uint64_t asking = 0);
 
+    /** Makes room for a small request or a new connection; false if nothing can be closed. */
+    bool closeOne(uint64_t asking = 0);
+
     void countRefused(std::string_view reason);
     void countClosed(std::string_view reason);
     void publishGauges();
--- a/src/http/CallerMemory.cpp
+++ b/src/http/CallerMemory.cpp
@@ -6,6 +6,7 @@
 #include "briarhitch/settings/MemorySettings.h"
 #include "http/ReadAdmission.h"
 
+#include <algorithm>
 #include <malloc.h>
 #include <map>
 #include <string>
@@ -42,6 +43,8 @@
     MetricRegistry* metrics;
     ReadAdmission admission { ReadAdmissionSettings {} };
     std::map<HolderId, std::function<void()>> evictHooks;
+    std::map<uint64_t, std::function<bool()>> idleHooks;
+    uint64_t lastIdleId { 0 };
     Instant lastLoggedAt {};
 
     void count(const char* metric, std::string_view reason) const
@@ -80,6 +83,17 @@
     impl_->evictHooks.erase(holder);
 }
 
+uint64_t CallerMemory::addIdleConnections(std::function<bool()> closeOne)
+{
+    impl_->idleHooks.emplace(++impl_->lastIdleId, std::move(closeOne));
+    return impl_->lastIdleId;
+}
+
+void CallerMemory::removeIdleConnections(uint64_t id)
+{
+    impl_->idleHooks.erase(id);
+}
+
 void CallerMemory::recordProgress(uint64_t holder, size_t bytes)
 {
     impl_->admission.recordProgress(holder, bytes, BootClock::now());
@@ -93,7 +107,8 @@
 bool CallerMemory::reserveNow(uint64_t holder, MemoryCharge& charge, size_t bytes, bool isSmall)
 {
     bool hasRoom = charge.grow(bytes, isSmall);
-    while (!hasRoom && evictOne(holder))
+    // A large request does not close the idle connections of others: it would take hundreds of them.
+    while (!hasRoom && (isSmall ? closeOne(holder) : evictOne(holder)))
         hasRoom = charge.grow(bytes, isSmall);
     if (hasRoom)
         impl_->admission.addHeld(holder, bytes);
@@ -124,6 +139,13 @@
     return true;
 }
 
+bool CallerMemory::closeOne(uint64_t asking)
+{
+    if (evictOne(asking))
+        return true;
+    return std::any_of(impl_->idleHooks.begin(), impl_->idleHooks.end(), [](const auto& entry) { return entry.second(); });
+}
+
 void CallerMemory::countRefused(std::string_view reason)
 {
     impl_->count("http_refused_total", reason);
--- a/src/http/HttpServer.cpp
+++ b/src/http/HttpServer.cpp
@@ -69,7 +69,11 @@
             runGuarded(httpLog(), "a request", [&] { inner(request, exchange); });
             --running;
         };
+        idleId = settings.memory->addIdleConnections([this] { return closeLongestIdle(); });
     }
+    ~Impl() { settings.memory->removeIdleConnections(idleId); }
+    Impl(const Impl&) = delete;
+    Impl& operator=(const Impl&) = delete;
 
     void serve(boost::asio::ip::tcp::socket socket)
     {
@@ -99,7 +103,7 @@
         if (connections.size() >= settings.maxConnections && !closeLongestIdle() && !settings.memory->evictOne())
             return false;
         while (!charge.grow(HttpConnection::ownBytes, true)) {
-            if (!closeLongestIdle() && !settings.memory->evictOne())
+            if (!closeLongestIdle() && !settings.memory->closeOne())
                 return false;
         }
         return true;
@@ -141,6 +145,7 @@
     std::shared_ptr<TcpListener> listener;
     Handler handler;
     std::set<std::shared_ptr<HttpConnection>> connections;
+    uint64_t idleId { 0 };
     size_t running { 0 };
     bool isClosing { false };
     bool isDraining { false };
--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -198,6 +198,7 @@
                     callers.back().set_option(tcp::socket::receive_buffer_size(4 * 1024));
                 }
                 int connected = 0;
+                int ended = 0;
                 for (int i = 0; i < callerCount; ++i) {
                     loop_.spawn([&, i] {
                         auto& caller = callers[size_t(i)];
@@ -206,6 +207,7 @@
                         for (int request = 0; request < 5000; ++request)
                             requests += "POST /?1 HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\nx";
                         awaitIo([&](auto handler) { boost::asio::async_write(caller, boost::asio::buffer(requests), handler); });
+                        ++ended;
                     });
                 }
                 sleepFor(loop_, 500ms);
@@ -213,6 +215,10 @@
                 for (int i = 0; i < 100 && server_->connectionCount() > 0; ++i)
                     sleepFor(loop_, 50ms);
                 EXPECT_EQ(server_->connectionCount(), 0u);
+                callers.clear();
+                for (int i = 0; i < 100 && ended < callerCount; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(ended, callerCount);
             },
             settings);
     }
@@ -239,6 +245,44 @@
                 }
                 sleepFor(loop_, 2500ms);
                 EXPECT_TRUE(memory->evictOne());
+                for (int i = 0; i < 100 && server_->connectionCount() > 0; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(server_->connectionCount(), 0u);
+            },
+            settings);
+    }
+
+    // Guards against a process that refuses every request, on all of its ports, because idle connections fill its budget.
+    TEST_F(HttpTest, IdleConnectionsGiveWayToSmallRequests)
+    {
+        auto memory = std::make_shared<CallerMemory>(MemoryLimits { 1024 * 1024, 256 * 1024 });
+        HttpServerSettings settings;
+        settings.memory = memory;
+        auto answer = [](const HttpRequest&, HttpExchange& exchange) { exchange.send(200, {}, "ok"); };
+        run(
+            answer, [&] {
+                auto other = HttpServer::listen(loop_, settings, answer);
+                ASSERT_TRUE(other);
+                constexpr int idleCount = 70;
+                std::vector<boost::asio::ip::tcp::socket> idle;
+                for (int i = 0; i < idleCount; ++i) {
+                    auto& caller = idle.emplace_back(loop_.context());
+                    ASSERT_FALSE(awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error);
+                }
+                sleepFor(loop_, 50ms);
+                EXPECT_GT(memory->budget().heldBytes(), memory->budget().limits().requestBytes - 16 * 1024);
+                for (auto port : { server_->port(), (*other)->port() }) {
+                    auto call = to("GET", "/");
+                    call.port = port;
+                    auto response = fetch(client_, call);
+                    ASSERT_TRUE(response) << response.error().message;
+                    EXPECT_EQ(response->status, 200);
+                }
+                idle.clear();
+                // The fibers of the connections end with this loop.
+                for (int i = 0; i < 100 && server_->connectionCount() > 1; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(server_->connectionCount(), 1u);
             },
             settings);
     }
