--- a/tests/HttpTest.cpp
+++ b/tests/HttpTest.cpp
@@ -1,3 +1,4 @@
+#include "briarhitch/http/CallerMemory.h"
 #include "briarhitch/http/HttpClient.h"
 #include "briarhitch/http/HttpServer.h"
 
@@ -178,6 +179,114 @@
             settings);
     }
 
+    // Guards against connections that last forever, with the memory of their body, because their caller asks whether to
+    // send it but reads nothing.
+    TEST_F(HttpTest, UnreadContinueEndsWithTheReadTimeout)
+    {
+        using boost::asio::ip::tcp;
+        auto answer = [](const HttpRequest& request, HttpExchange& exchange) { exchange.send(200, {}, std::string(std::stoul(request.query), 'x')); };
+        HttpServerSettings settings;
+        settings.readTimeout = 500ms;
+        settings.writeTimeout = 500ms;
+        run(
+            answer, [&] {
+                // The first write that waits for the caller is one of many interim and final responses.
+                constexpr int callerCount = 16;
+                std::vector<tcp::socket> callers;
+                for (int i = 0; i < callerCount; ++i) {
+                    callers.emplace_back(loop_.context(), tcp::v4());
+                    callers.back().set_option(tcp::socket::receive_buffer_size(4 * 1024));
+                }
+                int connected = 0;
+                int ended = 0;
+                for (int i = 0; i < callerCount; ++i) {
+                    loop_.spawn([&, i] {
+                        auto& caller = callers[size_t(i)];
+                        connected += awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error ? 0 : 1;
+                        auto requests = "GET /?" + std::to_string(100 * i) + " HTTP/1.1\r\n\r\n";
+                        for (int request = 0; request < 5000; ++request)
+                            requests += "POST /?1 HTTP/1.1\r\nContent-Length: 1\r\nExpect: 100-continue\r\n\r\nx";
+                        awaitIo([&](auto handler) { boost::asio::async_write(caller, boost::asio::buffer(requests), handler); });
+                        ++ended;
+                    });
+                }
+                sleepFor(loop_, 500ms);
+                ASSERT_EQ(connected, callerCount);
+                for (int i = 0; i < 100 && server_->connectionCount() > 0; ++i)
+                    sleepFor(loop_, 50ms);
+                EXPECT_EQ(server_->connectionCount(), 0u);
+                callers.clear();
+                for (int i = 0; i < 100 && ended < callerCount; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(ended, callerCount);
+            },
+            settings);
+    }
+
+    // Guards against responses that are cut off when memory is short, although their caller keeps reading them.
+    TEST_F(HttpTest, OnlyReadersThatStandStillAreEvicted)
+    {
+        auto memory = std::make_shared<CallerMemory>(MemoryLimits { 8 * 1024 * 1024, 1024 * 1024 });
+        HttpServerSettings settings;
+        settings.memory = memory;
+        auto answer = [](const HttpRequest&, HttpExchange& exchange) { exchange.send(200, {}, std::string(3 * 1024 * 1024, 'x')); };
+        run(
+            answer, [&] {
+                boost::asio::ip::tcp::socket caller(loop_.context());
+                caller.open(boost::asio::ip::tcp::v4());
+                caller.set_option(boost::asio::socket_base::receive_buffer_size(64 * 1024));
+                ASSERT_FALSE(awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error);
+                boost::asio::write(caller, boost::asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+                std::vector<char> bytes(100 * 1024);
+                for (int i = 0; i < 20; ++i) {
+                    ASSERT_FALSE(awaitIo([&](auto handler) { boost::asio::async_read(caller, boost::asio::buffer(bytes), handler); }).error);
+                    ASSERT_FALSE(memory->evictOne());
+                    sleepFor(loop_, 100ms);
+                }
+                sleepFor(loop_, 2500ms);
+                EXPECT_TRUE(memory->evictOne());
+                for (int i = 0; i < 100 && server_->connectionCount() > 0; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(server_->connectionCount(), 0u);
+            },
+            settings);
+    }
+
+    // Guards against a process that refuses every request, on all of its ports, because idle connections fill its budget.
+    TEST_F(HttpTest, IdleConnectionsGiveWayToSmallRequests)
+    {
+        auto memory = std::make_shared<CallerMemory>(MemoryLimits { 1024 * 1024, 256 * 1024 });
+        HttpServerSettings settings;
+        settings.memory = memory;
+        auto answer = [](const HttpRequest&, HttpExchange& exchange) { exchange.send(200, {}, "ok"); };
+        run(
+            answer, [&] {
+                auto other = HttpServer::listen(loop_, settings, answer);
+                ASSERT_TRUE(other);
+                constexpr int idleCount = 70;
+                std::vector<boost::asio::ip::tcp::socket> idle;
+                for (int i = 0; i < idleCount; ++i) {
+                    auto& caller = idle.emplace_back(loop_.context());
+                    ASSERT_FALSE(awaitIo([&](auto handler) { caller.async_connect({ boost::asio::ip::address_v4::loopback(), server_->port() }, handler); }).error);
+                }
+                sleepFor(loop_, 50ms);
+                EXPECT_GT(memory->budget().heldBytes(), memory->budget().limits().requestBytes - 16 * 1024);
+                for (auto port : { server_->port(), (*other)->port() }) {
+                    auto call = to("GET", "/");
+                    call.port = port;
+                    auto response = fetch(client_, call);
+                    ASSERT_TRUE(response) << response.error().message;
+                    EXPECT_EQ(response->status, 200);
+                }
+                idle.clear();
+                // The fibers of the connections end with this loop.
+                for (int i = 0; i < 100 && server_->connectionCount() > 1; ++i)
+                    sleepFor(loop_, 10ms);
+                EXPECT_EQ(server_->connectionCount(), 1u);
+            },
+            settings);
+    }
+
     // Guards against an error that says that a request may have run although no connection was made.
     TEST_F(HttpTest, UnreachableServerMeansNotRun)
     {
