--- a/tests/platform/process/PlatformProcesses.cpp
+++ b/tests/platform/process/PlatformProcesses.cpp
@@ -41,7 +41,9 @@
 ChildProcess& PlatformProcesses::start(const std::string& name, const std::string& program, const Json& settings, const std::vector<std::string>& extraArguments)
 {
     auto path = folder_ + "/" + name + ".json";
-    std::ofstream(path) << settings.dump(2);
+    auto all = settings;
+    all.update(commonSettings_);
+    std::ofstream(path) << all.dump(2);
     std::vector<std::string> arguments { "--config=" + path };
     arguments.insert(arguments.end(), extraArguments.begin(), extraArguments.end());
     auto& process = processes_[name];
--- a/tests/platform/process/PlatformProcesses.h
+++ b/tests/platform/process/PlatformProcesses.h
@@ -35,6 +35,8 @@
     [[nodiscard]] std::string host(int number) const { return addressPrefix_ + std::to_string(number); }
     [[nodiscard]] std::string address(int number, uint16_t port) const { return host(number) + ":" + std::to_string(port); }
 
+    /** Settings that all programs get that are started later. */
+    void setCommonSettings(Json settings) { commonSettings_ = std::move(settings); }
     ChildProcess& start(const std::string& name, const std::string& program, const Json& settings, const std::vector<std::string>& extraArguments = {});
     /** Reads the list of servers at host 50. */
     ChildProcess& startControl(int number, bool mayBootstrap);
@@ -58,6 +60,7 @@
     std::string binFolder_;
     std::string addressPrefix_;
     std::string folder_;
+    Json commonSettings_ = Json::object();
     std::map<std::string, std::unique_ptr<ChildProcess>> processes_;
 };
 
