--- a/src/entry/PoolClient.cpp
+++ b/src/entry/PoolClient.cpp
@@ -732,6 +732,8 @@
 {
     for (auto& [pool, scheduler] : localSchedulers_) {
         scheduler->tick(now_());
+        // Only owners log traffic between zones; events that nobody takes would pile up.
+        (void)scheduler->takeZoneEvents();
         applyLocalActions(pool);
     }
 }
