--- a/src/entry/EntryNode.cpp
+++ b/src/entry/EntryNode.cpp
@@ -40,7 +40,7 @@
     constexpr Duration ownerCheckInterval = 100ms;
     constexpr Duration gaugeInterval = 1s;
     /** The rest of the descriptors is for callers, links and files: each routed request has a connection on either side. */
-    constexpr double targetDescriptorShare = 0.5;
+    constexpr double targetDescriptorShare = 0.45;
     /** Suspects that are blocked or cleared within this time are recorded by one command. */
     constexpr Duration suspectBatchTime = 20ms;
     constexpr Duration suspectRecordTimeout = 2s;
