--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,3 +1,11 @@
 #!/usr/bin/env bash
-# Builds what the scripts in review/6 to review/10 start beside target/bin. Their stand-ins are in Python and need no build.
-cd "$(dirname "$0")" && python3 -m py_compile standins2/fleet.py 6/case.py 7/case.py 9/case.py 10/case.py && rm -rf ./*/__pycache__
+# The stand-ins of review/6 to review/10 are in Python and need no build; checks that they can run.
+set -euo pipefail
+cd "$(dirname "$0")"
+python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 or later is needed (tomllib)"'
+for script in standins2/fleet.py 6/case.py 7/case.py 9/case.py 10/case.py; do
+    python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$script"
+done
+for program in briarhitch-platform-control briarhitch-platform-entry; do
+    [ -x "../target/bin/$program" ] || { echo "target/bin/$program is missing: run the build of deploy/system.toml first" >&2; exit 1; }
+done
