--- a/review/10/case.py
+++ b/review/10/case.py
@@ -8,7 +8,7 @@
 
 STABILITY_S = 3
 BACK_AFTER_S = 2
-PARTS = 3
+PARTS = int(os.environ.get("PARTS", "3"))
 # Place of the part that crashes servers, counted from 1; the last part belongs to the request itself.
 POSITION = int(os.environ.get("POSITION", "2"))
 LENGTH_S = 45
