--- a/review/6/case.py
+++ b/review/6/case.py
@@ -3,7 +3,7 @@
 import pathlib
 import sys
 
-sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent / "standins2"))
+sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent))
 from fleet import *
 
 CATCH_UP_S = 4
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 set -euo pipefail
 cd "$(dirname "$0")"
 python3 -c 'import sys; assert sys.version_info >= (3, 11), "Python 3.11 or later is needed (tomllib)"'
-for script in standins2/fleet.py 6/case.py 7/case.py 9/case.py 10/case.py; do
+for script in {6,7,9,10}/{fleet,case}.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$script"
 done
 for program in briarhitch-platform-control briarhitch-platform-entry; do
