Remove a voter from the log's group before it ends as planned

Cause: a process that got SIGTERM told nobody, so the group counted it as one of six voters until it had been silent for 2 s; of six voters three may not be lost. Ruled out: a group that cannot admit empty disks, and a successor that has not caught up.

Change: a process that ends as planned asks the leader to remove it, repeatedly for 2 s at most, if the group has a voter in its place. The seeded schedules play planned replacements with two disks lost afterwards; what they found is fixed here: confirmations that rest on uncommitted changes, a voter with an old log that takes itself for a learner, a leaving voter that never stands for election, learners that are made voters by delayed replies, and changes that make a majority of a minority. While several voters are silent, each is removed after 4 s. Why it works: the removal is committed before the process ends, so that from then on five voters count, of which two may be lost.

--- a/include/briarhitch/consensus/RaftNode.h
+++ b/include/briarhitch/consensus/RaftNode.h
@@ -19,6 +19,7 @@
     std::vector<NodeId> voters;
     /**
      * Number of voters that the group maintains by admitting nodes that ask; zero: only operators change the members.
+     * While there are more, one that asks for it is removed, and one that is unresponsive.
      */
     uint32_t targetVoters { 0 };
     /** False on a VM that replaces another one and may only join an existing group. */
@@ -94,6 +95,12 @@
     Result<void> addVoter(NodeId node);
     /** Leader only; for a voter that will not return. The last voter cannot be removed (BadRequest). */
     Result<void> removeVoter(NodeId node);
+    /**
+     * For a process that is about to end: blocks the calling fiber until the group has removed this voter, or does not need
+     * to because it has no voter in its place. False if no leader has confirmed it in time; the group then removes the voter
+     * once it is unresponsive.
+     */
+    bool leave(Duration timeout);
     [[nodiscard]] RaftStatus status() const;
 
 private:
--- a/include/briarhitch/control/ControlProcess.h
+++ b/include/briarhitch/control/ControlProcess.h
@@ -46,7 +46,10 @@
     Result<void> start();
     /** Blocks the calling fiber until the data folder is writable, for at most 30 s. */
     void waitForDisk();
-    /** Stops accepting requests from operators and waits at most 5 s for those in flight; must be called in a fiber. */
+    /**
+     * Stops accepting requests from operators, waits at most 5 s for those in flight, and leaves the log's group if that has a
+     * voter in place of this one; must be called in a fiber.
+     */
     void drain();
 
 private:
@@ -58,6 +61,7 @@
     Result<void> listen();
     void sendToVoter(NodeId to, std::string bytes);
     void closeUnusedLinks();
+    void leaveGroup();
     [[nodiscard]] std::vector<HostPort> controlProcesses() const;
     void handleOperator(const HttpRequest& request, HttpExchange& exchange);
     void startDiscovery();
--- a/src/consensus/PeerTable.cpp
+++ b/src/consensus/PeerTable.cpp
@@ -5,7 +5,7 @@
 
 namespace briarhitch {
 
-void PeerTable::setMembership(const Membership& membership, uint64_t next, Instant now)
+void PeerTable::setMembership(const Membership& membership, uint64_t next, Instant now, Instant admittedAt)
 {
     std::erase_if(peers_, [&](const auto& peer) {
         const auto* member = membership.find(peer.first);
@@ -19,6 +19,7 @@
         peer.incarnation = member.incarnation;
         peer.next = next;
         peer.lastReplied = now;
+        peer.admittedAt = admittedAt;
         peers_.emplace(member.node, std::move(peer));
     }
 }
--- a/src/consensus/PeerTable.h
+++ b/src/consensus/PeerTable.h
@@ -33,6 +33,10 @@
     Instant lastReplied {};
     /** Send time of the newest message that the peer has replied to. */
     Instant lastRepliedSend {};
+    /** When this leader admitted it; replies to earlier messages may come from a process that has ended. */
+    Instant admittedAt {};
+    /** It is about to end, and is not made a voter before. */
+    Instant leavesUntil {};
     SnapshotPtr snapshot;
     uint64_t snapshotOffset { 0 };
 };
@@ -49,9 +53,9 @@
     void clear() { peers_.clear(); }
     /**
      * Keeps peers whose incarnation is unchanged, adds new ones that start at `next`, and removes those that are no
-     * longer members.
+     * longer members. `admittedAt`: of the new ones; the epoch if they were members before this leader.
      */
-    void setMembership(const Membership& membership, uint64_t next, Instant now);
+    void setMembership(const Membership& membership, uint64_t next, Instant now, Instant admittedAt);
     /** Null if the node is not a member with this incarnation. */
     PeerProgress* find(NodeId node, Incarnation incarnation);
     [[nodiscard]] std::map<NodeId, PeerProgress>& all() { return peers_; }
--- a/src/consensus/RaftCore.cpp
+++ b/src/consensus/RaftCore.cpp
@@ -110,9 +110,13 @@
         tickLeader(now);
         return;
     }
+    if (isLeaving_)
+        requestRemoval(now);
+    // A node that leaves would only be the leader for a moment, but its log may be the only one that a majority accepts.
+    auto deadline = electionDeadline_ + (isLeaving_ ? settings_.electionTimeoutMax : Duration::zero());
     if (!isFormed())
         tickUnformed(now);
-    else if (now >= electionDeadline_ && isSelfVoter())
+    else if (now >= deadline && isSelfVoter())
         startPreVote(now);
 }
 
@@ -145,6 +149,11 @@
         return onProbe(now, from, message);
     case RaftMessageKind::ProbeReply:
         return onProbeReply(from, message);
+    case RaftMessageKind::Leave:
+        return onLeave(now, from, message);
+    case RaftMessageKind::LeaveReply:
+        isLeaveConfirmed_ = isLeaveConfirmed_ || message.accepted;
+        return;
     }
 }
 
@@ -283,7 +292,7 @@
     role_ = RaftRole::Leader;
     leader_ = settings_.self;
     peers_.clear();
-    peers_.setMembership(log_.membership(), log_.lastIndex() + 1, now);
+    peers_.setMembership(log_.membership(), log_.lastIndex() + 1, now, Instant());
     termStart_ = log_.lastIndex() + 1;
     appendAsLeader(now, EntryKind::Noop, {});
 }
--- a/src/consensus/RaftCore.h
+++ b/src/consensus/RaftCore.h
@@ -25,6 +25,8 @@
     bool forgetVote { false };
     /** Counts replies of any incarnation of a node. */
     bool ignoreIncarnations { false };
+    /** Ends as planned without leaving the group. */
+    bool endWithoutLeaving { false };
 };
 
 struct RaftCoreSettings {
@@ -43,11 +45,12 @@
     uint64_t seed { 1 };
     /**
      * Number of voters that the group maintains by admitting nodes that ask; zero: only operators change the members.
+     * While there are more, one that asks for it is removed, and one that is unresponsive.
      */
     uint32_t targetVoters { 0 };
     /** False on a node that replaces another one and may only join an existing group. */
     bool mayBootstrap { true };
-    /** While there are more voters than targetVoters, one without a reply for this long is removed. */
+    /** A voter without a reply for this long is unresponsive; twice this while several voters are silent. */
     Duration unresponsiveTimeout { std::chrono::seconds(2) };
     RaftFaults faults;
 };
@@ -82,6 +85,14 @@
     /** NotLeader, or Unavailable while another change is not committed, or BadRequest if it changes more than one voter. */
     Result<uint64_t> proposeMembership(Instant now, const Membership& membership);
 
+    /**
+     * From now on tick() asks the leader to remove this node if the group has more than targetVoters voters, and the node
+     * starts an election only after the others.
+     */
+    void leave() { isLeaving_ = !settings_.faults.endWithoutLeaving; }
+    /** After leave(): the removal is committed, or the group has no voter to spare. */
+    [[nodiscard]] bool hasLeft() const;
+
     RaftReady takeReady();
     /** To be called when everything of the last RaftReady is synced. */
     void persisted(Instant now);
@@ -131,6 +142,10 @@
     void tickLeader(Instant now);
     void promoteJoining(Instant now);
     void removeUnresponsiveVoter(Instant now);
+    /** More voters than the group maintains, so that one of them may go. */
+    bool hasSpareVoter() const;
+    void requestRemoval(Instant now);
+    void onLeave(Instant now, NodeId from, const RaftMessage& message);
     bool mayChangeMembership() const;
     void appendAsLeader(Instant now, EntryKind kind, std::string data);
     void advanceCommit(Instant now);
@@ -164,6 +179,10 @@
     Instant electionDeadline_;
     Instant lastLeaderContact_;
     Instant nextProbe_ {};
+    bool isLeaving_ { false };
+    /** The leader has confirmed that this node need not wait any longer. */
+    bool isLeaveConfirmed_ { false };
+    Instant nextLeaveRequest_ {};
     std::set<NodeId> votes_;
     std::map<NodeId, Incarnation> unformedPeers_;
     /** Members of the group that this node asks for admission, in addition to the voters in the settings. */
--- a/src/consensus/RaftCoreReplication.cpp
+++ b/src/consensus/RaftCoreReplication.cpp
@@ -44,6 +44,9 @@
     // A change that the new voters cannot commit would leave a group without a leader.
     if (now - peers_.majorityReplied(membership, now) > settings_.electionTimeoutMin)
         return fail(ErrorKind::Unavailable, "a majority of the voters after the change does not reply");
+    // Fewer voters must not make a majority of a leader and peers that were a minority.
+    if (now - peers_.majorityReplied(log_.membership(), now) > settings_.electionTimeoutMin)
+        return fail(ErrorKind::Unavailable, "a majority of the voters before the change does not reply");
     appendAsLeader(now, EntryKind::Membership, encode(membership));
     return log_.lastIndex();
 }
@@ -59,7 +62,7 @@
     assert(appended);
     (void)appended;
     if (kind == EntryKind::Membership)
-        peers_.setMembership(log_.membership(), log_.lastIndex(), now);
+        peers_.setMembership(log_.membership(), log_.lastIndex(), now, now);
     for (auto& [node, peer] : peers_.all())
         sendLog(now, node, peer);
 }
@@ -74,8 +77,10 @@
     if (log_.termAt(index) != hardState_.term && !settings_.faults.commitEarlierTerms)
         return;
     commit_ = index;
-    if (!isSelfVoter() && log_.membershipIndex() <= commit_)
+    if (!isSelfVoter() && log_.membershipIndex() <= commit_) {
+        isLeaveConfirmed_ = isLeaving_;
         becomeFollower(now, hardState_.term, std::nullopt);
+    }
 }
 
 void RaftCore::tickLeader(Instant now)
@@ -91,22 +96,69 @@
     }
     promoteJoining(now);
     removeUnresponsiveVoter(now);
+    if (isLeaving_ && hasSpareVoter() && mayChangeMembership())
+        (void)proposeMembership(now, log_.membership().without(settings_.self));
+}
+
+bool RaftCore::hasSpareVoter() const
+{
+    return settings_.targetVoters > 0 && log_.membership().voterCount() > settings_.targetVoters;
+}
+
+bool RaftCore::hasLeft() const
+{
+    bool isLeaderWithoutSpare = role_ == RaftRole::Leader && isSelfVoter() && !hasSpareVoter() && log_.membershipIndex() <= commit_;
+    return isLeaveConfirmed_ || isLeaderWithoutSpare || !isFormed();
+}
+
+void RaftCore::requestRemoval(Instant now)
+{
+    if (now < nextLeaveRequest_)
+        return;
+    nextLeaveRequest_ = now + settings_.heartbeatInterval;
+    sendToVoters(message(RaftMessageKind::Leave));
+}
+
+void RaftCore::onLeave(Instant now, NodeId from, const RaftMessage& request)
+{
+    if (role_ != RaftRole::Leader)
+        return;
+    const auto* member = log_.membership().find(from);
+    bool isVoter = member && member->incarnation == request.incarnation && member->role == MemberRole::Voter;
+    bool isRemovable = isVoter && hasSpareVoter();
+    if (isRemovable && mayChangeMembership())
+        (void)proposeMembership(now, log_.membership().without(from));
+    if (auto* peer = peers_.find(from, request.incarnation))
+        peer->leavesUntil = now + settings_.unresponsiveTimeout;
+    RaftMessage reply = message(RaftMessageKind::LeaveReply);
+    // A change that is not committed may be lost with this leader.
+    reply.accepted = !isRemovable && log_.membershipIndex() <= commit_;
+    send(from, request.incarnation, std::move(reply));
 }
 
 void RaftCore::removeUnresponsiveVoter(Instant now)
 {
     const auto& membership = log_.membership();
     // A lost voter is replaced before it is removed, so that no acknowledged entry loses a copy meanwhile.
-    bool hasSpareVoter = settings_.targetVoters > 0 && membership.voterCount() > settings_.targetVoters;
-    if (!hasSpareVoter || !mayChangeMembership())
+    if (!hasSpareVoter() || !mayChangeMembership())
         return;
+    const Member* longestSilent = nullptr;
+    Instant silentSince = now;
+    size_t silentVoters = 0;
     for (const auto& member : membership.members) {
         auto* peer = peers_.find(member.node, member.incarnation);
-        if (!peer || now - peer->lastReplied < settings_.unresponsiveTimeout)
+        if (!peer || member.role != MemberRole::Voter || now - peer->lastReplied < settings_.unresponsiveTimeout)
             continue;
-        (void)proposeMembership(now, membership.without(member.node));
-        return;
+        ++silentVoters;
+        if (peer->lastReplied < silentSince) {
+            silentSince = peer->lastReplied;
+            longestSilent = &member;
+        }
     }
+    // Several that are silent at once may be cut off rather than lost.
+    auto timeout = silentVoters > 1 ? 2 * settings_.unresponsiveTimeout : settings_.unresponsiveTimeout;
+    if (longestSilent && now - silentSince >= timeout)
+        (void)proposeMembership(now, membership.without(longestSilent->node));
 }
 
 void RaftCore::promoteJoining(Instant now)
@@ -117,6 +169,8 @@
         auto* peer = peers_.find(member.node, member.incarnation);
         if (member.role != MemberRole::Joining || !peer || peer->match + maxJoinLagEntries < log_.lastIndex() || peer->match == 0)
             continue;
+        if (now - peer->lastReplied > settings_.electionTimeoutMin || now < peer->leavesUntil)
+            continue;
         Member voter = member;
         voter.role = MemberRole::Voter;
         (void)proposeMembership(now, log_.membership().with(voter));
@@ -207,7 +261,7 @@
     const auto* member = log_.membership().find(from);
     auto incarnation = settings_.faults.ignoreIncarnations && member ? member->incarnation : reply.incarnation;
     auto* peer = peers_.find(from, incarnation);
-    if (!peer)
+    if (!peer || Instant(Duration(reply.sentAt)) < peer->admittedAt)
         return nullptr;
     peer->lastReplied = now;
     auto sentAt = std::min(Instant(Duration(reply.sentAt)), now);
--- a/src/consensus/RaftNode.cpp
+++ b/src/consensus/RaftNode.cpp
@@ -306,6 +306,17 @@
     return impl_->changeMembership([node](const Membership& membership) { return membership.without(node); });
 }
 
+bool RaftNode::leave(Duration timeout)
+{
+    // The node may be destroyed while this fiber waits.
+    auto impl = impl_;
+    impl->replica->leave();
+    auto end = impl->settings.clock() + timeout;
+    while (!impl->closed && !impl->replica->core().hasLeft() && impl->settings.clock() < end)
+        sleepFor(impl->loop, impl->settings.heartbeatInterval / ticksPerHeartbeat);
+    return impl->replica->core().hasLeft();
+}
+
 RaftStatus RaftNode::status() const
 {
     const auto& core = impl_->replica->core();
--- a/src/consensus/RaftReplica.h
+++ b/src/consensus/RaftReplica.h
@@ -37,6 +37,7 @@
     void receive(Instant now, NodeId from, RaftMessage message) { core_.receive(now, from, std::move(message)); }
     std::optional<uint64_t> propose(Instant now, std::string command) { return core_.propose(now, std::move(command)); }
     Result<uint64_t> proposeMembership(Instant now, const Membership& membership) { return core_.proposeMembership(now, membership); }
+    void leave() { core_.leave(); }
 
     /** Stores, sends and applies the results of the calls above. False after the store has failed. */
     bool process(Instant now);
--- a/src/consensus/RaftTypes.h
+++ b/src/consensus/RaftTypes.h
@@ -126,8 +126,12 @@
     /** From a node that knows no members: asks for the receiver's incarnation and the membership of the group. */
     Probe,
     ProbeReply,
+    /** From a voter that is about to end for good: asks the leader to remove it if the group has a voter in its place. */
+    Leave,
+    /** Accepted: the sender is removed, or the group has no voter in its place. */
+    LeaveReply,
 };
-inline constexpr uint8_t maxRaftMessageKind = static_cast<uint8_t>(RaftMessageKind::ProbeReply);
+inline constexpr uint8_t maxRaftMessageKind = static_cast<uint8_t>(RaftMessageKind::LeaveReply);
 
 /** All consensus messages have the same fields; a field that a kind does not use takes one byte. */
 struct RaftMessage {
--- a/src/control/ControlProcess.cpp
+++ b/src/control/ControlProcess.cpp
@@ -16,6 +16,8 @@
     /** Time for operators' requests in flight before the process exits. */
     constexpr Duration drainLimit = 5s;
     constexpr Duration drainPollInterval = 20ms;
+    /** Time for the removal of a voter that ends; longer than an election. */
+    constexpr Duration leaveLimit = 2s;
     /** How often links to processes that are no longer members are closed. */
     constexpr Duration linkCheckInterval = 1s;
     constexpr Duration diskProbeInterval = 300ms;
@@ -286,13 +288,28 @@
     while (!isFolderWritable(settings_.dataFolder) && BootClock::now() < end);
 }
 
+void ControlProcess::leaveGroup()
+{
+    if (!settings_.fleet)
+        return;
+    // As a voter that has ended, this one would count towards the majority until the others notice.
+    if (!log_->leave(leaveLimit))
+        console_.warning("no leader has confirmed that this voter may end; the group will notice its absence");
+}
+
 void ControlProcess::drain()
 {
     console_.info("draining: exits after the requests in flight");
     http_->drain();
+    // A leader can finish its requests only as long as it is a member.
+    bool leavesFirst = !server_.isLeader();
+    if (leavesFirst)
+        leaveGroup();
     Instant deadline = BootClock::now() + drainLimit;
     while (http_->activeConnections() > 0 && BootClock::now() < deadline)
         sleepFor(loop_, drainPollInterval);
+    if (!leavesFirst)
+        leaveGroup();
     server_.stop();
     links_->close();
 }
--- a/tests/RaftCoreTest.cpp
+++ b/tests/RaftCoreTest.cpp
@@ -1,5 +1,6 @@
 #include "consensus/RaftCore.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace briarhitch {
@@ -248,6 +249,157 @@
         EXPECT_NE(unresponsive->proposeMembership(unresponsive.now, reduced).error().message.find("does not reply"), std::string::npos);
     }
 
+    /** A leader of six voters, one more than the group maintains, with its own term committed. */
+    Voter leaderWithASpareVoter()
+    {
+        Voter voter(6, 1, {}, [](RaftCoreSettings& settings) { settings.targetVoters = 5; });
+        voter.elect(3);
+        for (uint32_t other : { 2, 3, 4, 5, 6 })
+            voter.confirm(other, 1);
+        voter.flush();
+        return voter;
+    }
+
+    /** Whether the leader has told the node that it need not wait any longer. */
+    bool isLeaveAccepted(const std::vector<OutgoingMessage>& sent, uint32_t node)
+    {
+        return std::any_of(sent.begin(), sent.end(), [node](const OutgoingMessage& out) { return out.to == NodeId(node) && out.message.kind == RaftMessageKind::LeaveReply && out.message.accepted; });
+    }
+
+    // Guards against a voter that ends as planned and still counts towards the majority.
+    TEST(RaftCoreTest, SpareVoterThatLeavesIsRemovedBeforeItEnds)
+    {
+        auto leader = leaderWithASpareVoter();
+        auto askToLeave = [&] {
+            leader.reply(6, RaftMessageKind::Leave, [](RaftMessage&) {});
+            return isLeaveAccepted(leader.flush(), 6);
+        };
+        EXPECT_FALSE(askToLeave()) << "its removal is not committed yet";
+        EXPECT_EQ(leader->log().membership(), votersOf(6).without(NodeId(6)));
+        for (uint32_t other : { 2, 3 })
+            leader.confirm(other, 2);
+        leader.flush();
+        EXPECT_TRUE(askToLeave());
+        leader.reply(5, RaftMessageKind::Leave, [](RaftMessage&) {});
+        EXPECT_TRUE(isLeaveAccepted(leader.flush(), 5)) << "it need not wait, as the group has no voter in its place";
+        EXPECT_EQ(leader->log().membership(), votersOf(6).without(NodeId(6)));
+    }
+
+    // Guards against a voter that ends because a change leaves the group none to spare, when that change is then lost.
+    TEST(RaftCoreTest, LeaveIsNotConfirmedByAnUncommittedChange)
+    {
+        auto leader = leaderWithASpareVoter();
+        ASSERT_TRUE(leader->proposeMembership(leader.now, votersOf(6).with({ NodeId(6), Incarnation(99), MemberRole::Joining })));
+        leader.reply(5, RaftMessageKind::Leave, [](RaftMessage&) {});
+        EXPECT_FALSE(isLeaveAccepted(leader.flush(), 5));
+        for (uint32_t other : { 2, 3 })
+            leader.confirm(other, 2);
+        leader.reply(5, RaftMessageKind::Leave, [](RaftMessage&) {});
+        EXPECT_TRUE(isLeaveAccepted(leader.flush(), 5));
+    }
+
+    // Guards against a learner that is made a voter although it is about to end, or has ended.
+    TEST(RaftCoreTest, LearnerThatLeavesOrIsSilentIsNotMadeAVoter)
+    {
+        for (bool asksToLeave : { false, true }) {
+            auto leader = leaderWithASpareVoter();
+            ASSERT_TRUE(leader->proposeMembership(leader.now, votersOf(6).with({ NodeId(7), Incarnation(17), MemberRole::Joining })));
+            leader.flush();
+            for (uint32_t other : { 2, 3, 4 })
+                leader.confirm(other, 2);
+            leader.confirm(7, 2, leader.now);
+            if (asksToLeave) {
+                leader.reply(7, RaftMessageKind::Leave, [](RaftMessage&) {});
+                EXPECT_TRUE(isLeaveAccepted(leader.flush(), 7));
+            }
+            leader.now += asksToLeave ? 100ms : 500ms;
+            for (uint32_t other : { 2, 3, 4, 5, 6 })
+                leader.confirm(other, 2);
+            leader->tick(leader.now);
+            EXPECT_EQ(leader->log().membership().find(NodeId(7))->role, MemberRole::Joining);
+        }
+    }
+
+    // Guards against a process that has left and ended, and becomes a voter again by messages that were delayed.
+    TEST(RaftCoreTest, DelayedMessagesOfARemovedVoterDoNotMakeItAVoter)
+    {
+        auto leader = leaderWithASpareVoter();
+        auto sentBefore = leader.now;
+        auto commit = [&](uint64_t index) {
+            leader.flush();
+            for (uint32_t other : { 2, 3, 4 })
+                leader.confirm(other, index);
+        };
+        leader.reply(6, RaftMessageKind::Leave, [](RaftMessage&) {});
+        commit(2);
+        leader.now += 100ms;
+        leader.reply(6, RaftMessageKind::PreVote, [&](RaftMessage& message) { message.term = leader->term() + 1; });
+        commit(3);
+        leader.confirm(6, 2, sentBefore);
+        leader->tick(leader.now);
+        const auto* member = leader->log().membership().find(NodeId(6));
+        EXPECT_TRUE(!member || member->role == MemberRole::Joining);
+    }
+
+    TEST(RaftCoreTest, LeaderThatLeavesRemovesItselfAndStepsDown)
+    {
+        auto leader = leaderWithASpareVoter();
+        leader->leave();
+        EXPECT_FALSE(leader->hasLeft());
+        leader->tick(leader.now);
+        leader.flush();
+        EXPECT_EQ(leader->log().membership(), votersOf(6).without(NodeId(1)));
+        for (uint32_t other : { 2, 3, 4 }) {
+            EXPECT_FALSE(leader->hasLeft());
+            leader.confirm(other, 2);
+        }
+        EXPECT_TRUE(leader->hasLeft());
+        EXPECT_EQ(leader->role(), RaftRole::Follower);
+    }
+
+    // Guards against a process that ends as the next leader, and against a group whose only complete log never stands for election.
+    TEST(RaftCoreTest, VoterThatLeavesStandsForElectionAfterTheOthers)
+    {
+        Voter voter(5, 1, {}, [](RaftCoreSettings& settings) { settings.targetVoters = 5; });
+        voter->leave();
+        RaftCoreSettings settings;
+        auto firstPreVote = Instant::max();
+        for (; voter.now < start + 4 * settings.electionTimeoutMax; voter.now += 20ms) {
+            voter->tick(voter.now);
+            for (const auto& sent : voter.flush()) {
+                if (sent.message.kind == RaftMessageKind::PreVote)
+                    firstPreVote = std::min(firstPreVote, voter.now);
+            }
+        }
+        EXPECT_GE(firstPreVote, start + settings.electionTimeoutMin + settings.electionTimeoutMax);
+        EXPECT_LT(firstPreVote, start + 2 * settings.electionTimeoutMax);
+        EXPECT_FALSE(voter->hasLeft());
+        voter.reply(2, RaftMessageKind::LeaveReply, [](RaftMessage& message) { message.accepted = true; });
+        EXPECT_TRUE(voter->hasLeft());
+    }
+
+    // Guards against a voter that keeps its place for good after it has ended without a word, and against voters that lose theirs
+    // because a part of the group was cut off for a moment.
+    TEST(RaftCoreTest, SilentSpareVoterIsRemovedButNotSeveralAtOnce)
+    {
+        auto removedAfter = [](const std::vector<uint32_t>& responsive) {
+            auto leader = leaderWithASpareVoter();
+            auto begin = leader.now;
+            while (leader->log().membership() == votersOf(6) && leader.now < begin + 10s) {
+                leader.now += 20ms;
+                for (uint32_t other : responsive)
+                    leader.confirm(other, 1, leader.now);
+                leader->tick(leader.now);
+                leader.flush();
+            }
+            return leader.now - begin;
+        };
+        auto timeout = RaftCoreSettings().unresponsiveTimeout;
+        EXPECT_EQ(removedAfter({ 2, 3, 4, 5 }), timeout);
+        EXPECT_EQ(removedAfter({ 2, 3, 4 }), 2 * timeout);
+        EXPECT_EQ(removedAfter({ 2, 3 }), 10s) << "they are a minority of six";
+    }
+
     // Guards against a vote or an acknowledgement of a node whose disk was lost since.
     TEST(RaftCoreTest, MessageForAnEarlierIncarnationIsIgnored)
     {
--- a/tests/RaftScheduleTest.cpp
+++ b/tests/RaftScheduleTest.cpp
@@ -146,6 +146,30 @@
     }
     INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, SelfMaintainedGroup, testing::Range<uint64_t>(1, 5));
 
+    /** A group of five with voters to spare, some of which are replaced as planned while others crash. */
+    Options replacementOptions()
+    {
+        Options options;
+        options.targetVoters = 5;
+        options.spares = 4;
+        options.membershipChanges = options.lostDisks = options.diskFailures = 0;
+        options.crashes = options.partitions = options.pauses = 1;
+        options.plannedEnds = 6;
+        options.maxDowntime = 400ms;
+        options.length = 10s;
+        return options;
+    }
+
+    // Guards against a group without a majority, or an acknowledged entry that is gone, when two disks are lost after a planned
+    // replacement.
+    TEST(RaftScheduleTest, PlannedReplacementsLeaveRoomForTwoLostDisks)
+    {
+        constexpr uint64_t schedules = 1500;
+        auto reached = expectSafe(replacementOptions(), 1500000, schedules);
+        EXPECT_GT(reached["planned ends"], schedules / 2);
+        EXPECT_GT(reached["two disks lost after a planned end"], schedules / 4);
+    }
+
     TEST(RaftScheduleTest, OneAndTwoVotersStaySafe)
     {
         Options options;
@@ -200,6 +224,7 @@
         { "VoteRightAfterRestart", restartOptions(), [](Options& options) { options.faults.voteRightAfterRestart = true; }, "lease", 3000 },
         { "ClocksBeyondTheBound", isolationOptions(), [](Options& options) { options.clockSpread = 0.4; }, "lease", 5000 },
         { "UnsyncedAcknowledgement", {}, [](Options& options) { options.faults.acknowledgeUnsynced = true; }, "leader completeness", 2000 },
+        { "EndWithoutLeaving", replacementOptions(), [](Options& options) { options.faults.endWithoutLeaving = true; }, "no progress", 1000 },
         { "VoteOfALostDisk", {}, [](Options& options) { options.faults.ignoreIncarnations = true; }, "leader completeness", 2000 },
     };
     INSTANTIATE_TEST_SUITE_P(RaftScheduleTest, InjectedFault, testing::ValuesIn(faultCases),
--- a/tests/support/RaftSimulation.h
+++ b/tests/support/RaftSimulation.h
@@ -29,6 +29,11 @@
     uint32_t lostDisks { 1 };
     uint32_t pauses { 1 };
     uint32_t membershipChanges { 1 };
+    /**
+     * Voters that are replaced as planned: one that the group can spare leaves and ends, in some schedules two others lose their
+     * disks soon afterwards, and its VM comes back with an empty disk later.
+     */
+    uint32_t plannedEnds { 0 };
     /** Fraction of the partitions that affect only one link. */
     double singleLinkChance { 0.3 };
     double dropChance { 0.02 };
@@ -101,6 +106,9 @@
         Deliver,
         Propose,
         Fault,
+        /** A voter that leaves ends, once it may. */
+        End,
+        LoseTwoDisks,
         Restart,
         Heal,
     };
@@ -137,6 +145,8 @@
         uint64_t ledTerm { 0 };
         /** It started with an empty disk after the group was started for the first time. */
         bool isReplaced { false };
+        /** No VM takes its place before. */
+        Duration isAbsentUntil { 0 };
     };
 
     struct Committed {
@@ -194,7 +204,13 @@
             if (!faultsEnded_)
                 schedule(std::chrono::milliseconds(1 + random_.below(2 * static_cast<uint64_t>(toMs(options_.meanFaultInterval)))), { EventKind::Fault });
             return faultsEnded_ ? void() : injectFault();
+        case EventKind::End:
+            return endIfLeft(nodes_[event.node]);
+        case EventKind::LoseTwoDisks:
+            return loseTwoDisks(event.node);
         case EventKind::Restart:
+            if (nodes_[event.node].isAbsentUntil > now_)
+                return schedule(nodes_[event.node].isAbsentUntil - now_, event);
             return start(nodes_[event.node]);
         case EventKind::Heal:
             blocked_.clear();
@@ -318,7 +334,7 @@
     void injectFault()
     {
         uint32_t total = options_.partitions + options_.crashes + options_.diskFailures + options_.lostDisks + options_.pauses
-            + options_.membershipChanges;
+            + options_.membershipChanges + options_.plannedEnds;
         uint64_t pick = random_.below(total);
         auto isPicked = [&](uint32_t weight) {
             bool picked = pick < weight;
@@ -340,7 +356,60 @@
             node.pausedUntil = now_ + std::chrono::milliseconds(random_.below(1500));
             return;
         }
-        changeMembership(node);
+        if (isPicked(options_.membershipChanges))
+            return changeMembership(node);
+        endAsPlanned(node);
+    }
+
+    /** Begins a planned end if the group can spare the voter and no other disk or VM is missing. */
+    void endAsPlanned(Node& node)
+    {
+        Node* leader = stableLeader();
+        if (!leader || !node.replica || isEnding_)
+            return;
+        const auto& membership = leader->replica->core().log().membership();
+        if (membership.voterCount() <= options_.targetVoters || !hasAllDisks(membership) || !membership.find(NodeId(node.id)))
+            return;
+        isEnding_ = true;
+        step(node, [](Node& ending) { ending.replica->leave(); });
+        schedule(std::chrono::milliseconds(options_.faults.endWithoutLeaving ? 20 : 0), { EventKind::End, node.id });
+    }
+
+    void endIfLeft(Node& node)
+    {
+        bool hasCrashed = !node.replica;
+        if (!hasCrashed && !options_.faults.endWithoutLeaving && !node.replica->core().hasLeft()) {
+            schedule(std::chrono::milliseconds(20), { EventKind::End, node.id });
+            return;
+        }
+        isEnding_ = false;
+        if (hasCrashed)
+            return;
+        ++reached_["planned ends"];
+        // Without a voter to spare by now, it ends as a member, and is started again.
+        Node* leader = stableLeader();
+        bool isReplaced = options_.faults.endWithoutLeaving || (leader && !leader->replica->core().log().membership().find(NodeId(node.id)));
+        if (!isReplaced)
+            return crash(node);
+        node.isAbsentUntil = now_ + std::chrono::milliseconds(2000 + random_.below(2000));
+        replaceDisk(node);
+        schedule(std::chrono::milliseconds(random_.below(1500)), { EventKind::LoseTwoDisks, node.id });
+    }
+
+    /** Two voters lose their disks, if all voters but the one that ended have theirs. */
+    void loseTwoDisks(uint32_t ended)
+    {
+        Node* leader = stableLeader();
+        if (!leader || faultsEnded_)
+            return;
+        auto remaining = leader->replica->core().log().membership().without(NodeId(ended));
+        if (remaining.voterCount() < options_.targetVoters || !hasAllDisks(remaining))
+            return;
+        ++reached_["two disks lost after a planned end"];
+        auto first = random_.below(remaining.members.size());
+        auto second = (first + 1 + random_.below(remaining.members.size() - 1)) % remaining.members.size();
+        for (auto lost : { first, second })
+            replaceDisk(nodes_[remaining.members[lost].node.value()]);
     }
 
     void partition()
@@ -606,6 +675,8 @@
     std::vector<NodeId> voters_;
     std::set<std::pair<uint32_t, uint32_t>> blocked_;
     bool faultsEnded_ { false };
+    /** A voter leaves the group before it ends. */
+    bool isEnding_ { false };
     uint64_t lastIncarnation_ { 0 };
     uint64_t operations_ { 0 };
     /** Greatest index whose result a caller has received, and its value when each operation began. */
