Charge what entries admit under a ceiling, and save no gain beyond the burst

Cause: three terms that the written sum of a ceiling did not have. Use that entries reported was forgiven as far as the account had overflowed before it; a share was topped up for each local period, so links that lose packets filled it many times in a window; and what an owner left to disconnected entries was saved for a window although the account was full. Ruled out: a takeover within the window, refunds of requests that ran.

Change: use is charged, less what the account had no room for while it was admitted; shares are topped up only if the account covered their use; accounts know what they would hold if nothing had been left to entries, and no more returns. Owners log settled parts and reached ceilings. Why it works: each term is bounded by one account that has one capacity, however often entries lose and find the owner.

--- a/include/briarhitch/entry/CeilingClient.h
+++ b/include/briarhitch/entry/CeilingClient.h
@@ -51,9 +51,12 @@
     struct CustomerRecord {
         CeilingAmount left;
         CeilingAmount withheld;
+        CeilingAmount withheldWithRoom;
         /** When the owner decided with `left` as the rest; none if it has not. */
         std::optional<Instant> leftAt;
         CeilingAmount unreportedUse;
+        /** When the first of it was admitted. */
+        Instant unreportedSince {};
         /** The local period for which this entry's share was begun; none while the owner decides. */
         std::optional<Instant> shareBegunFor;
     };
@@ -76,8 +79,11 @@
     CeilingVerdict decide(const Contract& contract, Tokens tokens);
     CeilingVerdict debitLocally(const Contract& contract, Tokens tokens, const PoolAssignment* pool, std::string_view reason);
     [[nodiscard]] CeilingShare shareOf(const Contract& contract, const PoolRecord& pool) const;
+    /** Whether the customer had used up its ceiling when the owner last decided, within the tolerance's window. */
+    [[nodiscard]] bool isExhausted(const Contract& contract) const;
     void beginLocalPeriod(const PoolAssignment& pool, PoolRecord& record, std::string_view reason);
     void endLocalPeriod(const PoolAssignment& pool, PoolRecord& record);
+    static void addUnreportedUse(CustomerRecord& customer, const CeilingAmount& use, Instant since);
     void sendSync(PoolId pool);
 
     Loop& loop_;
--- a/include/briarhitch/entry/CeilingHost.h
+++ b/include/briarhitch/entry/CeilingHost.h
@@ -59,8 +59,14 @@
     struct KnownLeft {
         CeilingAmount left;
         CeilingAmount withheld;
+        CeilingAmount withheldWithRoom;
         Instant at;
     };
+    /** When an entry was disconnected, and is connected again. */
+    struct Absence {
+        Instant from;
+        Instant until;
+    };
     /** What entries reported to an owner that does not decide yet. */
     struct TakeoverReports {
         std::set<NodeId> awaited;
@@ -93,9 +99,14 @@
     void beginDeciding(const std::string& name, Pool& pool);
     void setCeilings(const ClusterConfig& config);
     void countLocalUse(const CeilingAmount& used);
+    /** At most once a second for each customer. */
+    void logReached(CustomerId customer, const Pool& pool);
     void updateGainedFraction();
     [[nodiscard]] double entryFraction() const;
-    /** What this owner leaves to entries that are disconnected or have not reported since. */
+    /** Time for which this owner has left their parts of the rates to entries that are disconnected or have not reported since. */
+    [[nodiscard]] Duration withheldTime(const std::string& name, const Pool& pool) const;
+    [[nodiscard]] Duration withheldTime(const Pool& pool, const Absence& absence) const;
+    /** `withheldTime` at the entries' parts of the customer's rates. */
     [[nodiscard]] CeilingAmount withheldFrom(const std::string& name, const Pool& pool, CustomerId customer) const;
 
     CeilingHostSettings settings_;
@@ -109,9 +120,10 @@
     std::set<NodeId> connected_;
     /** Entries without a link to this node, and since when. */
     std::map<NodeId, Instant> disconnectedSince_;
-    /** Of entries that are connected again: pools for which they have not reported yet, and since when their parts of the rates were left to them. */
-    std::map<std::pair<NodeId, std::string>, Instant> unsettledSince_;
+    /** Of entries that are connected again: pools for which they have not reported yet, and when their parts of the rates were left to them. */
+    std::map<std::pair<NodeId, std::string>, Absence> unsettled_;
     std::deque<EarlySync> earlySyncs_;
+    std::map<CustomerId, Instant> reachedLoggedAt_;
 };
 
 }
--- a/include/briarhitch/sched/CeilingBuckets.h
+++ b/include/briarhitch/sched/CeilingBuckets.h
@@ -26,18 +26,26 @@
     /** Fraction of the rates that these buckets gain, 0 to 1; the rest is left to entries that decide locally. */
     void setGainedFraction(double fraction, Instant now);
     /**
-     * Gives the customer's buckets what they gain in this time at this fraction of their rates, less what was used of it;
-     * debits them if more was used.
+     * Of the rates, `fraction` was left to an entry for this time, and `share` is its part of all that is left to entries now. Gives the
+     * customer's buckets what the entry did not use of it, as far as they would have had room for it; charges them if it used more, in
+     * `usedTime` until now.
      */
-    void settle(CustomerId customer, double fraction, Duration time, const CeilingAmount& used, Instant now);
+    void settle(CustomerId customer, double fraction, Duration time, double share, const CeilingAmount& used, Duration usedTime, Instant now);
+    /** What the buckets would hold in addition if nothing had been left to entries. */
+    [[nodiscard]] CeilingAmount withheld(CustomerId customer, Instant now) const;
 
     [[nodiscard]] bool hasCustomer(CustomerId customer) const { return accounts_.contains(customer); }
     /** Debits one request. Errors: CeilingRequests or CeilingTokens, with the time until it would fit; NoOwner for an unknown customer. */
     Result<void> debit(CustomerId customer, Tokens tokens, Instant now);
-    /** Debits what was used without a debit here; refunds a negative amount. */
-    void charge(CustomerId customer, const CeilingAmount& used, Instant now);
+    /**
+     * Debits what was used without a debit here in this time until now, while the buckets gained, less what they had no room for in
+     * that time; refunds a negative amount.
+     */
+    void charge(CustomerId customer, const CeilingAmount& used, Duration time, Instant now);
     /** Refunds a request that did not run. */
     void refund(CustomerId customer, Tokens tokens, Instant now);
+    /** What was admitted here and reported by entries within the tolerance's window, less what did not run; to the eighth of a window. */
+    [[nodiscard]] CeilingAmount usedInWindow(CustomerId customer, Instant now) const;
     /** What the customer has left; zero if it is unknown. */
     [[nodiscard]] CeilingAmount left(CustomerId customer, Instant now) const;
 
@@ -50,19 +58,25 @@
         double overdraft { 0 };
         /** Gain of the last window that did not fit; admits requests larger than the capacity. */
         SlidingSum unusedGain;
-        /** The same since entries may have begun to decide locally, less what they reported as used. */
-        double reportableGain { 0 };
-        Instant lastUnusedGainAt {};
+        /** The same for a shorter time in shorter slots, less what entries reported as used meanwhile. */
+        SlidingSum reportableGain;
+        /** What the level would be greater by if nothing had been left to entries. */
+        double withheld { 0 };
+        /** Use of the last window. */
+        SlidingSum used;
         /** Use that a lower capacity hid; a higher one shows it again. */
         double hiddenUse { 0 };
         /** Size of the refused requests that were told to return later. */
         double returning { 0 };
         Instant filledAt {};
 
-        void gain(double amount, Instant now);
+        /** Gains `amount`; `withheldAmount` of the rate is left to entries. */
+        void gain(double amount, double withheldAmount, Instant now);
         [[nodiscard]] bool admits(double size, Instant now);
+        void debit(double size, Instant now);
         void refund(double size);
-        void charge(double size, Instant now);
+        void charge(double size, Duration time, Instant now);
+        void settle(double amount, double share, double used, Duration usedTime, Instant now);
         /** Time until a request of this size fits behind those that return before it. */
         Duration reserveReturn(double size);
     };
--- a/include/briarhitch/sched/CeilingShares.h
+++ b/include/briarhitch/sched/CeilingShares.h
@@ -31,10 +31,10 @@
     explicit CeilingShares(const CeilingTolerance& tolerance);
 
     /**
-     * Begins to decide locally. `hasUnreportedUse`: the owner does not know yet what was admitted here before, so what is
-     * left of that share is not topped up.
+     * Begins to decide locally. What is left of an earlier share is topped up only if `mayTopUp`: the owner knows what was admitted
+     * here before, and its account covered it.
      */
-    void begin(CustomerId customer, const Ceiling& ceiling, const CeilingShare& share, bool hasUnreportedUse, Instant now);
+    void begin(CustomerId customer, const Ceiling& ceiling, const CeilingShare& share, bool mayTopUp, Instant now);
     /** Errors as of CeilingBuckets::debit(). begin() must have been called before. */
     Result<void> debit(CustomerId customer, const Ceiling& ceiling, const CeilingShare& share, Tokens tokens, Instant now);
     /** Refunds a request that was admitted here and did not run. */
--- a/include/briarhitch/sched/SlidingSum.h
+++ b/include/briarhitch/sched/SlidingSum.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <numeric>
 
 namespace briarhitch {
 
@@ -40,6 +41,15 @@
         return result;
     }
 
+    /** The same from this time on; the slot that is only partly after it does not count. */
+    [[nodiscard]] double sumSince(Instant from, Instant now)
+    {
+        advance(now);
+        auto first = (from.time_since_epoch() + slotLength_ - Duration(1)) / slotLength_;
+        auto count = std::clamp<int64_t>(currentNumber_ - first + 1, 0, slotCount);
+        return std::accumulate(slots_.begin(), slots_.begin() + count, 0.0);
+    }
+
 private:
     static constexpr size_t slotCount = 8;
 
--- a/include/briarhitch/wire/Messages.h
+++ b/include/briarhitch/wire/Messages.h
@@ -590,11 +590,13 @@
     Tokens tokens;
     /** What the entry admitted without the owner and has not reported yet, less what did not run. */
     CeilingAmount unreportedUse;
+    /** Time since the first of it was admitted. */
+    uint32_t unreportedMs { 0 };
 
     template <class V>
     void fields(V& visit)
     {
-        visit(pool, customer, tokens, unreportedUse);
+        visit(pool, customer, tokens, unreportedUse, unreportedMs);
     }
 };
 
@@ -606,13 +608,15 @@
     uint32_t retryAfterMs { 0 };
     /** What is left of the customer's ceiling after this decision. */
     CeilingAmount left;
-    /** What the owner has left to disconnected entries, which it adds again less what they report. */
+    /** What the owner has left to disconnected entries, within the tolerance's window. */
     CeilingAmount withheld;
+    /** What of it the account would have had room for: it is added again, less what the entries use beyond the rest. */
+    CeilingAmount withheldWithRoom;
 
     template <class V>
     void fields(V& visit)
     {
-        visit(decided, admitted, kind, retryAfterMs, left, withheld);
+        visit(decided, admitted, kind, retryAfterMs, left, withheld, withheldWithRoom);
     }
 };
 
@@ -627,11 +631,14 @@
     uint32_t ageMs { 0 };
     /** As in CeilingDebit. */
     CeilingAmount unreportedUse;
+    uint32_t unreportedMs { 0 };
+    /** As in CeilingDecision. */
+    CeilingAmount withheldWithRoom {};
 
     template <class V>
     void fields(V& visit)
     {
-        visit(customer, hasLeft, left, withheld, ageMs, unreportedUse);
+        visit(customer, hasLeft, left, withheld, ageMs, unreportedUse, unreportedMs, withheldWithRoom);
     }
 };
 
--- a/src/entry/CeilingClient.cpp
+++ b/src/entry/CeilingClient.cpp
@@ -158,13 +158,15 @@
         return debitLocally(contract, tokens, pool, "the owner did not decide");
     auto& customer = customers_[contract.customer];
     auto reported = std::exchange(customer.unreportedUse, {});
-    auto reply = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, reported }), debitTimeout);
+    auto reportedSince = customer.unreportedSince;
+    auto reportedMs = reported == CeilingAmount {} ? 0 : clampMs(now_() - reportedSince);
+    auto reply = transport_.call(pool->owner, MessageType::CeilingDebit, encode(CeilingDebit { id, contract.customer, tokens, reported, reportedMs }), debitTimeout);
     auto decision = reply.and_then([](const std::string& body) { return decode<CeilingDecision>(body); });
     // The assignment may have changed while this fiber waited.
     pool = view_.findPool(ceilingPoolName(contract.customer));
     auto& record = pools_[id];
     if (!decision || !decision->decided) {
-        customer.unreportedUse += reported;
+        addUnreportedUse(customer, reported, reportedSince);
         record.isUnresponsive = !decision;
         record.skipOwnerUntil = now_() + (decision ? undecidedOwnerPause : unresponsiveOwnerPause);
         return debitLocally(contract, tokens, pool, decision ? "the owner does not decide yet" : "no reply from the owner");
@@ -172,6 +174,7 @@
     endLocalPeriod(*pool, record);
     customer.left = decision->left;
     customer.withheld = decision->withheld;
+    customer.withheldWithRoom = decision->withheldWithRoom;
     customer.leftAt = now_();
     customer.shareBegunFor.reset();
     CeilingVerdict verdict { {}, CeilingDecider::Owner, decision->left };
@@ -183,6 +186,13 @@
     return verdict;
 }
 
+void CeilingClient::addUnreportedUse(CustomerRecord& customer, const CeilingAmount& use, Instant since)
+{
+    if (customer.unreportedUse == CeilingAmount {} || since < customer.unreportedSince)
+        customer.unreportedSince = since;
+    customer.unreportedUse += use;
+}
+
 void CeilingClient::beginLocalPeriod(const PoolAssignment& pool, PoolRecord& record, std::string_view reason)
 {
     auto now = now_();
@@ -213,10 +223,20 @@
     share.entries = std::max<size_t>(1, entries.size());
     share.position = (static_cast<double>(before) + middle) / static_cast<double>(share.entries);
     // An owner that still has a link to this entry may admit requests of others at the full rate.
-    share.rateFraction = pool.isUnresponsive ? CeilingExcessFractions::unresponsiveOwnerRate : 1;
+    if (pool.isUnresponsive)
+        share.rateFraction = isExhausted(contract) ? 0 : CeilingExcessFractions::unresponsiveOwnerRate;
     return share;
 }
 
+bool CeilingClient::isExhausted(const Contract& contract) const
+{
+    auto it = customers_.find(contract.customer);
+    if (it == customers_.end() || !it->second.leftAt || now_() - *it->second.leftAt >= settings_.tolerance.window)
+        return false;
+    const auto& left = it->second.left;
+    return (contract.ceiling.tokensPerSecond > 0 && left.tokens <= 0) || (contract.ceiling.requestsPerSecond > 0 && left.requests <= 0);
+}
+
 CeilingVerdict CeilingClient::debitLocally(const Contract& contract, Tokens tokens, const PoolAssignment* pool, std::string_view reason)
 {
     auto& record = pools_[pool ? pool->id : PoolId()];
@@ -225,12 +245,13 @@
     auto& customer = customers_[contract.customer];
     auto share = shareOf(contract, record);
     if (!customer.shareBegunFor || customer.shareBegunFor != record.localSince) {
-        shares_.begin(contract.customer, contract.ceiling, share, customer.unreportedUse != CeilingAmount {}, now_());
+        bool mayTopUp = customer.unreportedUse == CeilingAmount {} && !isExhausted(contract);
+        shares_.begin(contract.customer, contract.ceiling, share, mayTopUp, now_());
         customer.shareBegunFor = record.localSince;
     }
     auto admitted = shares_.debit(contract.customer, contract.ceiling, share, tokens, now_());
     if (admitted)
-        customer.unreportedUse += { 1, static_cast<double>(tokens.value()) };
+        addUnreportedUse(customer, { 1, static_cast<double>(tokens.value()) }, now_());
     return { std::move(admitted), CeilingDecider::Entry, shares_.left(contract.customer) };
 }
 
@@ -289,7 +310,8 @@
         bool hasLeft = customer.leftAt && now - *customer.leftAt < settings_.tolerance.window;
         if (ceilingPoolName(id) != assigned->second.name || (!hasLeft && customer.unreportedUse == CeilingAmount {}))
             continue;
-        sync.accounts.push_back({ id, hasLeft, customer.left, customer.withheld, hasLeft ? clampMs(now - *customer.leftAt) : 0, customer.unreportedUse });
+        auto unreportedMs = customer.unreportedUse == CeilingAmount {} ? 0 : clampMs(now - customer.unreportedSince);
+        sync.accounts.push_back({ id, hasLeft, customer.left, customer.withheld, hasLeft ? clampMs(now - *customer.leftAt) : 0, customer.unreportedUse, unreportedMs, customer.withheldWithRoom });
         reported.push_back(id);
     }
     if (!transport_.postToOwner(record.owner, MessageType::CeilingSync, encode(sync)))
--- a/src/entry/CeilingHost.cpp
+++ b/src/entry/CeilingHost.cpp
@@ -26,6 +26,16 @@
         return log;
     }
 
+    /** What changes of an account that had left `withheld` to entries, when they report `used`. */
+    CeilingAmount leftOfWithheld(const CeilingAmount& withheld, const CeilingAmount& withRoom, const CeilingAmount& used)
+    {
+        auto leftOf = [](double all, double room, double use) {
+            double usable = std::min(room, all);
+            return usable - std::max(0.0, use - (all - usable));
+        };
+        return { leftOf(withheld.requests, withRoom.requests, used.requests), leftOf(withheld.tokens, withRoom.tokens, used.tokens) };
+    }
+
 }
 
 std::string ceilingPoolName(CustomerId customer)
@@ -143,11 +153,11 @@
         settle(from, name, pool, sync);
         return;
     }
-    unsettledSince_.erase({ from, name });
+    unsettled_.erase({ from, name });
     for (const auto& account : sync.accounts) {
         pool.reports.unreportedUse[account.customer] += account.unreportedUse;
         if (account.hasLeft)
-            pool.reports.left[account.customer].push_back({ account.left, account.withheld, hooks_.now() - std::chrono::milliseconds(account.ageMs) });
+            pool.reports.left[account.customer].push_back({ account.left, account.withheld, account.withheldWithRoom, hooks_.now() - std::chrono::milliseconds(account.ageMs) });
     }
     // A report for an earlier owner lacks what this node may have decided since.
     if (sync.epoch < pool.epoch)
@@ -160,18 +170,27 @@
 void CeilingHost::settle(NodeId entry, const std::string& name, Pool& pool, const CeilingSync& sync)
 {
     auto now = hooks_.now();
-    auto since = unsettledSince_.find({ entry, name });
-    auto time = since == unsettledSince_.end() ? Duration(0) : now - std::max(since->second, pool.assignedAt);
-    if (since != unsettledSince_.end())
-        unsettledSince_.erase(since);
-    std::map<CustomerId, CeilingAmount> used;
-    for (const auto& account : sync.accounts)
-        used[account.customer] = account.unreportedUse;
+    auto total = withheldTime(name, pool);
+    Duration time { 0 };
+    if (auto absence = unsettled_.find({ entry, name }); absence != unsettled_.end()) {
+        time = withheldTime(pool, absence->second);
+        unsettled_.erase(absence);
+    }
+    double share = total > Duration::zero() ? toSeconds(time) / toSeconds(total) : 0;
+    std::map<CustomerId, CeilingAccountReport> reports;
+    CeilingAmount totalUse;
+    for (const auto& account : sync.accounts) {
+        reports[account.customer] = account;
+        totalUse += account.unreportedUse;
+    }
+    if (time > Duration::zero() || totalUse != CeilingAmount {})
+        ceilingLog().event("part of an entry settled", { { "pool", name }, { "entry", int64_t(entry.value()) }, { "withheld_ms", toMs(time) }, { "used_tokens", totalUse.tokens } });
     for (const auto& [customer, ceiling] : ceilings_) {
-        if (ceilingPoolName(customer) != name || (time <= Duration::zero() && !used.contains(customer)))
+        if (ceilingPoolName(customer) != name || (time <= Duration::zero() && !reports.contains(customer)))
             continue;
-        pool.buckets.settle(customer, entryFraction(), time, used[customer], now);
-        countLocalUse(used[customer]);
+        const auto& report = reports[customer];
+        pool.buckets.settle(customer, entryFraction(), time, share, report.unreportedUse, std::chrono::milliseconds(report.unreportedMs), now);
+        countLocalUse(report.unreportedUse);
     }
 }
 
@@ -199,10 +218,8 @@
         // An earlier report counts less use than a later one, so the one with the least left is closest.
         for (const auto& known : reports.left[customer]) {
             CeilingAmount left = known.left;
-            left += -used;
             // A silent entry may have used all that was left to it.
-            if (reports.awaited.empty())
-                left += known.withheld;
+            left += reports.awaited.empty() ? leftOfWithheld(known.withheld, known.withheldWithRoom, used) : -used;
             pool.buckets.limitLeft(customer, left, now - known.at, now);
         }
         if (!reports.left[customer].empty())
@@ -211,7 +228,7 @@
             pool.buckets.limitLeftAfterUnknownUse(customer, now);
             ++unknown;
         }
-        pool.buckets.charge(customer, used, now);
+        pool.buckets.charge(customer, used, Duration::zero(), now);
     }
     ceilingLog().event("ceilings decided by this owner", { { "pool", name }, { "epoch", static_cast<int64_t>(pool.epoch.value()) }, { "waited_ms", toMs(now - pool.assignedAt) }, { "silent_entries", static_cast<int64_t>(reports.awaited.size()) }, { "customers_without_report", static_cast<int64_t>(unknown) } });
 }
@@ -239,7 +256,7 @@
     if (!mayDecide(name, pool) || !pool.buckets.hasCustomer(debit->customer))
         return encode(CeilingDecision {});
     if (debit->unreportedUse != CeilingAmount {}) {
-        pool.buckets.charge(debit->customer, debit->unreportedUse, hooks_.now());
+        pool.buckets.charge(debit->customer, debit->unreportedUse, std::chrono::milliseconds(debit->unreportedMs), hooks_.now());
         countLocalUse(debit->unreportedUse);
     }
     auto admitted = pool.buckets.debit(debit->customer, debit->tokens, hooks_.now());
@@ -248,9 +265,11 @@
     decision.admitted = admitted.has_value();
     decision.left = pool.buckets.left(debit->customer, hooks_.now());
     decision.withheld = withheldFrom(name, pool, debit->customer);
+    decision.withheldWithRoom = pool.buckets.withheld(debit->customer, hooks_.now());
     if (!admitted) {
         decision.kind = admitted.error().kind;
         decision.retryAfterMs = static_cast<uint32_t>(toMs(admitted.error().retryAfter.value_or(Duration(0))));
+        logReached(debit->customer, pool);
     }
     return encode(decision);
 }
@@ -261,6 +280,19 @@
         metrics_.count("ceiling_local_tokens_total", {}, static_cast<uint64_t>(used.tokens));
 }
 
+void CeilingHost::logReached(CustomerId customer, const Pool& pool)
+{
+    constexpr Duration logInterval = 1s;
+    auto now = hooks_.now();
+    auto [last, isNew] = reachedLoggedAt_.try_emplace(customer, now);
+    if (!isNew && now - last->second < logInterval)
+        return;
+    last->second = now;
+    auto used = pool.buckets.usedInWindow(customer, now);
+    auto withheld = pool.buckets.withheld(customer, now);
+    ceilingLog().event("ceiling reached", { { "customer", int64_t(customer.value()) }, { "window_requests", used.requests }, { "window_tokens", used.tokens }, { "withheld_tokens", withheld.tokens }, { "disconnected_entries", static_cast<int64_t>(disconnectedSince_.size()) } });
+}
+
 void CeilingHost::onRefund(std::string_view body)
 {
     auto debit = decode<CeilingDebit>(body);
@@ -278,20 +310,29 @@
     return entries_.empty() ? 0 : 1 / static_cast<double>(entries_.size());
 }
 
-CeilingAmount CeilingHost::withheldFrom(const std::string& name, const Pool& pool, CustomerId customer) const
+Duration CeilingHost::withheldTime(const Pool& pool, const Absence& absence) const
+{
+    return std::clamp<Duration>(absence.until - std::max(absence.from, pool.assignedAt), Duration::zero(), settings_.tolerance.window);
+}
+
+Duration CeilingHost::withheldTime(const std::string& name, const Pool& pool) const
 {
-    if (disconnectedSince_.empty() && unsettledSince_.empty())
-        return {};
     Duration total { 0 };
-    auto addTimeSince = [&](Instant since) { total += std::min<Duration>(hooks_.now() - std::max(since, pool.assignedAt), settings_.tolerance.window); };
     for (const auto& [entry, since] : disconnectedSince_)
-        addTimeSince(since);
-    for (const auto& [key, since] : unsettledSince_) {
+        total += withheldTime(pool, { since, hooks_.now() });
+    for (const auto& [key, absence] : unsettled_) {
         if (key.second == name)
-            addTimeSince(since);
+            total += withheldTime(pool, absence);
     }
+    return total;
+}
+
+CeilingAmount CeilingHost::withheldFrom(const std::string& name, const Pool& pool, CustomerId customer) const
+{
+    if (disconnectedSince_.empty() && unsettled_.empty())
+        return {};
     const auto& ceiling = ceilings_.at(customer);
-    double seconds = toSeconds(total) * entryFraction();
+    double seconds = toSeconds(withheldTime(name, pool)) * entryFraction();
     return { ceiling.requestsPerSecond * seconds, ceiling.tokensPerSecond * seconds };
 }
 
@@ -309,7 +350,7 @@
     if (since == disconnectedSince_.end())
         return;
     for (const auto& [name, pool] : pools_)
-        unsettledSince_[{ node, name }] = since->second;
+        unsettled_[{ node, name }] = { since->second, hooks_.now() };
     disconnectedSince_.erase(since);
     updateGainedFraction();
 }
--- a/src/sched/CeilingBuckets.cpp
+++ b/src/sched/CeilingBuckets.cpp
@@ -14,8 +14,6 @@
     constexpr double maxReturningSeconds = 2;
     /** Entries report what they admitted locally at most this long after it: the longest lease with clock drift. */
     constexpr Duration reportDelay = 3150ms;
-    /** Entries report as soon as they reach the owner again; later, unused gain has another cause. */
-    constexpr Duration reportGracePeriod = 1s;
 
     tl::unexpected<Error> exceeded(ErrorKind kind, const char* message, Duration retryAfter)
     {
@@ -26,19 +24,18 @@
 
 }
 
-void CeilingBuckets::Bucket::gain(double amount, Instant now)
+void CeilingBuckets::Bucket::gain(double amount, double withheldAmount, Instant now)
 {
     auto filled = level + amount;
+    auto unreduced = std::min(capacity, filled + withheld + withheldAmount);
     level = std::min(capacity, filled);
+    withheld = unreduced - level;
     hiddenUse = std::max(0.0, hiddenUse - amount);
     returning = std::max(0.0, returning - amount);
     if (filled <= level)
         return;
     unusedGain.add(filled - level, now);
-    if (now - lastUnusedGainAt > reportGracePeriod)
-        reportableGain = 0;
-    reportableGain = std::min(rate * toSeconds(reportDelay), reportableGain + filled - level);
-    lastUnusedGainAt = now;
+    reportableGain.add(filled - level, now);
 }
 
 bool CeilingBuckets::Bucket::admits(double size, Instant now)
@@ -47,19 +44,38 @@
     return rate <= 0 || (level > 0 && size <= level + overdraft + unusedGain.sum(now));
 }
 
+void CeilingBuckets::Bucket::debit(double size, Instant now)
+{
+    level -= size;
+    used.add(size, now);
+}
+
 void CeilingBuckets::Bucket::refund(double size)
 {
     level = std::min(capacity, level + size);
+    withheld = std::min(withheld, capacity - level);
 }
 
-void CeilingBuckets::Bucket::charge(double size, Instant now)
+void CeilingBuckets::Bucket::charge(double size, Duration time, Instant now)
 {
     // While entries decided locally, this bucket gained what they used, and may have had no room for it.
-    double unused = now - lastUnusedGainAt <= reportGracePeriod ? std::min(reportableGain, size) : 0;
-    reportableGain -= unused;
+    double unused = std::min(reportableGain.sumSince(now - time, now), size);
+    reportableGain.add(-unused, now);
     level -= size - unused;
 }
 
+void CeilingBuckets::Bucket::settle(double amount, double share, double used, Duration usedTime, Instant now)
+{
+    double withRoom = std::min(amount, withheld * share);
+    // What there was no room for could only be used by the entry, and does not count against the rest.
+    double balance = withRoom - std::max(0.0, used - (amount - withRoom));
+    withheld -= withRoom;
+    if (balance >= 0)
+        refund(balance);
+    else
+        charge(-balance, usedTime, now);
+}
+
 Duration CeilingBuckets::Bucket::reserveReturn(double size)
 {
     if (rate <= 0)
@@ -77,7 +93,8 @@
 
 void CeilingBuckets::fill(Bucket& bucket, Instant now) const
 {
-    bucket.gain(bucket.rate * gainedFraction_ * toSeconds(now - bucket.filledAt), now);
+    double gained = bucket.rate * toSeconds(now - bucket.filledAt);
+    bucket.gain(gainedFraction_ * gained, (1 - gainedFraction_) * gained, now);
     bucket.filledAt = now;
 }
 
@@ -98,6 +115,8 @@
     if (isNew) {
         bucket = {};
         bucket.level = capacity;
+        bucket.used = SlidingSum(tolerance_.window);
+        bucket.reportableGain = SlidingSum(reportDelay);
         bucket.unusedGain = SlidingSum(tolerance_.window);
         bucket.unusedGain.addEvenly(rate * toSeconds(tolerance_.window), now);
         bucket.filledAt = now;
@@ -110,6 +129,7 @@
     }
     bucket.rate = rate;
     bucket.capacity = capacity;
+    bucket.withheld = std::min(bucket.withheld, capacity - bucket.level);
     bucket.overdraft = CeilingExcessFractions::overdraft * excess;
 }
 
@@ -149,20 +169,27 @@
     gainedFraction_ = fraction;
 }
 
-void CeilingBuckets::settle(CustomerId customer, double fraction, Duration time, const CeilingAmount& used, Instant now)
+void CeilingBuckets::settle(CustomerId customer, double fraction, Duration time, double share, const CeilingAmount& used, Duration usedTime, Instant now)
 {
     auto* account = findFilled(customer, now);
     if (!account)
         return;
-    auto settleBucket = [&](Bucket& bucket, double amount) {
-        double balance = bucket.rate * fraction * toSeconds(std::min(time, tolerance_.window)) - amount;
-        if (balance >= 0)
-            bucket.gain(balance, now);
-        else
-            bucket.charge(-balance, now);
-    };
-    settleBucket(account->requests, used.requests);
-    settleBucket(account->tokens, used.tokens);
+    account->requests.used.add(used.requests, now);
+    account->tokens.used.add(used.tokens, now);
+    auto seconds = fraction * toSeconds(std::min(time, tolerance_.window));
+    account->requests.settle(account->requests.rate * seconds, share, used.requests, usedTime, now);
+    account->tokens.settle(account->tokens.rate * seconds, share, used.tokens, usedTime, now);
+}
+
+CeilingAmount CeilingBuckets::withheld(CustomerId customer, Instant now) const
+{
+    auto it = accounts_.find(customer);
+    if (it == accounts_.end())
+        return {};
+    auto account = it->second;
+    fill(account.requests, now);
+    fill(account.tokens, now);
+    return { account.requests.withheld, account.tokens.withheld };
 }
 
 Result<void> CeilingBuckets::debit(CustomerId customer, Tokens tokens, Instant now)
@@ -175,31 +202,41 @@
         return exceeded(ErrorKind::CeilingRequests, "request rate limit exceeded", account->requests.reserveReturn(1));
     if (!account->tokens.admits(size, now))
         return exceeded(ErrorKind::CeilingTokens, "token rate limit exceeded", account->tokens.reserveReturn(size));
-    account->requests.level -= 1;
-    account->tokens.level -= size;
+    account->requests.debit(1, now);
+    account->tokens.debit(size, now);
     return {};
 }
 
 void CeilingBuckets::refund(CustomerId customer, Tokens tokens, Instant now)
 {
-    charge(customer, { -1, -static_cast<double>(tokens.value()) }, now);
+    charge(customer, { -1, -static_cast<double>(tokens.value()) }, Duration::zero(), now);
 }
 
-void CeilingBuckets::charge(CustomerId customer, const CeilingAmount& used, Instant now)
+void CeilingBuckets::charge(CustomerId customer, const CeilingAmount& used, Duration time, Instant now)
 {
     auto* account = findFilled(customer, now);
     if (!account)
         return;
-    auto chargeTo = [now](Bucket& bucket, double amount) {
+    auto chargeTo = [&](Bucket& bucket, double amount) {
+        bucket.used.add(amount, now);
         if (amount < 0)
             bucket.refund(-amount);
         else
-            bucket.charge(amount, now);
+            bucket.charge(amount, time, now);
     };
     chargeTo(account->requests, used.requests);
     chargeTo(account->tokens, used.tokens);
 }
 
+CeilingAmount CeilingBuckets::usedInWindow(CustomerId customer, Instant now) const
+{
+    auto it = accounts_.find(customer);
+    if (it == accounts_.end())
+        return {};
+    auto account = it->second;
+    return { account.requests.used.sum(now), account.tokens.used.sum(now) };
+}
+
 CeilingAmount CeilingBuckets::left(CustomerId customer, Instant now) const
 {
     auto it = accounts_.find(customer);
--- a/src/sched/CeilingShares.cpp
+++ b/src/sched/CeilingShares.cpp
@@ -32,12 +32,12 @@
     return { startOf(ceiling.requestsPerSecond), startOf(ceiling.tokensPerSecond) };
 }
 
-void CeilingShares::begin(CustomerId customer, const Ceiling& ceiling, const CeilingShare& share, bool hasUnreportedUse, Instant now)
+void CeilingShares::begin(CustomerId customer, const Ceiling& ceiling, const CeilingShare& share, bool mayTopUp, Instant now)
 {
     auto start = startAmount(ceiling, share);
     auto [it, isNew] = accounts_.try_emplace(customer);
     auto& account = it->second;
-    if (!isNew && hasUnreportedUse)
+    if (!isNew && !mayTopUp)
         start = { std::min(start.requests, account.left.requests), std::min(start.tokens, account.left.tokens) };
     account = { start, now };
 }
--- a/tests/CeilingBucketsTest.cpp
+++ b/tests/CeilingBucketsTest.cpp
@@ -109,13 +109,13 @@
         idle.setCeiling(customer, tokensPerSecond(1000, 1000), start);
         ASSERT_TRUE(idle.debit(customer, Tokens(9000), start));
         auto end = start + 11s;
-        idle.charge(customer, { 2, 2000 }, end);
+        idle.charge(customer, { 2, 2000 }, 2s, end);
         EXPECT_TRUE(idle.debit(customer, Tokens(1), end)) << "the owner gained in two seconds what the entries used in them";
 
         CeilingBuckets busy({});
         busy.setCeiling(customer, tokensPerSecond(1000, 1000), start);
         admittedUnderConstantLoad(busy, 50, start, 10s);
-        busy.charge(customer, { 2, 2000 }, start + 10s);
+        busy.charge(customer, { 2, 2000 }, 2s, start + 10s);
         EXPECT_FALSE(busy.debit(customer, Tokens(1), start + 11900ms));
         EXPECT_TRUE(busy.debit(customer, Tokens(1), start + 12100ms)) << "the debt ends";
     }
--- a/tests/CeilingFleetTest.cpp
+++ b/tests/CeilingFleetTest.cpp
@@ -109,6 +109,77 @@
         }
     }
 
+    // Guards against a new share for each of many short periods in which entries get no reply, as on links that lose packets.
+    TEST(CeilingFleetTest, SharesOfManyShortLocalPeriodsDoNotAddUp)
+    {
+        for (double stallsPerSecond : { 0.6, 1.2, 3.0, 6.0 }) {
+            for (uint64_t seed = 1; seed <= 12; ++seed) {
+                uint32_t entries = seed % 3 == 0 ? 30 : 9;
+                SCOPED_TRACE(testing::Message() << entries << " entries, " << stallsPerSecond << " stalls a second, seed " << seed);
+                runInFiber([&](Loop& loop) {
+                    Random random(seed);
+                    CeilingFleetOptions options;
+                    options.entries = entries;
+                    options.seed = seed;
+                    options.meanRequestTokens = 3000;
+                    CeilingFleet fleet(loop, options);
+                    fleet.setDemand(0.3);
+                    fleet.run(9s);
+                    fleet.setDemand(2 + static_cast<double>(seed % 3));
+                    std::vector<Instant> cutUntil(entries + 1);
+                    auto begin = fleet.now();
+                    while (fleet.now() < begin + 12s) {
+                        for (uint32_t entry = 1; entry <= entries; ++entry) {
+                            if (cutUntil[entry] != Instant() && cutUntil[entry] <= fleet.now()) {
+                                fleet.stallLink(entry, CeilingFleet::firstOwner, false);
+                                cutUntil[entry] = {};
+                            } else if (cutUntil[entry] == Instant() && random.chance(stallsPerSecond / 100)) {
+                                fleet.stallLink(entry, CeilingFleet::firstOwner, true);
+                                cutUntil[entry] = fleet.now() + 250ms;
+                            }
+                        }
+                        fleet.run(10ms);
+                    }
+                    EXPECT_LE(fleet.mostInWindow(), fleet.allowedInWindow());
+                    EXPECT_GE(static_cast<double>(fleet.admittedSince(begin)), 0.9 * options.tokensPerSecond * toSeconds(fleet.now() - begin));
+                });
+            }
+        }
+    }
+
+    // Guards against gain that was left to disconnected entries while the customer's account was full, and is given to it when they
+    // are back, after it has spent what the account held.
+    TEST(CeilingFleetTest, PartsOfDisconnectedEntriesAreNotSavedBeyondTheBurst)
+    {
+        for (uint32_t absent : { 1U, 3U, 9U }) {
+            for (bool isOwnerReplaced : { false, true }) {
+                SCOPED_TRACE(testing::Message() << absent << " entries, another owner: " << isOwnerReplaced);
+                runInFiber([&](Loop& loop) {
+                    CeilingFleet fleet(loop, {});
+                    fleet.setDemand(0.2);
+                    fleet.run(1s);
+                    for (uint32_t entry = 1; entry <= absent; ++entry) {
+                        fleet.setWeight(entry, 0);
+                        fleet.setLinkCut(entry, CeilingFleet::firstOwner, true);
+                    }
+                    if (absent == 9)
+                        fleet.setWeight(9, 1);
+                    fleet.run(10s);
+                    fleet.setDemand(4);
+                    for (uint32_t entry = 1; entry <= absent; ++entry) {
+                        fleet.run(300ms);
+                        fleet.setWeight(entry, 1);
+                        fleet.setLinkCut(entry, CeilingFleet::firstOwner, false);
+                    }
+                    if (isOwnerReplaced)
+                        fleet.assignCeiling(CeilingFleet::secondOwner);
+                    fleet.run(9s);
+                    EXPECT_LE(fleet.mostInWindow(), fleet.allowedInWindow());
+                });
+            }
+        }
+    }
+
     // Guards against refusals of a customer below its ceiling, also while entries decide and through a change of owner.
     TEST(CeilingFleetTest, CustomerBelowItsCeilingIsNotRefused)
     {
--- a/tests/support/CeilingFleet.h
+++ b/tests/support/CeilingFleet.h
@@ -149,6 +149,15 @@
         }
     }
 
+    /** A link that stalls for less than the idle timeout delivers nothing, and stays open. */
+    void stallLink(uint32_t entry, uint32_t owner, bool isStalled)
+    {
+        if (isStalled)
+            cutLinks_.try_emplace({ entry, owner }, clock_.now);
+        else
+            cutLinks_.erase({ entry, owner });
+    }
+
     void setOwnerCut(uint32_t owner, bool isCut)
     {
         for (uint32_t entry = 1; entry <= options_.entries; ++entry)
