--- a/src/consensus/RaftCoreReplication.cpp
+++ b/src/consensus/RaftCoreReplication.cpp
@@ -147,9 +147,9 @@
     size_t silentVoters = 0;
     for (const auto& member : membership.members) {
         auto* peer = peers_.find(member.node, member.incarnation);
-        if (!peer || member.role != MemberRole::Voter || now - peer->lastReplied < settings_.unresponsiveTimeout)
+        if (!peer || now - peer->lastReplied < settings_.unresponsiveTimeout)
             continue;
-        ++silentVoters;
+        silentVoters += member.role == MemberRole::Voter ? 1 : 0;
         if (peer->lastReplied < silentSince) {
             silentSince = peer->lastReplied;
             longestSilent = &member;
--- a/src/sched/CrashWatch.cpp
+++ b/src/sched/CrashWatch.cpp
@@ -146,6 +146,7 @@
             continue;
         }
         PromptPartId part(id.value);
+        // An answer that has gone on for so long shows as much as a complete one.
         if (progress && !suspects_.isPartSound(part, now) && isOutlivedElsewhere(id, end, *progress, now))
             append(verdicts, suspects_.recordAnswer({ id }, now));
         append(verdicts, suspects_.recordPartCrash(part, request, end.target, end.at, progress, now));
