--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -185,6 +185,8 @@
         self.folder = tempfile.mkdtemp(prefix="briarhitch-review-")
         self.processes, self.servers, self.runs = {}, [], []
         self.bootstrap = True
+        # The core machines that the operator knows.
+        self.machines = list(range(1, cores + 1))
         self.start_list()
 
     def host(self, number):
@@ -292,7 +294,7 @@
         end = time.monotonic() + timeout
         attempt = 0
         while time.monotonic() < end:
-            host, port, path = self.host(1 + attempt % self.cores), self.ADMIN, "/v1/config"
+            host, port, path = self.host(self.machines[attempt % len(self.machines)]), self.ADMIN, "/v1/config"
             attempt += 1
             for _ in range(3):
                 try:
