--- a/review/stand-ins-3/fleet.py
+++ b/review/stand-ins-3/fleet.py
@@ -98,7 +98,9 @@
     def __init__(self, fleet, name, service, host, port, slots=6, behave=None):
         self.fleet, self.name, self.service, self.host, self.port, self.slots, self.behave = fleet, name, service, host, port, slots, behave
         self.state = "ready"
-        self.busy = threading.Semaphore(slots)
+        self.listen()
+
+    def listen(self):
         outer = self
 
         class Handler(socketserver.StreamRequestHandler):
@@ -113,7 +115,7 @@
             daemon_threads = True
             request_queue_size = 128
 
-        self.listener = Listener((host, port), Handler)
+        self.listener = Listener((self.host, self.port), Handler)
         threading.Thread(target=self.listener.serve_forever, daemon=True).start()
 
     def serve_one(self, handler):
