Keep each case of the third review in its own folder

The cases shared the stand-ins in review/stand-ins-3/; each folder now has its own copy, and build-3.sh compiles the copies.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -3,7 +3,7 @@
 # programs of the standard library, so this only checks that an interpreter is here and that they compile.
 set -eu
 cd "$(dirname "$0")"
-python3 -B - stand-ins-3/fleet.py 1[1-5]/*.py <<'CHECK'
+python3 -B - 1[1-5]/*.py <<'CHECK'
 import sys
 assert sys.version_info >= (3, 9), "the stand-ins need Python 3.9 or later"
 for path in sys.argv[1:]:
